--- /dev/null
+++ b/src/main/java/io/saltflow/app/Config.java
@@ -0,0 +1,156 @@
+package io.saltflow.app;
+
+import com.electronwill.nightconfig.core.UnmodifiableConfig;
+import com.electronwill.nightconfig.core.io.ParsingException;
+import com.electronwill.nightconfig.toml.TomlParser;
+import io.saltflow.coordination.Policy;
+import io.saltflow.protocol.Span;
+import io.saltflow.transport.Addresses;
+import java.io.IOException;
+import java.io.Reader;
+import java.io.StringReader;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The platform's settings, checked. Fields that are not known here are ignored. */
+public record Config(
+    String host,
+    String zone,
+    InetSocketAddress serveOn,
+    InetSocketAddress meshOn,
+    List<InetSocketAddress> siblings,
+    InetSocketAddress cloud,
+    InetSocketAddress state,
+    int size,
+    Map<String, Policy.Team> teams,
+    Span report,
+    Span lease,
+    Span cancel,
+    double stateRps,
+    double stateWriteRps,
+    double valueKb,
+    int txnOps,
+    double cloudRps,
+    Span listLag,
+    int sockets) {
+
+  public static Config read(Path file) throws ConfigError {
+    try (Reader in = Files.newBufferedReader(file)) {
+      return parse(in);
+    } catch (IOException e) {
+      throw new ConfigError(file + ": can't be read: " + e.getMessage());
+    }
+  }
+
+  public static Config parse(String toml) throws ConfigError {
+    return parse(new StringReader(toml));
+  }
+
+  private static Config parse(Reader in) throws ConfigError {
+    UnmodifiableConfig c;
+    try {
+      c = new TomlParser().parse(in);
+    } catch (ParsingException e) {
+      throw new ConfigError("not TOML: " + e.getMessage());
+    }
+    List<InetSocketAddress> siblings = new ArrayList<>();
+    for (UnmodifiableConfig s : tables(c, "siblings")) {
+      siblings.add(address(s, "addr", "siblings.addr"));
+    }
+    Map<String, Policy.Team> teams = new LinkedHashMap<>();
+    for (UnmodifiableConfig t : tables(c, "settings.teams")) {
+      String name = text(t, "name", "settings.teams.name");
+      teams.put(
+          name,
+          new Policy.Team(
+              name,
+              amount(t, "cpus", 0.0),
+              amount(t, "cpus_max", 0.0),
+              amount(t, "gpus", 0.0),
+              amount(t, "gpus_max", 0.0)));
+    }
+    return new Config(
+        text(c, "host_name", "host_name"),
+        text(c, "zone", "zone"),
+        address(c, "serve_on", "serve_on"),
+        address(c, "mesh_addr", "mesh_addr"),
+        siblings,
+        address(c, "endpoints.cloud", "endpoints.cloud"),
+        address(c, "endpoints.state", "endpoints.state"),
+        (int) positive(c, "settings.size", 1.0 + siblings.size()),
+        teams,
+        Span.seconds(positive(c, "settings.workers.report_s", null)),
+        Span.seconds(positive(c, "settings.workers.lease_s", null)),
+        Span.seconds(positive(c, "settings.workers.cancel_s", null)),
+        positive(c, "settings.state.rps", null),
+        positive(c, "settings.state.write_rps", null),
+        positive(c, "settings.state.value_kb", null),
+        (int) positive(c, "settings.state.txn_ops", null),
+        positive(c, "settings.cloud.rps", null),
+        Span.seconds(amount(c, "settings.cloud.list_lag_s", 5.0)),
+        (int) positive(c, "settings.resources.sockets", 1000.0));
+  }
+
+  private static List<UnmodifiableConfig> tables(UnmodifiableConfig c, String name)
+      throws ConfigError {
+    Object value = c.get(name);
+    List<UnmodifiableConfig> out = new ArrayList<>();
+    if (value == null) {
+      return out;
+    }
+    if (!(value instanceof List<?> list)) {
+      throw new ConfigError(name + ": a list of tables is required");
+    }
+    for (Object item : list) {
+      if (!(item instanceof UnmodifiableConfig table)) {
+        throw new ConfigError(name + ": a list of tables is required");
+      }
+      out.add(table);
+    }
+    return out;
+  }
+
+  private static String text(UnmodifiableConfig c, String path, String shown) throws ConfigError {
+    Object value = c.get(path);
+    if (value instanceof String s && !s.isEmpty()) {
+      return s;
+    }
+    throw new ConfigError(shown + ": " + (value == null ? "is missing" : "text is required"));
+  }
+
+  private static InetSocketAddress address(UnmodifiableConfig c, String path, String shown)
+      throws ConfigError {
+    try {
+      return Addresses.parse(text(c, path, shown));
+    } catch (IllegalArgumentException e) {
+      throw new ConfigError(shown + ": " + e.getMessage());
+    }
+  }
+
+  private static double amount(UnmodifiableConfig c, String path, Double otherwise)
+      throws ConfigError {
+    Object value = c.get(path);
+    if (value == null && otherwise != null) {
+      return otherwise;
+    }
+    if (value instanceof Number n && Double.isFinite(n.doubleValue()) && n.doubleValue() >= 0) {
+      return n.doubleValue();
+    }
+    throw new ConfigError(
+        path + ": " + (value == null ? "is missing" : "a number of 0 or more is required"));
+  }
+
+  private static double positive(UnmodifiableConfig c, String path, Double otherwise)
+      throws ConfigError {
+    double value = amount(c, path, otherwise);
+    if (value <= 0) {
+      throw new ConfigError(path + ": must be more than 0");
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -0,0 +1,327 @@
+package io.saltflow.app;
+
+import io.saltflow.bookkeeping.CloudClient;
+import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.bookkeeping.LeaderBooks;
+import io.saltflow.bookkeeping.StateClient;
+import io.saltflow.coordination.Authority;
+import io.saltflow.coordination.Job;
+import io.saltflow.coordination.Leader;
+import io.saltflow.coordination.Policy;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.MachineId;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The leader's term: it reads what is recorded, then drives the core until it is cancelled. */
+final class LeaderDuty extends Routine {
+  private static final Logger LOG = LoggerFactory.getLogger(LeaderDuty.class);
+  private static final Span AGAIN = Span.millis(300);
+  private static final Span HOLD = Span.seconds(1);
+  private static final Span WATCH_PAUSE = Span.millis(120);
+  private static final int MOST_DELETES = 100;
+
+  private final Loop loop;
+  private final Policy policy;
+  private final Authority authority;
+  private final StateClient state;
+  private final JobStore jobs;
+  private final LeaderBooks books;
+  private final CloudClient cloud;
+  private final Span listLag;
+  private final Supplier<Collection<MachineType>> types;
+  private final Consumer<List<MachineType>> onTypes;
+  private final Consumer<Span> onDeaf;
+  private Leader leader;
+  private boolean listing;
+  private boolean deleting;
+
+  LeaderDuty(
+      Routine parent,
+      Loop loop,
+      Policy policy,
+      Authority authority,
+      StateClient state,
+      JobStore jobs,
+      int txnOps,
+      CloudClient cloud,
+      Span listLag,
+      Supplier<Collection<MachineType>> types,
+      Consumer<List<MachineType>> onTypes,
+      Consumer<Span> onDeaf) {
+    super(parent);
+    this.loop = loop;
+    this.policy = policy;
+    this.authority = authority;
+    this.state = state;
+    this.jobs = jobs;
+    this.books = new LeaderBooks(this, state, jobs, authority, txnOps);
+    this.cloud = cloud;
+    this.listLag = listLag;
+    this.types = types;
+    this.onTypes = onTypes;
+    this.onDeaf = onDeaf;
+  }
+
+  /** The core, or null while the records are being read. */
+  Leader leader() {
+    return leader;
+  }
+
+  void start() {
+    books.readLedger(
+        ledger -> {
+          if (cancelled()) {
+            return;
+          }
+          if (ledger == null) {
+            loop.after(AGAIN, this, this::start);
+          } else {
+            readJobs(ledger);
+          }
+        });
+  }
+
+  private void readJobs(List<Leader.LedgerEntry> ledger) {
+    Time sent = loop.now();
+    jobs.listLive(
+        listed -> {
+          if (cancelled()) {
+            return;
+          }
+          if (listed == null) {
+            loop.after(AGAIN, this, () -> readJobs(ledger));
+            return;
+          }
+          List<Job> found = new ArrayList<>();
+          for (StateClient.Entry e : listed.entries()) {
+            JobStore.Recorded r = decode(e.key(), e.value());
+            if (r != null) {
+              found.add(new Job(r.spec(), r.arrivedWallMs(), r.done()));
+            }
+          }
+          leader =
+              new Leader(policy, authority.term(), found, ledger, types.get(), loop.now());
+          authority.synced(sent);
+          begin(listed.revision());
+        });
+  }
+
+  private static JobStore.Recorded decode(String key, Body value) {
+    try {
+      return JobStore.decode(value);
+    } catch (BadMessage e) {
+      LOG.error("record {} can't be read: {}", key, e.getMessage());
+      return null;
+    }
+  }
+
+  private void begin(long revision) {
+    watch(revision);
+    refreshTypes();
+    loop.every(Span.millis(200), this, this::tick);
+    loop.every(Span.millis(2500), this, () -> books.record(leader));
+    loop.every(Span.millis(500), this, this::rent);
+    loop.every(Span.millis(500), this, this::giveBack);
+    loop.every(Span.seconds(3), this, books::strike);
+    loop.every(new Span(Math.max(2000, listLag.ms())), this, this::list);
+    loop.every(Span.seconds(20), this, this::refreshTypes);
+    loop.every(Span.seconds(10), this, () -> LOG.info("{}", leader.summary()));
+  }
+
+  private void tick() {
+    leader.tick(loop.now());
+    books.finish(leader);
+    books.ledger(leader);
+    if (leader.deaf(loop.now())) {
+      onDeaf.accept(Span.seconds(10));
+    }
+  }
+
+  private void watch(long after) {
+    Time sent = loop.now();
+    jobs.watchLive(
+        after,
+        HOLD,
+        a -> {
+          if (cancelled()) {
+            return;
+          }
+          if (a.status() == 410) {
+            relist();
+          } else if (!a.ok()) {
+            loop.after(AGAIN, this, () -> watch(after));
+          } else {
+            try {
+              for (Body event : a.body().maps(Wire.EVENTS)) {
+                take(event);
+              }
+              authority.synced(sent);
+              long next = Math.max(after, a.revision());
+              loop.after(WATCH_PAUSE, this, () -> watch(next));
+            } catch (BadMessage e) {
+              LOG.error("watch of the jobs: {}", e.getMessage());
+              loop.after(AGAIN, this, this::relist);
+            }
+          }
+        });
+  }
+
+  private void take(Body event) throws BadMessage {
+    String put = event.textOr(Wire.PUT, null);
+    if (put == null) {
+      JobId id = JobStore.idOfLive(event.text(Wire.DELETE));
+      if (id != null) {
+        leader.jobGone(id, loop.now());
+      }
+      return;
+    }
+    JobId id = JobStore.idOfLive(put);
+    if (id != null && leader.job(id) == null) {
+      JobStore.Recorded r = decode(put, event.map(Wire.VALUE));
+      if (r != null) {
+        leader.jobSeen(r.spec(), r.arrivedWallMs());
+      }
+    }
+  }
+
+  /** The watch has fallen behind what the service keeps: everything is read again. */
+  private void relist() {
+    Time sent = loop.now();
+    jobs.listLive(
+        listed -> {
+          if (cancelled()) {
+            return;
+          }
+          if (listed == null) {
+            loop.after(AGAIN, this, this::relist);
+            return;
+          }
+          Set<JobId> live = new HashSet<>();
+          for (StateClient.Entry e : listed.entries()) {
+            JobStore.Recorded r = decode(e.key(), e.value());
+            if (r != null) {
+              live.add(r.spec().id());
+              leader.jobSeen(r.spec(), r.arrivedWallMs());
+            }
+          }
+          for (Job job : new ArrayList<>(leader.jobs())) {
+            if (!live.contains(job.id())) {
+              leader.jobGone(job.id(), loop.now());
+            }
+          }
+          authority.synced(sent);
+          watch(listed.revision());
+        });
+  }
+
+  private void refreshTypes() {
+    if (!cloud.ready()) {
+      loop.after(AGAIN, this, this::refreshTypes);
+      return;
+    }
+    cloud.types(
+        list -> {
+          if (cancelled()) {
+            return;
+          }
+          if (list != null) {
+            if (types.get().isEmpty() || !leader.knowsTypes()) {
+              books.writeTypes(list);
+            }
+            onTypes.accept(list);
+            leader.typesKnown(list);
+          } else if (!leader.knowsTypes()) {
+            loop.after(Span.seconds(1), this, this::refreshTypes);
+          }
+        });
+  }
+
+  private void rent() {
+    if (!authority.mayLaunch(loop.now())) {
+      return;
+    }
+    for (Leader.Rental r : leader.toRent(loop.now())) {
+      ask(r, loop.now());
+    }
+  }
+
+  /** Asks until there is an answer: the name makes a repeated request rent nothing twice. */
+  private void ask(Leader.Rental r, Time since) {
+    if (!cloud.ready()) {
+      loop.after(AGAIN, this, () -> ask(r, since));
+      return;
+    }
+    cloud.hire(
+        r.name(),
+        r.type(),
+        r.zone(),
+        r.spot(),
+        r.count(),
+        (status, hosts) -> {
+          if (cancelled()) {
+            return;
+          }
+          if (hosts != null) {
+            leader.hired(r, hosts, loop.now());
+            books.ledger(leader);
+          } else if (status == CloudClient.NO_CAPACITY || status == 400) {
+            leader.refused(r, loop.now());
+          } else {
+            loop.after(Span.seconds(1), this, () -> ask(r, since));
+          }
+        });
+  }
+
+  private void giveBack() {
+    pendingDeletes.addAll(leader.toDelete(loop.now()));
+    if (deleting || pendingDeletes.isEmpty() || !cloud.ready()) {
+      return;
+    }
+    deleting = true;
+    List<MachineId> some =
+        new ArrayList<>(pendingDeletes.subList(0, Math.min(MOST_DELETES, pendingDeletes.size())));
+    cloud.delete(
+        some,
+        ok -> {
+          deleting = false;
+          if (cancelled() || !ok) {
+            return;
+          }
+          pendingDeletes.removeAll(some);
+          leader.deleted(some, loop.now());
+          books.gone(some);
+        });
+  }
+
+  private final List<MachineId> pendingDeletes = new ArrayList<>();
+
+  private void list() {
+    if (listing || !cloud.ready()) {
+      return;
+    }
+    listing = true;
+    cloud.list(
+        found -> {
+          listing = false;
+          if (!cancelled() && found != null) {
+            leader.listed(found, loop.now());
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -0,0 +1,288 @@
+package io.saltflow.app;
+
+import io.saltflow.bookkeeping.CloudClient;
+import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.bookkeeping.LeaderBooks;
+import io.saltflow.bookkeeping.Leadership;
+import io.saltflow.bookkeeping.StateClient;
+import io.saltflow.coordination.Authority;
+import io.saltflow.coordination.Job;
+import io.saltflow.coordination.Leader;
+import io.saltflow.coordination.Policy;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Beat;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpReply;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Mesh;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.core.source64.SplitMix64;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: everything wired together under one routine. */
+final class Node extends Routine {
+  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+  private static final Span STATE_TROUBLE = Span.seconds(2);
+  private static final Span BEAT_FRESH = Span.seconds(4);
+
+  private final Loop loop;
+  private final Config config;
+  private final Policy policy;
+  private final Authority authority;
+  private final StateClient state;
+  private final JobStore jobs;
+  private final CloudClient cloud;
+  private final Leadership leadership;
+  private final Mesh mesh;
+  private final UserApi users;
+  private final WorkerApi workers;
+  private final HttpServer server;
+  private final Map<String, MachineType> types = new HashMap<>();
+  private final Map<String, Heard> siblings = new HashMap<>();
+  private Map<JobId, Beat.Counts> counts = new HashMap<>();
+  private LeaderDuty duty;
+
+  private record Heard(Beat beat, Time at) {}
+
+  Node(Loop loop, Config config, OperatorSettings operator, long seed) throws IOException {
+    super(null);
+    this.loop = loop;
+    this.config = config;
+    UniformRandomProvider random = new SplitMix64(seed);
+    policy = operator.policy(config);
+    authority = new Authority(operator.leaderLease(), policy.keepAfterSync());
+    HttpClient stateHttp = new HttpClient(this, loop, config.state(), 24, 256);
+    HttpClient watchHttp = new HttpClient(this, loop, config.state(), 4, 8);
+    HttpClient cloudHttp = new HttpClient(this, loop, config.cloud(), 8, 32);
+    // One node may be alone in serving users: each may use a good part of what all may use.
+    double rps = config.stateRps() * 0.45;
+    double wps = config.stateWriteRps() * 0.5;
+    state = new StateClient(this, loop, stateHttp, watchHttp, rps, wps);
+    jobs = new JobStore(this, loop, state, config.valueKb());
+    cloud = new CloudClient(this, loop, cloudHttp, config.cloudRps() * 0.75);
+    leadership =
+        new Leadership(
+            this,
+            loop,
+            state,
+            config.host(),
+            operator.leaderLease(),
+            authority,
+            random::nextLong,
+            new Standing());
+    mesh = new Mesh(this, loop, config.meshOn(), config.siblings(), this::onFrame);
+    users =
+        new UserApi(
+            jobs,
+            state,
+            config.teams(),
+            types::values,
+            this::countsOf,
+            System::currentTimeMillis);
+    workers =
+        new WorkerApi(
+            config.host(),
+            authority,
+            leadership::leader,
+            () -> duty == null ? null : duty.leader(),
+            () -> leadership.stepDown("a worker knows a higher token", Span.seconds(1)));
+    server =
+        new HttpServer(
+            this, loop, config.serveOn(), Math.max(16, config.sockets() - 100), this::handle);
+  }
+
+  int port() {
+    return server.port();
+  }
+
+  void start() {
+    LOG.info("{} serves on {}", config.host(), config.serveOn());
+    leadership.start();
+    learnTypes();
+    loop.every(Span.seconds(1), this, this::beat);
+  }
+
+  private final class Standing implements Leadership.Listener {
+    @Override
+    public void elected() {
+      duty =
+          new LeaderDuty(
+              Node.this,
+              loop,
+              policy,
+              authority,
+              state,
+              jobs,
+              config.txnOps(),
+              cloud,
+              config.listLag(),
+              types::values,
+              Node.this::typesKnown,
+              abstain -> leadership.stepDown("no worker's report reaches it", abstain));
+      duty.start();
+      beat();
+    }
+
+    @Override
+    public void deposed(String why) {
+      if (duty != null) {
+        duty.cancel();
+        duty = null;
+      }
+    }
+  }
+
+  private void typesKnown(Collection<MachineType> list) {
+    for (MachineType t : list) {
+      types.put(t.name(), t);
+    }
+  }
+
+  /** From the state service, where a leader wrote them, or else from the cloud. */
+  private void learnTypes() {
+    if (!types.isEmpty()) {
+      return;
+    }
+    LeaderBooks.readTypes(
+        state,
+        list -> {
+          if (list != null) {
+            typesKnown(list);
+          } else if (types.isEmpty() && cloud.ready()) {
+            cloud.types(
+                fresh -> {
+                  if (fresh != null) {
+                    typesKnown(fresh);
+                  } else {
+                    loop.after(Span.seconds(1), this, this::learnTypes);
+                  }
+                });
+          } else {
+            loop.after(Span.seconds(1), this, this::learnTypes);
+          }
+        });
+  }
+
+  private void beat() {
+    List<Beat.Counts> list = new ArrayList<>();
+    Leader core = duty == null ? null : duty.leader();
+    if (core != null) {
+      for (Job job : core.jobs()) {
+        list.add(new Beat.Counts(job.id(), job.doneCount(), job.runningCount()));
+      }
+    }
+    Beat beat =
+        new Beat(
+            config.host(),
+            authority.term(),
+            authority.leading(),
+            state.failingFor().ms() > 0 ? Math.max(1, state.quiet().ms()) : 0,
+            list);
+    mesh.broadcast(beat.encode());
+  }
+
+  private void onFrame(byte[] frame) {
+    Beat beat;
+    try {
+      beat = Beat.decode(frame);
+    } catch (BadMessage e) {
+      LOG.error("from a sibling: {}", e.getMessage());
+      return;
+    }
+    if (siblings.size() < 64 || siblings.containsKey(beat.host())) {
+      siblings.put(beat.host(), new Heard(beat, loop.now()));
+    }
+    if (!beat.leading()) {
+      return;
+    }
+    leadership.heard(beat.host(), beat.term());
+    if (authority.leading() && beat.term().compareTo(authority.term()) > 0) {
+      leadership.stepDown(beat.host() + " leads term " + beat.term(), Span.millis(0));
+    }
+    if (!authority.leading()) {
+      Map<JobId, Beat.Counts> fresh = new HashMap<>();
+      for (Beat.Counts c : beat.jobs()) {
+        fresh.put(c.job(), c);
+      }
+      counts = fresh;
+    }
+  }
+
+  private Beat.Counts countsOf(JobId id) {
+    Leader core = duty == null ? null : duty.leader();
+    if (core == null) {
+      return counts.get(id);
+    }
+    Job job = core.job(id);
+    return job == null ? null : new Beat.Counts(id, job.doneCount(), job.runningCount());
+  }
+
+  /**
+   * Unhealthy when only we are without the state service, so that users go elsewhere; in an outage
+   * for all, moving them helps nobody.
+   */
+  private boolean healthy() {
+    if (!state.failingFor().longerThan(STATE_TROUBLE)) {
+      return true;
+    }
+    if (config.siblings().isEmpty()) {
+      return true;
+    }
+    boolean someHeard = false;
+    for (Heard h : siblings.values()) {
+      if (loop.now().since(h.at).compareTo(BEAT_FRESH) < 0) {
+        someHeard = true;
+        if (h.beat.stateQuietMs() < STATE_TROUBLE.ms()) {
+          return false;
+        }
+      }
+    }
+    return someHeard;
+  }
+
+  private void handle(String method, String target, byte[] body, Consumer<HttpReply> answer) {
+    int query = target.indexOf('?');
+    String path = query < 0 ? target : target.substring(0, query);
+    if (path.equals(Wire.PATH_CHECKIN)) {
+      on("POST", method, answer, () -> answer.accept(workers.checkin(body, loop.now())));
+    } else if (path.equals(Wire.PATH_JOBS)) {
+      on("POST", method, answer, () -> users.submit(body, answer));
+    } else if (path.equals(Wire.PATH_HEALTH)) {
+      on("GET", method, answer, () -> answer.accept(HttpReply.empty(healthy() ? 200 : 503)));
+    } else if (path.startsWith(Wire.PATH_JOBS + "/")) {
+      String id = path.substring(Wire.PATH_JOBS.length() + 1);
+      if (id.endsWith(Wire.END_CANCEL)) {
+        String job = id.substring(0, id.length() - Wire.END_CANCEL.length());
+        on("POST", method, answer, () -> users.withdraw(job, answer));
+      } else {
+        on("GET", method, answer, () -> users.poll(id, answer));
+      }
+    } else {
+      answer.accept(Replies.error(404, "no such path"));
+    }
+  }
+
+  private static void on(
+      String wanted, String method, Consumer<HttpReply> answer, Runnable action) {
+    if (method.equals(wanted)) {
+      action.run();
+    } else {
+      answer.accept(Replies.error(405, "use " + wanted));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -0,0 +1,97 @@
+package io.saltflow.app;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import io.saltflow.coordination.Authority;
+import io.saltflow.coordination.Policy;
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Span;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.Set;
+
+/** What operators may set beyond the platform's file. The defaults fit any site. */
+public record OperatorSettings(
+    double leaderLeaseS,
+    double scaleDown,
+    double scaleThresholdS,
+    String preemptFrom,
+    double patienceS,
+    double horizonS,
+    double ordinaryHorizonS,
+    double idleReturnS,
+    double minimumChargeS,
+    double silenceS,
+    double bootPatience,
+    int faultyAfter) {
+  static final String SCHEMA = "/operator-settings.schema.json";
+
+  public static OperatorSettings defaults() {
+    return new OperatorSettings(5, 0.2, 1800, "high", 6, 45, 90, 12, 60, 10, 3, 2);
+  }
+
+  /** Reads and checks the file. Only here are the JSON libraries loaded. */
+  public static OperatorSettings read(Path file) throws ConfigError {
+    ObjectMapper json = new ObjectMapper();
+    JsonNode node;
+    try {
+      node = json.readTree(Files.readString(file));
+    } catch (IOException e) {
+      throw new ConfigError(file + ": " + e.getMessage());
+    }
+    try (InputStream in = OperatorSettings.class.getResourceAsStream(SCHEMA)) {
+      JsonSchema schema =
+          JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
+      Set<ValidationMessage> faults = schema.validate(node);
+      if (!faults.isEmpty()) {
+        throw new ConfigError(file + ": " + faults.iterator().next().getMessage());
+      }
+    } catch (IOException e) {
+      throw new ConfigError(SCHEMA + ": " + e.getMessage());
+    }
+    OperatorSettings d = defaults();
+    return new OperatorSettings(
+        node.path("leaderLeaseS").asDouble(d.leaderLeaseS),
+        node.path("scaleDown").asDouble(d.scaleDown),
+        node.path("scaleThresholdS").asDouble(d.scaleThresholdS),
+        node.path("preemptFrom").asText(d.preemptFrom),
+        node.path("patienceS").asDouble(d.patienceS),
+        node.path("horizonS").asDouble(d.horizonS),
+        node.path("ordinaryHorizonS").asDouble(d.ordinaryHorizonS),
+        node.path("idleReturnS").asDouble(d.idleReturnS),
+        node.path("minimumChargeS").asDouble(d.minimumChargeS),
+        node.path("silenceS").asDouble(d.silenceS),
+        node.path("bootPatience").asDouble(d.bootPatience),
+        node.path("faultyAfter").asInt(d.faultyAfter));
+  }
+
+  Span leaderLease() {
+    return Span.seconds(leaderLeaseS);
+  }
+
+  Policy policy(Config c) {
+    return new Policy(
+        c.report(),
+        c.lease(),
+        Authority.keepBound(c.lease(), c.cancel()),
+        c.teams(),
+        scaleDown,
+        Span.seconds(scaleThresholdS),
+        Priority.valueOf(preemptFrom.toUpperCase(Locale.ROOT)),
+        Span.seconds(patienceS),
+        Span.seconds(horizonS),
+        Span.seconds(ordinaryHorizonS),
+        Span.seconds(idleReturnS),
+        Span.seconds(minimumChargeS),
+        Span.seconds(Math.max(silenceS, c.report().toSeconds() * 3)),
+        bootPatience,
+        faultyAfter);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -0,0 +1,188 @@
+package io.saltflow.app;
+
+import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.bookkeeping.StateClient;
+import io.saltflow.coordination.Policy;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Beat;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JobCodec;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Wire;
+import io.saltflow.transport.HttpReply;
+import java.util.Collection;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * What users ask. Any node answers, by the state service: nothing is told that is not recorded, and
+ * what can't be told now is refused at once.
+ */
+final class UserApi {
+  private static final int MOST_AT_ONCE = 256;
+  private static final Span STATE_GIVEN_UP = Span.seconds(2);
+
+  private final JobStore jobs;
+  private final StateClient state;
+  private final Map<String, Policy.Team> teams;
+  private final Supplier<Collection<MachineType>> types;
+  private final Function<JobId, Beat.Counts> counts;
+  private final LongSupplier wallMs;
+  private int underWay;
+
+  UserApi(
+      JobStore jobs,
+      StateClient state,
+      Map<String, Policy.Team> teams,
+      Supplier<Collection<MachineType>> types,
+      Function<JobId, Beat.Counts> counts,
+      LongSupplier wallMs) {
+    this.jobs = jobs;
+    this.state = state;
+    this.teams = teams;
+    this.types = types;
+    this.counts = counts;
+    this.wallMs = wallMs;
+  }
+
+  void submit(byte[] body, Consumer<HttpReply> answer) {
+    Body map;
+    JobId id;
+    try {
+      map = MsgPack.decode(body);
+      id = JobCodec.id(map);
+    } catch (BadMessage e) {
+      answer.accept(Replies.error(400, e.getMessage()));
+      return;
+    }
+    Consumer<HttpReply> bounded = admitted(answer);
+    if (bounded == null) {
+      return;
+    }
+    JobSpec spec;
+    try {
+      spec = JobCodec.decode(map);
+    } catch (BadMessage e) {
+      unlessKnown(id, Replies.error(400, e.getMessage()), bounded);
+      return;
+    }
+    if (types.get().isEmpty()) {
+      unlessKnown(id, Replies.comeBack("machine types are not known yet", 1), bounded);
+      return;
+    }
+    String never = neverRuns(spec);
+    if (never != null) {
+      unlessKnown(id, Replies.error(422, never), bounded);
+      return;
+    }
+    jobs.admit(
+        spec,
+        wallMs.getAsLong(),
+        outcome -> {
+          if (outcome instanceof JobStore.Outcome.Created) {
+            bounded.accept(Replies.job(201, id, Wire.STATE_PENDING, 0, 0));
+          } else if (outcome instanceof JobStore.Outcome.TooLarge) {
+            bounded.accept(Replies.error(400, "the description is too large to be recorded"));
+          } else {
+            bounded.accept(reply(id, outcome, Replies.comeBack("not recorded", 1)));
+          }
+        });
+  }
+
+  /** A known job is never refused, whatever a repeated submission of it says. */
+  private void unlessKnown(JobId id, HttpReply otherwise, Consumer<HttpReply> answer) {
+    jobs.find(id, outcome -> answer.accept(reply(id, outcome, otherwise)));
+  }
+
+  private HttpReply reply(JobId id, JobStore.Outcome outcome, HttpReply ifAbsent) {
+    if (outcome instanceof JobStore.Outcome.Found found) {
+      return told(found.job());
+    }
+    if (outcome instanceof JobStore.Outcome.Absent) {
+      return ifAbsent;
+    }
+    return Replies.comeBack("the state of " + id + " can't be told now", 1);
+  }
+
+  private HttpReply told(JobStore.Known job) {
+    return switch (job.phase()) {
+      case DONE -> Replies.job(200, job.id(), Wire.STATE_DONE, job.done(), 0);
+      case CANCELLED -> Replies.job(200, job.id(), Wire.STATE_CANCELLED, job.done(), 0);
+      case LIVE -> {
+        Beat.Counts c = counts.apply(job.id());
+        int running = c == null ? 0 : c.running();
+        int done = c == null ? job.done() : Math.max(job.done(), c.done());
+        String phase = running > 0 ? Wire.STATE_RUNNING : Wire.STATE_PENDING;
+        yield Replies.job(200, job.id(), phase, done, running);
+      }
+    };
+  }
+
+  private String neverRuns(JobSpec spec) {
+    Policy.Team team = teams.get(spec.team());
+    if (team == null) {
+      return Wire.TEAM + ": unknown team";
+    }
+    Size most = spec.daemon() ? spec.size().times(spec.tasks()) : spec.size();
+    if ((team.coresLimit() > 0 && most.cores() > team.coresLimit())
+        || (team.gpusLimit() > 0 && most.gpus() > team.gpusLimit())) {
+      return "more than the team's limit";
+    }
+    for (MachineType t : types.get()) {
+      if (spec.allowsType(t.name())
+          && spec.size().fitsIn(t.size())
+          && (spec.zone() == null || t.zones().contains(spec.zone()))) {
+        return null;
+      }
+    }
+    return "a task fits no allowed machine type";
+  }
+
+  void poll(String id, Consumer<HttpReply> answer) {
+    if (!JobId.valid(id)) {
+      answer.accept(Replies.error(404, "no such job"));
+      return;
+    }
+    Consumer<HttpReply> bounded = admitted(answer);
+    if (bounded != null) {
+      unlessKnown(new JobId(id), Replies.error(404, "no such job"), bounded);
+    }
+  }
+
+  void withdraw(String id, Consumer<HttpReply> answer) {
+    if (!JobId.valid(id)) {
+      answer.accept(Replies.error(404, "no such job"));
+      return;
+    }
+    Consumer<HttpReply> bounded = admitted(answer);
+    if (bounded != null) {
+      JobId job = new JobId(id);
+      jobs.cancel(
+          job, o -> bounded.accept(reply(job, o, Replies.error(404, "no such job"))));
+    }
+  }
+
+  /**
+   * Null when the request was refused at once: too many are under way, or the state service has not
+   * served us for a while. Holding them so that users don't ask again is not done.
+   */
+  private Consumer<HttpReply> admitted(Consumer<HttpReply> answer) {
+    if (underWay >= MOST_AT_ONCE || state.failingFor().longerThan(STATE_GIVEN_UP)) {
+      answer.accept(Replies.comeBack("not served now", 1));
+      return null;
+    }
+    underWay++;
+    return reply -> {
+      underWay--;
+      answer.accept(reply);
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/bookkeeping/Budget.java
@@ -0,0 +1,36 @@
+package io.saltflow.bookkeeping;
+
+import io.saltflow.protocol.Time;
+
+/** A rate that is kept by waiting: so many a second, with a burst of one second's worth. */
+public final class Budget {
+  private final double perSecond;
+  private double tokens;
+  private Time last;
+
+  public Budget(double perSecond, Time now) {
+    this.perSecond = Math.max(0.1, perSecond);
+    this.tokens = this.perSecond;
+    this.last = now;
+  }
+
+  /** Takes n if they are there. A debt is allowed for what must not wait. */
+  public boolean take(int n, Time now) {
+    refill(now);
+    if (tokens < Math.min(n, perSecond)) {
+      return false;
+    }
+    tokens -= n;
+    return true;
+  }
+
+  public void takeAnyway(int n, Time now) {
+    refill(now);
+    tokens = Math.max(-perSecond, tokens - n);
+  }
+
+  private void refill(Time now) {
+    tokens = Math.min(perSecond, tokens + now.since(last).toSeconds() * perSecond);
+    last = now;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -0,0 +1,251 @@
+package io.saltflow.bookkeeping;
+
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JobCodec;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Time;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * The job records: {@code live/ID} while a job is not over, {@code over/ID} for good once it is. A
+ * job's end moves it from one to the other in one transaction, guarded by there being no end yet.
+ */
+public final class JobStore extends Routine {
+  private static final int REMEMBERED = 4000;
+  private static final String SPEC = "spec";
+  private static final String ARRIVED = "at";
+  private static final String DONE_SET = "done";
+  private static final String DONE_COUNT = "n";
+  private static final String PHASE = "phase";
+  private static final Span TRY = Span.millis(1500);
+  private static final Span PAUSE = Span.millis(100);
+  private static final Span PATIENCE = Span.millis(3500);
+
+  /** What a user may be told of a job. */
+  public record Known(JobId id, Phase phase, int done) {}
+
+  /** Where a job stands, by its record. */
+  public enum Phase {
+    LIVE,
+    DONE,
+    CANCELLED
+  }
+
+  /** The outcome of a question that the state service may have left open. */
+  public sealed interface Outcome {
+    record Created(JobId id) implements Outcome {}
+
+    record Found(Known job) implements Outcome {}
+
+    record Absent() implements Outcome {}
+
+    /** It could not be told: to be asked again. */
+    record Unknown() implements Outcome {}
+
+    record TooLarge() implements Outcome {}
+  }
+
+  /** A live job as it was recorded. */
+  public record Recorded(JobSpec spec, long arrivedWallMs, BitSet done) {}
+
+  private final Loop loop;
+  private final StateClient state;
+  private final int valueBytes;
+  private final Map<JobId, Known> over =
+      new LinkedHashMap<>(64, 0.75f, false) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<JobId, Known> eldest) {
+          return size() > REMEMBERED;
+        }
+      };
+
+  public JobStore(Routine parent, Loop loop, StateClient state, double valueKb) {
+    super(parent);
+    this.loop = loop;
+    this.state = state;
+    this.valueBytes = (int) (valueKb * 1024);
+  }
+
+  /** Writes a new job down, or finds that it is known. */
+  public void admit(JobSpec spec, long wallMs, Consumer<Outcome> then) {
+    Body record = encode(spec, wallMs, "", 0);
+    if (MsgPack.encode(record).length * 5 / 4 > valueBytes) {
+      then.accept(new Outcome.TooLarge());
+      return;
+    }
+    admit(spec.id(), record, loop.now().plus(PATIENCE), then);
+  }
+
+  private void admit(JobId id, Body record, Time deadline, Consumer<Outcome> then) {
+    Txn txn =
+        new Txn()
+            .guard(Keys.live(id), Stamp.ABSENT)
+            .guard(Keys.over(id), Stamp.ABSENT)
+            .put(Keys.live(id), record);
+    state.commit(
+        StateClient.Rank.USER,
+        txn,
+        TRY,
+        a -> {
+          if (a.ok()) {
+            then.accept(new Outcome.Created(id));
+          } else if (a.status() == 409) {
+            // Known already; perhaps by a try of ours whose answer was lost.
+            find(id, then);
+          } else {
+            again(a, deadline, () -> admit(id, record, deadline, then), then);
+          }
+        });
+  }
+
+  /** A request that got no clear answer is tried again at once, or given up on at once. */
+  private void again(
+      StateClient.Answer a, Time deadline, Runnable retry, Consumer<Outcome> then) {
+    boolean worthIt = a.status() == 0 || a.status() == 429 || a.status() == 409;
+    if (worthIt && loop.now().plus(PAUSE).plus(TRY).before(deadline)) {
+      loop.after(PAUSE, this, retry);
+    } else {
+      then.accept(new Outcome.Unknown());
+    }
+  }
+
+  /** Looks a job up; absent only when the state service says so. */
+  public void find(JobId id, Consumer<Outcome> then) {
+    Known known = over.get(id);
+    if (known != null) {
+      then.accept(new Outcome.Found(known));
+      return;
+    }
+    state.get(
+        StateClient.Rank.USER,
+        Keys.live(id),
+        TRY,
+        live -> {
+          if (live == null) {
+            then.accept(new Outcome.Unknown());
+          } else if (live.value() != null) {
+            then.accept(new Outcome.Found(new Known(id, Phase.LIVE, count(live.value()))));
+          } else {
+            findOver(id, then);
+          }
+        });
+  }
+
+  private void findOver(JobId id, Consumer<Outcome> then) {
+    state.get(
+        StateClient.Rank.USER,
+        Keys.over(id),
+        TRY,
+        e -> {
+          if (e == null) {
+            then.accept(new Outcome.Unknown());
+          } else if (e.value() == null) {
+            then.accept(new Outcome.Absent());
+          } else {
+            boolean done = Phase.DONE.name().equals(e.value().get(PHASE));
+            Known k = new Known(id, done ? Phase.DONE : Phase.CANCELLED, count(e.value()));
+            over.put(id, k);
+            then.accept(new Outcome.Found(k));
+          }
+        });
+  }
+
+  private static int count(Body record) {
+    return record.get(DONE_COUNT) instanceof Long n ? n.intValue() : 0;
+  }
+
+  public void cancel(JobId id, Consumer<Outcome> then) {
+    cancel(id, loop.now().plus(PATIENCE), then);
+  }
+
+  private void cancel(JobId id, Time deadline, Consumer<Outcome> then) {
+    find(
+        id,
+        outcome -> {
+          if (!(outcome instanceof Outcome.Found found) || found.job().phase() != Phase.LIVE) {
+            then.accept(outcome);
+            return;
+          }
+          Known ended = new Known(id, Phase.CANCELLED, found.job().done());
+          Txn txn =
+              new Txn()
+                  .guard(Keys.over(id), Stamp.ABSENT)
+                  .put(Keys.over(id), ending(ended))
+                  .delete(Keys.live(id));
+          state.commit(
+              StateClient.Rank.USER,
+              txn,
+              TRY,
+              a -> {
+                if (a.ok()) {
+                  over.put(id, ended);
+                  then.accept(new Outcome.Found(ended));
+                } else {
+                  again(a, deadline, () -> cancel(id, deadline, then), then);
+                }
+              });
+        });
+  }
+
+  private static Body ending(Known k) {
+    return Body.of().with(PHASE, k.phase().name()).with(DONE_COUNT, k.done());
+  }
+
+  /** Records the end of finished jobs; each is guarded by the leader's key. */
+  void finish(Txn txn, JobId id, int tasks) {
+    txn.guard(Keys.over(id), Stamp.ABSENT)
+        .put(Keys.over(id), ending(new Known(id, Phase.DONE, tasks)))
+        .delete(Keys.live(id));
+  }
+
+  void remember(JobId id, int tasks) {
+    over.put(id, new Known(id, Phase.DONE, tasks));
+  }
+
+  void progress(Txn txn, JobSpec spec, long arrivedWallMs, BitSet done) {
+    int room = valueBytes * 3 / 4 - MsgPack.encode(encode(spec, arrivedWallMs, "", 0)).length;
+    Body record =
+        encode(spec, arrivedWallMs, Ranges.encode(done, Math.max(0, room)), done.cardinality());
+    // Without an end, so that a late progress record can't bring a cancelled job back.
+    txn.guard(Keys.over(spec.id()), Stamp.ABSENT).put(Keys.live(spec.id()), record);
+  }
+
+  private static Body encode(JobSpec spec, long wallMs, String done, int count) {
+    return Body.of()
+        .with(SPEC, JobCodec.encode(spec))
+        .with(ARRIVED, wallMs)
+        .with(DONE_SET, done)
+        .with(DONE_COUNT, count);
+  }
+
+  public static Recorded decode(Body record) throws BadMessage {
+    JobSpec spec = JobCodec.decode(record.map(SPEC));
+    return new Recorded(
+        spec,
+        record.integer(ARRIVED),
+        Ranges.decode(record.textOr(DONE_SET, ""), spec.tasks()));
+  }
+
+  /** Every job that is not over, and the revision from which to watch. */
+  public void listLive(Consumer<StateClient.Listing> then) {
+    state.list(StateClient.Rank.LEADERSHIP, Keys.LIVE, then);
+  }
+
+  public static JobId idOfLive(String key) {
+    return key.startsWith(Keys.LIVE) ? new JobId(key.substring(Keys.LIVE.length())) : null;
+  }
+
+  public void watchLive(long after, Span hold, Consumer<StateClient.Answer> then) {
+    state.watch(Keys.LIVE, after, hold, then);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/bookkeeping/Keys.java
@@ -0,0 +1,28 @@
+package io.saltflow.bookkeeping;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.MachineId;
+
+/** Where things are kept in the state service. */
+final class Keys {
+  static final String LEADER = "lead";
+  static final String TERM = "term";
+  static final String TYPES = "types";
+  static final String LIVE = "live/";
+  static final String OVER = "over/";
+  static final String FLEET = "fleet/";
+
+  private Keys() {}
+
+  static String live(JobId id) {
+    return LIVE + id.text();
+  }
+
+  static String over(JobId id) {
+    return OVER + id.text();
+  }
+
+  static String machine(MachineId id) {
+    return FLEET + id.text();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/bookkeeping/Leadership.java
@@ -0,0 +1,308 @@
+package io.saltflow.bookkeeping;
+
+import io.saltflow.coordination.Authority;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Term;
+import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Elects one leader through the state service: a key under a lease, and a counter of terms that is
+ * raised in the same transaction. Whoever puts the key leads until its lease may have ended.
+ */
+public final class Leadership extends Routine {
+  private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
+  private static final String HOST = "host";
+  private static final String NUMBER = "term";
+  private static final String NONCE = "nonce";
+  private static final Span TRY = Span.millis(1200);
+  private static final Span HOLD = Span.seconds(8);
+
+  /** What the node does when its standing changes. */
+  public interface Listener {
+    void elected();
+
+    void deposed(String why);
+  }
+
+  private final Loop loop;
+  private final StateClient state;
+  private final String host;
+  private final Span ttl;
+  private final Authority authority;
+  private final Listener listener;
+  private final LongSupplier random;
+  private final String nonce;
+  private String leader;
+  private Term leaderTerm = Term.NONE;
+  private Time abstainUntil = Time.LONG_AGO;
+  private long lease;
+  private boolean renewing;
+  private boolean standing;
+
+  public Leadership(
+      Routine parent,
+      Loop loop,
+      StateClient state,
+      String host,
+      Span ttl,
+      Authority authority,
+      LongSupplier random,
+      Listener listener) {
+    super(parent);
+    this.loop = loop;
+    this.state = state;
+    this.host = host;
+    this.ttl = ttl;
+    this.authority = authority;
+    this.random = random;
+    this.listener = listener;
+    this.nonce = host + "-" + Long.toHexString(random.getAsLong());
+  }
+
+  public void start() {
+    look();
+    loop.every(new Span(ttl.ms() / 5), this, this::renew);
+  }
+
+  /** The leader's name as last heard, or null. */
+  public String leader() {
+    return authority.leading() ? host : leader;
+  }
+
+  /** Told by a sibling: saves a wait when the state service is slow to say so. */
+  public void heard(String name, Term term) {
+    if (term.compareTo(leaderTerm) > 0) {
+      leader = name;
+      leaderTerm = term;
+    }
+  }
+
+  private void later(Span delay, Runnable action) {
+    loop.after(delay, this, action);
+  }
+
+  private Span jitter(long base, long spread) {
+    return Span.millis(base + Math.floorMod(random.getAsLong(), spread));
+  }
+
+  /** Reads who leads; stands for election when nobody does. */
+  private void look() {
+    if (authority.leading() || standing) {
+      return;
+    }
+    state.get(
+        StateClient.Rank.LEADERSHIP,
+        Keys.LEADER,
+        TRY,
+        e -> {
+          if (authority.leading()) {
+            return;
+          }
+          if (e == null) {
+            later(jitter(300, 300), this::look);
+          } else if (e.value() == null) {
+            leader = null;
+            stand();
+          } else if (e.value().get(NONCE) instanceof String n && n.startsWith(nonce + "/")) {
+            // A key of ours that we no longer hold to: its lease will end by itself.
+            leader = null;
+            later(jitter(300, 200), this::look);
+          } else {
+            follow(e);
+          }
+        });
+  }
+
+  private void follow(StateClient.Entry e) {
+    if (e.value().get(HOST) instanceof String name && e.value().get(NUMBER) instanceof Long n) {
+      if (!name.equals(leader)) {
+        LOG.info("{} leads, term {}", name, n);
+      }
+      leader = name;
+      leaderTerm = new Term(n);
+    }
+    watch(e.version().number());
+  }
+
+  private void watch(long after) {
+    state.watch(
+        Keys.LEADER,
+        after,
+        HOLD,
+        a -> {
+          if (authority.leading()) {
+            return;
+          }
+          boolean quiet = false;
+          try {
+            quiet = a.ok() && a.body().maps(Wire.EVENTS).isEmpty();
+          } catch (BadMessage bad) {
+            LOG.error("watch of the leader's key: {}", bad.getMessage());
+          }
+          if (quiet) {
+            watch(Math.max(after, a.revision()));
+          } else if (a.ok()) {
+            look();
+          } else {
+            later(jitter(200, 200), this::look);
+          }
+        });
+  }
+
+  private void stand() {
+    if (loop.now().before(abstainUntil)) {
+      later(jitter(500, 200), this::look);
+      return;
+    }
+    standing = true;
+    Time sent = loop.now();
+    state.call(
+        StateClient.Rank.LEADERSHIP,
+        "POST",
+        Wire.PATH_LEASES,
+        Body.of().with(Wire.TTL_MS, ttl.ms()),
+        0,
+        TRY,
+        a -> {
+          if (a.ok() && a.body().get(Wire.LEASE) instanceof Long id) {
+            readTerm(id, sent);
+          } else {
+            gaveUp(Span.millis(300));
+          }
+        });
+  }
+
+  private void readTerm(long newLease, Time sent) {
+    state.get(
+        StateClient.Rank.LEADERSHIP,
+        Keys.TERM,
+        TRY,
+        e -> {
+          if (e == null) {
+            gaveUp(Span.millis(300));
+            return;
+          }
+          long last = e.value() != null && e.value().get(NUMBER) instanceof Long n ? n : 0;
+          claim(newLease, new Term(last + 1), e.version(), sent);
+        });
+  }
+
+  private void claim(long newLease, Term term, Stamp termVersion, Time sent) {
+    Body key =
+        Body.of().with(HOST, host).with(NUMBER, term.number()).with(NONCE, nonce + "/" + term);
+    Txn txn =
+        new Txn()
+            .guard(Keys.LEADER, Stamp.ABSENT)
+            .guard(Keys.TERM, termVersion)
+            .put(Keys.LEADER, key, newLease)
+            .put(Keys.TERM, Body.of().with(NUMBER, term.number()));
+    state.commit(
+        StateClient.Rank.LEADERSHIP,
+        txn,
+        TRY,
+        a -> {
+          if (a.ok()) {
+            won(newLease, term, new Stamp(a.revision()), sent);
+          } else if (a.status() == 0) {
+            checkClaim(newLease, term, sent);
+          } else {
+            release(newLease);
+            gaveUp(Span.millis(50));
+          }
+        });
+  }
+
+  /** The claim's answer was lost: whether it was carried out shows in the key. */
+  private void checkClaim(long newLease, Term term, Time sent) {
+    state.get(
+        StateClient.Rank.LEADERSHIP,
+        Keys.LEADER,
+        TRY,
+        e -> {
+          if (e != null && e.value() != null && (nonce + "/" + term).equals(e.value().get(NONCE))) {
+            won(newLease, term, e.version(), sent);
+          } else {
+            release(newLease);
+            gaveUp(Span.millis(200));
+          }
+        });
+  }
+
+  private void gaveUp(Span pause) {
+    standing = false;
+    later(pause.plus(jitter(0, 150)), this::look);
+  }
+
+  private void won(long newLease, Term term, Stamp version, Time sent) {
+    standing = false;
+    lease = newLease;
+    renewing = false;
+    leader = host;
+    leaderTerm = term;
+    authority.won(term, version, sent);
+    LOG.info("elected, term {}", term);
+    listener.elected();
+  }
+
+  private void renew() {
+    if (!authority.leading() || renewing) {
+      return;
+    }
+    renewing = true;
+    Time sent = loop.now();
+    long mine = lease;
+    state.call(
+        StateClient.Rank.LEADERSHIP,
+        "POST",
+        Wire.PATH_LEASES + "/" + mine + Wire.END_RENEW,
+        Body.of().with(Wire.TTL_MS, ttl.ms()),
+        0,
+        new Span(Math.min(TRY.ms(), ttl.ms() / 4)),
+        a -> {
+          renewing = false;
+          if (mine != lease || !authority.leading()) {
+            return;
+          }
+          if (a.ok()) {
+            authority.renewed(sent);
+          } else if (a.status() == 404) {
+            stepDown("its lease has ended", Span.millis(0));
+          }
+        });
+  }
+
+  /** Leaves office: the lease is released, and for a while others go first. */
+  public void stepDown(String why, Span abstain) {
+    if (!authority.leading()) {
+      return;
+    }
+    LOG.info("steps down from term {}: {}", authority.term(), why);
+    authority.lost();
+    leader = null;
+    abstainUntil = loop.now().plus(abstain);
+    release(lease);
+    lease = 0;
+    listener.deposed(why);
+    later(jitter(100, 100), this::look);
+  }
+
+  private void release(long id) {
+    state.call(
+        StateClient.Rank.LEADERSHIP,
+        "DELETE",
+        Wire.PATH_LEASES + "/" + id,
+        null,
+        0,
+        TRY,
+        a -> LOG.debug("lease {} released: {}", id, a.status()));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -0,0 +1,233 @@
+package io.saltflow.bookkeeping;
+
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Talks to the state service within this node's share of the rates. Leadership goes first: its
+ * requests never wait for the budget.
+ */
+public final class StateClient extends Routine {
+  private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
+  private static final byte[] NOTHING = new byte[0];
+
+  /** What goes first. */
+  public enum Rank {
+    LEADERSHIP,
+    USER,
+    BOOKS
+  }
+
+  /** A key's value and version; value null: there is no such key. */
+  public record Entry(String key, Body value, Stamp version) {}
+
+  /** An answer; status 0: none came, and the request may yet be executed. */
+  public record Answer(int status, Body body, Time sent) {
+    public boolean ok() {
+      return status == 200;
+    }
+
+    public long revision() {
+      return body != null && body.get(Wire.REVISION) instanceof Long n ? n : 0;
+    }
+  }
+
+  private final Loop loop;
+  private final HttpClient client;
+  private final HttpClient watches;
+  private final Budget requests;
+  private final Budget writes;
+  private Time lastGood;
+  private Time firstBad = Time.NEVER;
+
+  public StateClient(
+      Routine parent, Loop loop, HttpClient client, HttpClient watches, double rps, double wps) {
+    super(parent);
+    this.loop = loop;
+    this.client = client;
+    this.watches = watches;
+    this.requests = new Budget(rps, loop.now());
+    this.writes = new Budget(wps, loop.now());
+    this.lastGood = loop.now();
+  }
+
+  /** How long ago the service last answered a request of ours. */
+  public Span quiet() {
+    return loop.now().since(lastGood);
+  }
+
+  /** Since when requests have failed, without one that succeeded. */
+  public Span failingFor() {
+    return firstBad == Time.NEVER ? new Span(0) : loop.now().since(firstBad);
+  }
+
+  public void call(
+      Rank rank, String method, String target, Body body, int writeCount, Span timeout,
+      Consumer<Answer> then) {
+    attempt(rank, method, target, body, writeCount, loop.now().plus(timeout), timeout, then);
+  }
+
+  private void attempt(
+      Rank rank, String method, String target, Body body, int writeCount, Time deadline,
+      Span timeout, Consumer<Answer> then) {
+    Time now = loop.now();
+    if (rank == Rank.LEADERSHIP) {
+      requests.takeAnyway(1, now);
+      writes.takeAnyway(writeCount, now);
+    } else if (!mayGo(writeCount, now)) {
+      if (now.after(deadline)) {
+        then.accept(new Answer(429, null, now));
+        return;
+      }
+      loop.after(
+          Span.millis(40),
+          this,
+          () -> attempt(rank, method, target, body, writeCount, deadline, timeout, then));
+      return;
+    }
+    client.call(
+        method,
+        target,
+        body == null ? NOTHING : MsgPack.encode(body),
+        timeout,
+        a -> answered(a, then));
+  }
+
+  private boolean mayGo(int writeCount, Time now) {
+    if (!requests.take(1, now)) {
+      return false;
+    }
+    return writeCount == 0 || writes.take(writeCount, now);
+  }
+
+  private void answered(HttpClient.Answer a, Consumer<Answer> then) {
+    boolean good = a.status() != 0 && a.status() != 503;
+    if (good) {
+      if (firstBad != Time.NEVER && failingFor().longerThan(Span.seconds(1))) {
+        LOG.info("the state service answers again, after {} s", failingFor().toSeconds());
+      }
+      lastGood = loop.now();
+      firstBad = Time.NEVER;
+    } else if (firstBad == Time.NEVER) {
+      firstBad = loop.now();
+      LOG.info("the state service does not serve us: status {}", a.status());
+    }
+    Body body = null;
+    if (a.body().length > 0) {
+      try {
+        body = MsgPack.decode(a.body());
+      } catch (BadMessage e) {
+        LOG.error("the state service's answer can't be read: {}", e.getMessage());
+        then.accept(new Answer(0, null, a.sent()));
+        return;
+      }
+    }
+    then.accept(new Answer(a.status(), body, a.sent()));
+  }
+
+  /** Reads a key; null when it can't be told. */
+  public void get(Rank rank, String key, Span timeout, Consumer<Entry> then) {
+    call(
+        rank,
+        "GET",
+        Wire.PATH_KV + "/" + key,
+        null,
+        0,
+        timeout,
+        a -> {
+          try {
+            if (a.ok()) {
+              then.accept(
+                  new Entry(
+                      key,
+                      a.body.map(Wire.VALUE),
+                      new Stamp(a.body.integer(Wire.VERSION))));
+            } else if (a.status == 404) {
+              then.accept(new Entry(key, null, Stamp.ABSENT));
+            } else {
+              then.accept(null);
+            }
+          } catch (BadMessage e) {
+            LOG.error("key {}: {}", key, e.getMessage());
+            then.accept(null);
+          }
+        });
+  }
+
+  public void commit(Rank rank, Txn txn, Span timeout, Consumer<Answer> then) {
+    call(rank, "POST", Wire.PATH_TXN, txn.body(), txn.writeCount(), timeout, then);
+  }
+
+  /** A whole prefix, as of a revision. */
+  public record Listing(List<Entry> entries, long revision) {}
+
+  /** Reads every key of a prefix, page by page; null when that fails. */
+  public void list(Rank rank, String prefix, Consumer<Listing> then) {
+    page(rank, prefix, "", new ArrayList<>(), Long.MAX_VALUE, then);
+  }
+
+  private void page(
+      Rank rank, String prefix, String after, List<Entry> sofar, long revision,
+      Consumer<Listing> then) {
+    String target =
+        Wire.PATH_KV + "?" + Wire.PREFIX + "=" + prefix
+            + (after.isEmpty() ? "" : "&" + Wire.AFTER + "=" + after)
+            + "&" + Wire.PAGE + "=500";
+    call(
+        rank,
+        "GET",
+        target,
+        null,
+        0,
+        Span.seconds(3),
+        a -> {
+          try {
+            if (!a.ok()) {
+              then.accept(null);
+              return;
+            }
+            for (Body pair : a.body.maps(Wire.ITEMS)) {
+              sofar.add(
+                  new Entry(
+                      pair.text(Wire.KEY),
+                      pair.map(Wire.VALUE),
+                      new Stamp(pair.integer(Wire.VERSION))));
+            }
+            // Changes are watched from the first page's revision: later pages may be newer, and
+            // seeing a change twice is harmless.
+            long first = Math.min(revision, a.revision());
+            if (a.body.flagOr(Wire.MORE, false) && !sofar.isEmpty()) {
+              page(rank, prefix, sofar.get(sofar.size() - 1).key(), sofar, first, then);
+            } else {
+              then.accept(new Listing(sofar, first));
+            }
+          } catch (BadMessage e) {
+            LOG.error("list of {}: {}", prefix, e.getMessage());
+            then.accept(null);
+          }
+        });
+  }
+
+  /** Waits for changes; its answer shows everything up to when it was asked for. */
+  public void watch(String prefix, long after, Span hold, Consumer<Answer> then) {
+    requests.takeAnyway(1, loop.now());
+    String target =
+        Wire.PATH_WATCH + "?" + Wire.PREFIX + "=" + prefix + "&" + Wire.AFTER + "=" + after
+            + "&" + Wire.HOLD_MS + "=" + hold.ms();
+    watches.call(
+        "GET", target, NOTHING, hold.plus(Span.seconds(2)), a -> answered(a, then));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/Authority.java
@@ -0,0 +1,81 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Term;
+import io.saltflow.protocol.Time;
+
+/**
+ * What a node may do by its election, as far as its own clock can tell. All is counted from when
+ * the confirming request was sent, never from when its answer came.
+ */
+public final class Authority {
+  private static final Span MARGIN = Span.millis(100);
+  private static final Span SYNC_FOR_LAUNCH = Span.seconds(5);
+
+  private final Span leaderLease;
+  private final Span keepAfterSync;
+  private Term term = Term.NONE;
+  private Stamp stamp = Stamp.ABSENT;
+  private boolean leading;
+  private Time renewed = Time.LONG_AGO;
+  private Time synced = Time.LONG_AGO;
+
+  public Authority(Span leaderLease, Span keepAfterSync) {
+    this.leaderLease = leaderLease;
+    this.keepAfterSync = keepAfterSync;
+  }
+
+  /** The bound that operators' settings and the protocol leave for keeping workers' leases. */
+  public static Span keepBound(Span lease, Span cancel) {
+    long ms = cancel.ms() - lease.certainlyElsewhere().ms() - 5000;
+    return new Span(Math.max(0, ms));
+  }
+
+  public void won(Term newTerm, Stamp leaderKey, Time leaseSent) {
+    term = newTerm;
+    stamp = leaderKey;
+    leading = true;
+    renewed = leaseSent;
+    synced = leaseSent;
+  }
+
+  public void renewed(Time sent) {
+    renewed = Time.later(renewed, sent);
+  }
+
+  /** Every change made before this time has been seen. */
+  public void synced(Time sent) {
+    synced = Time.later(synced, sent);
+  }
+
+  public void lost() {
+    leading = false;
+  }
+
+  public boolean leading() {
+    return leading;
+  }
+
+  public Term term() {
+    return term;
+  }
+
+  /** The version of the leader key that guards all of this leader's writes. */
+  public Stamp stamp() {
+    return stamp;
+  }
+
+  /** Nobody else can have been elected yet, and no cancel is older than the bound allows. */
+  public boolean mayLaunch(Time now) {
+    return leading
+        && now.plus(MARGIN).before(renewed.plus(leaderLease.atLeastElsewhere()))
+        && now.before(synced.plus(SYNC_FOR_LAUNCH));
+  }
+
+  /** Workers may still be answered, so that their tasks live through an outage. */
+  public boolean mayKeep(Time now) {
+    return leading
+        && (mayLaunch(now) || now.before(Time.earlier(renewed, synced).plus(keepAfterSync)));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/Estimates.java
@@ -0,0 +1,88 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.util.HashMap;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/** Predicted run times: the owner's estimate, corrected by what its class was seen to take. */
+final class Estimates {
+  private static final int ENOUGH = 8;
+  private static final int MAX_CLASSES = 256;
+  private static final Span SHORTEST = Span.seconds(1);
+
+  private final Policy policy;
+  private final Map<String, Histogram> ratios = new HashMap<>();
+
+  Estimates(Policy policy) {
+    this.policy = policy;
+  }
+
+  void observed(JobSpec spec, Span ran) {
+    if (spec.estimate().ms() <= 0 || ran.ms() <= 0) {
+      return;
+    }
+    Histogram h = ratios.get(spec.jobClass());
+    if (h == null) {
+      if (ratios.size() >= MAX_CLASSES) {
+        return;
+      }
+      h = new Histogram(1, 100_000, 2);
+      ratios.put(spec.jobClass(), h);
+    }
+    h.recordValue(Math.max(1, Math.min(100_000, ran.ms() * 100 / spec.estimate().ms())));
+  }
+
+  private double correction(JobSpec spec) {
+    Histogram h = ratios.get(spec.jobClass());
+    return h == null || h.getTotalCount() < ENOUGH ? 1.0 : h.getValueAtPercentile(50) / 100.0;
+  }
+
+  /**
+   * The paper's Algorithm 2, for one task. Only tasks that checkpoint are scaled, and only from the
+   * threshold on; one that was stopped gets what is left, and the time to save and restore.
+   */
+  Span predict(Job job, int index) {
+    JobSpec spec = job.spec;
+    Span base = spec.estimate().times(correction(spec));
+    if (spec.checkpoints()) {
+      Span ran = job.ranBefore.get(index);
+      if (ran != null) {
+        base = base.minus(ran).plus(spec.save().times(2));
+      } else if (spec.estimate().compareTo(policy.scaleThreshold()) >= 0) {
+        base = base.times(policy.scaleDown());
+      }
+    }
+    return base.longerThan(SHORTEST) ? base : SHORTEST;
+  }
+
+  Span fetch(Job job, Machine m) {
+    if (m.images.contains(job.spec.image())) {
+      return new Span(0);
+    }
+    return Span.seconds(job.spec.imageGb() / Math.max(0.01, m.type.fetchGbPerS()));
+  }
+
+  /** When a task that is on a machine should leave it; one that is overdue may take as long again. */
+  Time end(Presence p, Time now) {
+    if (p.stopping) {
+      Time stop = p.stopAt.plus(p.grace).plus(Span.seconds(2));
+      return Time.later(stop, now.plus(Span.millis(500)));
+    }
+    if (p.job.spec.daemon()) {
+      return Time.NEVER;
+    }
+    Span run = predict(p.job, p.index);
+    if (p.runningSince == null) {
+      Span fetch = Span.seconds(p.job.spec.imageGb() / Math.max(0.01, p.machine.type.fetchGbPerS()));
+      return Time.later(p.launchedAt.plus(fetch), now).plus(run);
+    }
+    Time due = p.runningSince.plus(run);
+    if (due.after(now)) {
+      return due;
+    }
+    return now.plus(now.since(p.runningSince).times(0.25)).plus(SHORTEST);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -0,0 +1,295 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.Attempt;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.MachineId;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.Report;
+import io.saltflow.protocol.TaskId;
+import io.saltflow.protocol.Term;
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Where each task might be. A presence ends only by proof: a report made after the last order with
+ * our token seen, a new session, a successful delete, or the lease certainly over. Silence alone
+ * and the cloud's list prove nothing.
+ */
+final class Fencing {
+  private static final Logger LOG = LoggerFactory.getLogger(Fencing.class);
+
+  /** What the rest of the core is told. */
+  interface Events {
+    void done(Job job, int index, Presence presence, Time now);
+
+    void failed(Job job, int index, Machine machine, Time now);
+
+    void stopped(Presence presence, boolean saved, Time now);
+
+    void refused(Presence presence, Report.ExitCause cause, Time now);
+
+    void lost(Presence presence, String why, Time now);
+  }
+
+  private final Policy policy;
+  private final Term term;
+  private final Map<JobId, Job> jobs;
+  private final Events events;
+  private final Map<MachineId, Machine> machines = new LinkedHashMap<>();
+  private final Time tookOver;
+
+  Fencing(
+      Policy policy,
+      Term term,
+      Map<JobId, Job> jobs,
+      Events events,
+      Time tookOver) {
+    this.policy = policy;
+    this.term = term;
+    this.jobs = jobs;
+    this.events = events;
+    this.tookOver = tookOver;
+  }
+
+  Collection<Machine> machines() {
+    return machines.values();
+  }
+
+  Machine find(MachineId id) {
+    return machines.get(id);
+  }
+
+  void add(Machine m) {
+    machines.putIfAbsent(m.id, m);
+  }
+
+  /** Whether every machine that a former leader may have used is accounted for. */
+  boolean allAccounted() {
+    for (Machine m : machines.values()) {
+      if (m.mightHoldOldTasks) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  List<MachineId> unaccounted() {
+    List<MachineId> out = new ArrayList<>();
+    for (Machine m : machines.values()) {
+      if (m.mightHoldOldTasks) {
+        out.add(m.id);
+      }
+    }
+    return out;
+  }
+
+  /**
+   * Takes a report in; null when it is older than one seen before, and must not be answered with
+   * orders.
+   */
+  Machine onReport(Report r, Map<String, MachineType> types, Time now) {
+    Machine m = machines.get(r.machine());
+    if (m == null) {
+      m = new Machine(r.machine(), types.get(r.type()), r.type(), r.zone(), r.spot(), now);
+      machines.put(m.id, m);
+      LOG.info("machine {} ({}) reports and was not expected", m.id, m.kind());
+    }
+    if (!r.newerThan(m.session, m.sequence)) {
+      return null;
+    }
+    boolean newSession = m.session != 0 && r.session() != m.session;
+    m.session = r.session();
+    m.sequence = r.sequence();
+    m.lastHeard = now;
+    m.up = true;
+    if (m.type == null) {
+      m.type = types.get(r.type());
+    }
+    if (r.notice() != null) {
+      if (m.noticeAt == null) {
+        LOG.info("machine {} will be taken by the cloud in {} s", m.id, r.notice().toSeconds());
+      }
+      m.noticeAt = now.plus(r.notice());
+    } else {
+      m.noticeAt = null;
+    }
+    if (newSession) {
+      // The worker killed and forgot everything when its lease ran out.
+      dropAll(m, p -> p.sentSession < r.session(), "its worker began a new session", now);
+    }
+    Map<TaskId, Report.TaskReport> listed = new HashMap<>();
+    boolean ours = r.token().equals(term);
+    for (Report.TaskReport t : r.tasks()) {
+      listed.put(t.task(), t);
+      take(m, t, ours, now);
+    }
+    if (ours) {
+      m.accounted = true;
+      m.mightHoldOldTasks = false;
+      // Orders travel only in answers, and the worker made this report after it had executed or
+      // dropped every earlier answer: what it does not list is not there.
+      dropAll(
+          m,
+          p -> {
+            Report.TaskReport t = listed.get(p.task());
+            boolean same = t != null && t.attempt().equals(p.attempt);
+            return !same && r.newerThan(p.sentSession, p.sentSequence);
+          },
+          "its machine does not have it",
+          now);
+    }
+    if (m.presences.isEmpty()) {
+      if (m.idleSince == null) {
+        m.idleSince = now;
+      }
+    } else {
+      m.idleSince = null;
+    }
+    return m;
+  }
+
+  private void take(Machine m, Report.TaskReport t, boolean ours, Time now) {
+    Job job = jobs.get(t.task().job());
+    Presence p = m.presences.get(t.task());
+    boolean known = p != null && p.attempt.equals(t.attempt());
+    if (t.state() == Report.TaskState.EXITED) {
+      if (known) {
+        remove(p);
+      }
+      exited(m, job, known ? p : null, t, now);
+      return;
+    }
+    if (!ours || job == null || t.task().index() >= job.spec.tasks()) {
+      // A list made before our token was seen may be minutes old: taking a task from it as present
+      // would hide where the task really is.
+      return;
+    }
+    if (!known) {
+      Presence other = job.present.get(t.task().index());
+      if (other != null) {
+        // A report that was held back until its machine's lease was over; the next one is a new
+        // session's. The task stays where it was launched since.
+        LOG.info("an old report of {} lists {}, which is on {}", m.id, t.task(), other.machine.id);
+        return;
+      }
+      p =
+          new Presence(
+              job,
+              t.task().index(),
+              t.attempt(),
+              m,
+              now,
+              m.session,
+              m.sequence,
+              Presence.State.SENT);
+      put(p);
+    }
+    p.state =
+        switch (t.state()) {
+          case FETCHING -> Presence.State.FETCHING;
+          case SAVING -> Presence.State.SAVING;
+          default -> Presence.State.RUNNING;
+        };
+    if (p.state == Presence.State.RUNNING && p.runningSince == null) {
+      p.runningSince = now;
+      m.remember(job.spec.image());
+    }
+    if (p.state == Presence.State.SAVING && !p.stopping) {
+      p.stop(now, job.spec.save());
+    }
+  }
+
+  private void exited(Machine m, Job job, Presence p, Report.TaskReport t, Time now) {
+    if (job == null || t.task().index() >= job.spec.tasks()) {
+      return;
+    }
+    int index = t.task().index();
+    if (t.cause() == Report.ExitCause.DONE && !job.spec.daemon()) {
+      // A result is kept whichever attempt brought it, however late the report is.
+      if (!job.done.get(index)) {
+        events.done(job, index, p, now);
+      }
+      return;
+    }
+    if (p == null) {
+      return;
+    }
+    switch (t.cause()) {
+      case ERROR -> events.failed(job, index, m, now);
+      case STOPPED -> events.stopped(p, t.saved(), now);
+      case DONE -> events.lost(p, "it ended by itself", now);
+      default -> events.refused(p, t.cause(), now);
+    }
+  }
+
+  Presence launch(
+      Job job, int index, Attempt attempt, Machine m, boolean backfilled, Time now) {
+    Presence p =
+        new Presence(
+            job, index, attempt, m, now, m.session, m.sequence, Presence.State.SENT);
+    p.backfilled = backfilled;
+    put(p);
+    m.idleSince = null;
+    return p;
+  }
+
+  private void put(Presence p) {
+    p.machine.presences.put(p.task(), p);
+    p.job.present.put(p.index, p);
+  }
+
+  private void remove(Presence p) {
+    p.machine.presences.remove(p.task());
+    p.job.present.remove(p.index, p);
+  }
+
+  private void dropAll(
+      Machine m, Predicate<Presence> which, String why, Time now) {
+    for (Presence p : new ArrayList<>(m.presences.values())) {
+      if (which.test(p)) {
+        remove(p);
+        events.lost(p, why, now);
+      }
+    }
+  }
+
+  /** A successful delete: the machine and all on it are gone. */
+  Machine deleted(MachineId id, Time now) {
+    Machine m = machines.remove(id);
+    if (m != null) {
+      m.mightHoldOldTasks = false;
+      dropAll(m, p -> true, "its machine was returned", now);
+    }
+    return m;
+  }
+
+  /** Ends what a lease that is certainly over has ended. */
+  void tick(Time now) {
+    for (Machine m : machines.values()) {
+      Time last = Time.later(m.lastHeard, tookOver.plus(policy.keepAfterSync()));
+      if (m.accounted) {
+        last = m.lastHeard;
+      }
+      // The answer to the last report may have been sent up to the worker's patience later, but
+      // the lease counts from when the report was sent.
+      if (now.before(last.plus(policy.leaseSurelyOver()))) {
+        continue;
+      }
+      if (m.mightHoldOldTasks) {
+        LOG.info("machine {} stayed silent; its lease is over and so are its tasks", m.id);
+        m.mightHoldOldTasks = false;
+      }
+      if (!m.presences.isEmpty()) {
+        dropAll(m, p -> true, "its machine was silent until its lease was over", now);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -0,0 +1,101 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.MachineId;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** An accepted job that is not over, as the leader knows it. */
+public final class Job {
+  final JobSpec spec;
+  final long arrivedWallMs;
+  final BitSet done;
+  final BitSet stopped = new BitSet();
+  final TreeMap<Integer, Presence> present = new TreeMap<>();
+  final TreeMap<Integer, Time> notBefore = new TreeMap<>();
+  final TreeMap<Integer, Span> ranBefore = new TreeMap<>();
+  final Set<MachineId> errorMachines = new HashSet<>();
+  /** Zones of the tasks given out by the last round and not yet launched. */
+  final List<String> assignedZones = new ArrayList<>();
+
+  int errors;
+  boolean cancelled;
+  boolean finishing;
+  boolean dirty;
+  /** The done tasks that the state service holds. */
+  BitSet recorded;
+
+  public Job(JobSpec spec, long arrivedWallMs, BitSet done) {
+    this.spec = spec;
+    this.arrivedWallMs = arrivedWallMs;
+    this.done = done;
+    this.recorded = (BitSet) done.clone();
+  }
+
+  public JobId id() {
+    return spec.id();
+  }
+
+  public JobSpec spec() {
+    return spec;
+  }
+
+  public long arrivedWallMs() {
+    return arrivedWallMs;
+  }
+
+  public BitSet doneTasks() {
+    return done;
+  }
+
+  public int doneCount() {
+    return done.cardinality();
+  }
+
+  public int runningCount() {
+    int n = 0;
+    for (Presence p : present.values()) {
+      if (p.state == Presence.State.RUNNING) {
+        n++;
+      }
+    }
+    return n;
+  }
+
+  boolean allDone() {
+    return !spec.daemon() && done.cardinality() == spec.tasks();
+  }
+
+  /** Whether its failures look like the job's own mistake: it fails on machine after machine. */
+  boolean failsEverywhere() {
+    return errorMachines.size() >= 3 && doneCount() == 0;
+  }
+
+  int pendingCount() {
+    return spec.tasks() - done.cardinality() - present.size();
+  }
+
+  /** The next task to start from the given index on, or -1; tasks that wait out an error don't. */
+  int nextPending(int from, Time now) {
+    for (int i = from; i < spec.tasks(); i++) {
+      i = done.nextClearBit(i);
+      if (i >= spec.tasks()) {
+        return -1;
+      }
+      if (!present.containsKey(i)) {
+        Time wait = notBefore.get(i);
+        if (wait == null || !now.before(wait)) {
+          return i;
+        }
+      }
+    }
+    return -1;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -0,0 +1,544 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.Attempt;
+import io.saltflow.protocol.CloudCodec;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.MachineId;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.Order;
+import io.saltflow.protocol.Report;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Term;
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The leading controller's mind: a deterministic core that is told what happened and when, and says
+ * what is to be written, rented, returned and ordered. It knows no sockets and no clock.
+ */
+public final class Leader {
+  private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
+  private static final Span ROUND_EVERY = Span.seconds(1);
+  private static final Span SAVE_PATIENCE = Span.seconds(5);
+
+  /** A machine that a former leader wrote down before it used it. */
+  public record LedgerEntry(MachineId id, String type, String zone, boolean spot) {}
+
+  private final Policy policy;
+  private final Term term;
+  private final Time tookOver;
+  private final Map<JobId, Job> jobs = new LinkedHashMap<>();
+  private final Map<String, MachineType> types = new LinkedHashMap<>();
+  private final Estimates estimates;
+  private final Fencing fencing;
+  private final Scheduler scheduler;
+  private final Fleet fleet;
+  private List<Scheduler.Waiting> waiting = List.of();
+  private boolean accounted;
+  private boolean changed = true;
+  private Time lastRound = Time.LONG_AGO;
+  private Time lastReport;
+  private long attemptSequence;
+  private long launches;
+  private boolean launchedAny;
+  private boolean heardAny;
+
+  public Leader(
+      Policy policy,
+      Term term,
+      Collection<Job> jobs,
+      Collection<LedgerEntry> ledger,
+      Collection<MachineType> knownTypes,
+      Time now) {
+    this.policy = policy;
+    this.term = term;
+    this.tookOver = now;
+    this.lastReport = now;
+    for (Job job : jobs) {
+      this.jobs.put(job.id(), job);
+    }
+    estimates = new Estimates(policy);
+    fencing = new Fencing(policy, term, this.jobs, new Happenings(), now);
+    scheduler = new Scheduler(policy, estimates);
+    fleet = new Fleet(policy, term, estimates);
+    typesKnown(knownTypes);
+    for (LedgerEntry e : ledger) {
+      Machine m = new Machine(e.id(), types.get(e.type()), e.type(), e.zone(), e.spot(), now);
+      m.mightHoldOldTasks = true;
+      m.ledgered = true;
+      fencing.add(m);
+    }
+    LOG.info(
+        "term {} begins with {} jobs and {} machines to account for",
+        term,
+        this.jobs.size(),
+        ledger.size());
+  }
+
+  /** What befalls tasks, as the fencing proves it. */
+  private final class Happenings implements Fencing.Events {
+    @Override
+    public void done(Job job, int index, Presence p, Time now) {
+      job.done.set(index);
+      job.stopped.clear(index);
+      job.notBefore.remove(index);
+      job.ranBefore.remove(index);
+      job.dirty = true;
+      changed = true;
+      if (p != null) {
+        p.machine.errorsInARow = 0;
+        if (p.runningSince != null && !p.stopping) {
+          Span ran = now.since(p.runningSince);
+          estimates.observed(job.spec, job.ranBefore.containsKey(index) ? new Span(0) : ran);
+        }
+      }
+    }
+
+    @Override
+    public void failed(Job job, int index, Machine m, Time now) {
+      job.errors++;
+      job.errorMachines.add(m.id);
+      changed = true;
+      // The task waits longer each time, so that a job that can't succeed does not loop hot.
+      double waitS = job.failsEverywhere() ? Math.min(60, 2 * job.errors) : 0.5;
+      job.notBefore.put(index, now.plus(Span.seconds(waitS)));
+      if (job.failsEverywhere()) {
+        LOG.info("{} fails wherever it is started ({} errors)", job.id(), job.errors);
+      } else if (++m.errorsInARow >= policy.faultyAfter() && !m.faulty) {
+        m.faulty = true;
+        LOG.info("machine {} failed {} tasks in a row", m.id, m.errorsInARow);
+      }
+    }
+
+    @Override
+    public void stopped(Presence p, boolean saved, Time now) {
+      changed = true;
+      p.job.stopped.set(p.index);
+      if (saved && p.runningSince != null) {
+        Span before = p.job.ranBefore.getOrDefault(p.index, new Span(0));
+        p.job.ranBefore.put(p.index, before.plus(now.since(p.runningSince)));
+      }
+    }
+
+    @Override
+    public void refused(Presence p, Report.ExitCause cause, Time now) {
+      changed = true;
+      LOG.info("{} was refused by {}: {}", p.task(), p.machine.id, cause);
+      p.job.notBefore.put(p.index, now.plus(Span.seconds(2)));
+    }
+
+    @Override
+    public void lost(Presence p, String why, Time now) {
+      changed = true;
+      if (p.state != Presence.State.SENT) {
+        LOG.info("{} on {} is lost: {}", p.task(), p.machine.id, why);
+      }
+      p.job.stopped.set(p.index);
+      if (p.job.spec.checkpoints() && p.runningSince != null) {
+        long interval = p.job.spec.checkpoint().ms();
+        long kept = now.since(p.runningSince).ms() / interval * interval;
+        Span before = p.job.ranBefore.getOrDefault(p.index, new Span(0));
+        p.job.ranBefore.put(p.index, before.plus(new Span(kept)));
+      }
+    }
+  }
+
+  public Term term() {
+    return term;
+  }
+
+  public Collection<Job> jobs() {
+    return jobs.values();
+  }
+
+  public Job job(JobId id) {
+    return jobs.get(id);
+  }
+
+  public boolean knowsTypes() {
+    return !types.isEmpty();
+  }
+
+  public void typesKnown(Collection<MachineType> list) {
+    for (MachineType t : list) {
+      types.put(t.name(), t);
+    }
+    for (Machine m : fencing.machines()) {
+      m.type = types.get(m.typeName);
+    }
+    changed = true;
+  }
+
+  public void jobSeen(JobSpec spec, long arrivedWallMs) {
+    if (!jobs.containsKey(spec.id())) {
+      jobs.put(spec.id(), new Job(spec, arrivedWallMs, new BitSet()));
+      changed = true;
+      LOG.info(
+          "{} arrived: {} {} tasks of {}, {}",
+          spec.id(),
+          spec.tasks(),
+          spec.jobClass(),
+          spec.team(),
+          spec.priority());
+    }
+  }
+
+  /** Its record is gone though this leader did not end it: a user cancelled it. */
+  public void jobGone(JobId id, Time now) {
+    Job job = jobs.get(id);
+    if (job == null || job.finishing) {
+      return;
+    }
+    LOG.info("{} was cancelled", id);
+    job.cancelled = true;
+    changed = true;
+    for (Presence p : job.present.values()) {
+      p.stop(now, new Span(0));
+    }
+    forgetIfEmpty(job);
+  }
+
+  private void forgetIfEmpty(Job job) {
+    if (job.cancelled && job.present.isEmpty()) {
+      jobs.remove(job.id());
+    }
+  }
+
+  /** Jobs whose last task is done and that are not yet recorded so. */
+  public List<Job> toFinish() {
+    List<Job> out = new ArrayList<>();
+    for (Job job : jobs.values()) {
+      if (job.allDone() && !job.finishing && !job.cancelled) {
+        out.add(job);
+      }
+    }
+    return out;
+  }
+
+  public void finishing(Job job, boolean underWay) {
+    job.finishing = underWay;
+  }
+
+  public void finished(Job job) {
+    jobs.remove(job.id());
+    LOG.info("{} is done", job.id());
+  }
+
+  /** Jobs with progress that the state service does not hold yet. */
+  public List<Job> toRecord() {
+    List<Job> out = new ArrayList<>();
+    for (Job job : jobs.values()) {
+      if (job.dirty && !job.allDone() && !job.cancelled) {
+        out.add(job);
+      }
+    }
+    return out;
+  }
+
+  public void recording(Job job) {
+    job.dirty = false;
+  }
+
+  public void recorded(Job job, BitSet done) {
+    job.recorded = done;
+  }
+
+  public void notRecorded(Job job) {
+    job.dirty = true;
+  }
+
+  /** A worker's report; the orders that answer it, or null when it must not be obeyed. */
+  public List<Order> onReport(Report r, boolean mayLaunch, Time now) {
+    lastReport = now;
+    heardAny = true;
+    Machine m = fencing.onReport(r, types, now);
+    if (m == null) {
+      return null;
+    }
+    checkAccounted(now);
+    if (changed) {
+      round(now);
+    }
+    List<Order> orders = new ArrayList<>();
+    clear(r, orders);
+    if (!m.accounted) {
+      return orders;
+    }
+    halt(m, r, orders, now);
+    if (mayLaunch && accounted && m.usable()) {
+      launch(m, orders, now);
+    }
+    return orders;
+  }
+
+  private void clear(Report r, List<Order> orders) {
+    for (Report.TaskReport t : r.tasks()) {
+      if (t.state() != Report.TaskState.EXITED) {
+        continue;
+      }
+      Job job = jobs.get(t.task().job());
+      boolean resultHeld = job == null || job.recorded.get(t.task().index());
+      // A result stays listed until the state service holds it, so that a new leader finds it.
+      if (t.cause() != Report.ExitCause.DONE || resultHeld) {
+        orders.add(new Order.Clear(t.task(), t.attempt()));
+      }
+    }
+  }
+
+  private void halt(Machine m, Report r, List<Order> orders, Time now) {
+    for (Report.TaskReport t : r.tasks()) {
+      if (t.state() == Report.TaskState.EXITED) {
+        continue;
+      }
+      Presence p = m.presences.get(t.task());
+      if (p == null || !p.attempt.equals(t.attempt()) || p.job.done.get(p.index)) {
+        orders.add(new Order.Halt(t.task(), t.attempt(), new Span(0)));
+      } else if (p.job.cancelled) {
+        p.stop(now, new Span(0));
+        orders.add(new Order.Halt(t.task(), t.attempt(), new Span(0)));
+      } else if (p.stopping && p.state != Presence.State.SAVING) {
+        orders.add(new Order.Halt(t.task(), t.attempt(), p.grace));
+      } else if (p.stopping
+          && now.after(p.stopAt.plus(p.grace.times(2)).plus(SAVE_PATIENCE).plus(policy.report()))) {
+        orders.add(new Order.Halt(t.task(), t.attempt(), new Span(0)));
+      }
+    }
+  }
+
+  private void launch(Machine m, List<Order> orders, Time now) {
+    if (m.assigned.isEmpty()) {
+      return;
+    }
+    Map<String, Size> use = Scheduler.teamUse(fencing.machines());
+    Size free = m.free();
+    for (Machine.Assigned a : m.assigned) {
+      Job job = a.job();
+      // Checked once more against what is true now: the round may be a second old.
+      if (job.cancelled
+          || job.finishing
+          || job.done.get(a.index())
+          || job.present.containsKey(a.index())
+          || !job.spec.size().fitsIn(free)
+          || scheduler.overLimit(job, use)) {
+        continue;
+      }
+      job.assignedZones.remove(m.zone);
+      if (!Placement.allowed(job, m)) {
+        continue;
+      }
+      Attempt attempt = Attempt.of(term, ++attemptSequence);
+      Presence p = fencing.launch(job, a.index(), attempt, m, a.backfilled(), now);
+      free = free.minus(job.spec.size());
+      use.merge(job.spec.team(), job.spec.size(), Size::plus);
+      orders.add(new Order.Launch(p.task(), attempt));
+      launches++;
+      if (!launchedAny) {
+        launchedAny = true;
+        LOG.info("first launch of term {}, {} ms after it began", term, now.since(tookOver).ms());
+      }
+    }
+    m.assigned.clear();
+  }
+
+  private void checkAccounted(Time now) {
+    if (!accounted && fencing.allAccounted()) {
+      accounted = true;
+      changed = true;
+      LOG.info(
+          "every machine is accounted for, {} ms into term {}", now.since(tookOver).ms(), term);
+    }
+  }
+
+  /** Once in a while: leases that are over, notices, and a round. */
+  public void tick(Time now) {
+    fencing.tick(now);
+    checkAccounted(now);
+    for (Machine m : fencing.machines()) {
+      drain(m, now);
+    }
+    for (Job job : new ArrayList<>(jobs.values())) {
+      forgetIfEmpty(job);
+    }
+    if (changed || now.since(lastRound).compareTo(ROUND_EVERY) >= 0) {
+      round(now);
+    }
+  }
+
+  /** On a machine that the cloud will take, tasks that can save do so; the others may yet end. */
+  private void drain(Machine m, Time now) {
+    if (m.noticeAt == null) {
+      return;
+    }
+    for (Presence p : m.presences.values()) {
+      if (p.job.spec.checkpoints() && p.state == Presence.State.RUNNING) {
+        p.stop(now, Scheduler.grace(p));
+      }
+    }
+  }
+
+  private void round(Time now) {
+    changed = false;
+    lastRound = now;
+    waiting = scheduler.round(jobs.values(), fencing.machines(), now);
+  }
+
+  /** Rentals to ask for. Each stays open until {@link #hired} or {@link #refused}. */
+  public List<Rental> toRent(Time now) {
+    if (types.isEmpty()) {
+      return List.of();
+    }
+    List<Rental> out = new ArrayList<>();
+    for (Fleet.Hire h : fleet.plan(waiting, jobs.values(), fencing.machines(), types.values(), now)) {
+      LOG.info("renting {} {}", h.count(), h.kind());
+      out.add(new Rental(h));
+    }
+    return out;
+  }
+
+  /** A rental that was asked for. */
+  public static final class Rental {
+    private final Fleet.Hire hire;
+
+    Rental(Fleet.Hire hire) {
+      this.hire = hire;
+    }
+
+    public String name() {
+      return hire.name();
+    }
+
+    public String type() {
+      return hire.type().name();
+    }
+
+    public String zone() {
+      return hire.zone();
+    }
+
+    public boolean spot() {
+      return hire.spot();
+    }
+
+    public int count() {
+      return hire.count();
+    }
+  }
+
+  public void hired(Rental rental, List<MachineId> hosts, Time now) {
+    Fleet.Hire h = rental.hire;
+    fleet.answered(h, hosts.size(), now);
+    for (MachineId id : hosts) {
+      if (fencing.find(id) == null) {
+        fencing.add(new Machine(id, h.type(), h.type().name(), h.zone(), h.spot(), h.asked()));
+      }
+    }
+    changed = true;
+  }
+
+  public void refused(Rental rental, Time now) {
+    fleet.answered(rental.hire, 0, now);
+  }
+
+  /** Machines that must be written down before they may be used. */
+  public List<LedgerEntry> toLedger() {
+    List<LedgerEntry> out = new ArrayList<>();
+    for (Machine m : fencing.machines()) {
+      if (!m.ledgered && !m.ledgerAsked && !m.leaving) {
+        m.ledgerAsked = true;
+        out.add(new LedgerEntry(m.id, m.typeName, m.zone, m.spot));
+      }
+    }
+    return out;
+  }
+
+  public void ledgered(List<LedgerEntry> entries, boolean written) {
+    for (LedgerEntry e : entries) {
+      Machine m = fencing.find(e.id());
+      if (m != null) {
+        m.ledgered |= written;
+        m.ledgerAsked = written;
+        changed = true;
+      }
+    }
+  }
+
+  /** Machines to delete; each stays asked for until {@link #deleted}. */
+  public List<MachineId> toDelete(Time now) {
+    return fleet.toReturn(fencing.machines(), tookOver, now);
+  }
+
+  /** The cloud confirmed: the machines and all on them are gone. */
+  public void deleted(List<MachineId> ids, Time now) {
+    for (MachineId id : ids) {
+      fencing.deleted(id, now);
+    }
+    checkAccounted(now);
+  }
+
+  /** The cloud's list: it shows machines that we did not know, and those that failed. */
+  public void listed(List<CloudCodec.Listed> list, Time now) {
+    for (CloudCodec.Listed l : list) {
+      Machine m = fencing.find(l.id());
+      if (m == null) {
+        if (l.failed()) {
+          continue;
+        }
+        Time rented = new Time(now.ms() - l.age().ms());
+        fencing.add(new Machine(l.id(), types.get(l.type()), l.type(), l.zone(), l.spot(), rented));
+        LOG.info("machine {} ({}) is listed and was not expected", l.id(), l.type());
+        changed = true;
+      } else if (l.failed() && !m.leaving) {
+        m.faulty = true;
+      }
+    }
+  }
+
+  /** Whether workers that should report have all been silent: we may be the ones cut off. */
+  public boolean deaf(Time now) {
+    int expected = 0;
+    for (Machine m : fencing.machines()) {
+      if (m.up || m.mightHoldOldTasks) {
+        expected++;
+      }
+    }
+    return heardAny && expected >= 2 && now.since(lastReport).longerThan(policy.report().times(3));
+  }
+
+  /** One line that tells the state of things to whoever reads the log. */
+  public String summary() {
+    int up = 0;
+    int booting = 0;
+    int tasks = 0;
+    double used = 0;
+    double cores = 0;
+    for (Machine m : fencing.machines()) {
+      if (m.up) {
+        up++;
+        if (m.type != null) {
+          cores += m.type.size().cores();
+        }
+      } else {
+        booting++;
+      }
+      tasks += m.presences.size();
+      used += m.used().cores();
+    }
+    int queued = 0;
+    for (Scheduler.Waiting w : waiting) {
+      queued += w.tasks();
+    }
+    return String.format(
+        "%d jobs, %d tasks wait, %d on machines, %.0f of %.0f cores in use, %d machines up, %d"
+            + " booting, %d launches",
+        jobs.size(), queued, tasks, used, cores, up, booting, launches);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -0,0 +1,99 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.MachineId;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.TaskId;
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+
+/** A rented machine and what is, or might be, on it. */
+public final class Machine {
+  private static final int REMEMBERED_IMAGES = 6;
+
+  /** A task that the last round gave to this machine; it leaves with the next answered report. */
+  record Assigned(Job job, int index, boolean backfilled) {}
+
+  final MachineId id;
+  final String typeName;
+  final String zone;
+  final boolean spot;
+  final Time rentedAt;
+  MachineType type;
+  boolean up;
+
+  /** Reported with our token seen: its list holds all that earlier leaders ever launched on it. */
+  boolean accounted;
+
+  /** Might hold tasks that a former leader launched. */
+  boolean mightHoldOldTasks;
+
+  boolean ledgered;
+  boolean ledgerAsked;
+  boolean leaving;
+  boolean deleteAsked;
+  Time lastHeard;
+  long session;
+  long sequence;
+  Time noticeAt;
+  Time idleSince;
+  int errorsInARow;
+  boolean faulty;
+  final Map<TaskId, Presence> presences = new LinkedHashMap<>();
+  final List<Assigned> assigned = new ArrayList<>();
+  final LinkedHashSet<String> images = new LinkedHashSet<>();
+
+  Machine(
+      MachineId id, MachineType type, String typeName, String zone, boolean spot, Time rentedAt) {
+    this.id = id;
+    this.type = type;
+    this.typeName = typeName;
+    this.zone = zone;
+    this.spot = spot;
+    this.rentedAt = rentedAt;
+    this.idleSince = rentedAt;
+    this.lastHeard = Time.LONG_AGO;
+  }
+
+  public MachineId id() {
+    return id;
+  }
+
+  /** Whether new tasks may be placed here. */
+  boolean usable() {
+    return up && accounted && ledgered && !leaving && !faulty && noticeAt == null && type != null;
+  }
+
+  /** On its way up, as far as is known. */
+  boolean booting() {
+    return !up && !leaving && type != null;
+  }
+
+  Size used() {
+    Size used = Size.ZERO;
+    for (Presence p : presences.values()) {
+      used = used.plus(p.job.spec.size());
+    }
+    return used;
+  }
+
+  Size free() {
+    return type.size().minus(used());
+  }
+
+  void remember(String image) {
+    images.remove(image);
+    images.add(image);
+    if (images.size() > REMEMBERED_IMAGES) {
+      images.remove(images.iterator().next());
+    }
+  }
+
+  String kind() {
+    return typeName + "/" + zone + (spot ? "/spot" : "/ordinary");
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/Placement.java
@@ -0,0 +1,80 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Time;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Where a task may go, and where it best goes, machine by machine. */
+final class Placement {
+  /** Room on the machines during one round; tasks given out are taken off. */
+  static final class Room {
+    final Map<Machine, Size> free = new HashMap<>();
+    final Map<Machine, Reservation> reserved = new HashMap<>();
+  }
+
+  /** The head's claim on a machine: from when, and what is left beside it then. */
+  static final class Reservation {
+    final Time at;
+    Size extra;
+
+    Reservation(Time at, Size extra) {
+      this.at = at;
+      this.extra = extra;
+    }
+  }
+
+  private Placement() {}
+
+  /** Whether the job's other tasks, wherever they might be, allow one more on this machine. */
+  static boolean allowed(Job job, Machine m) {
+    JobSpec spec = job.spec;
+    if (!spec.allows(m.typeName, m.zone, m.spot)) {
+      return false;
+    }
+    if (!spec.oneZone() && !spec.spread()) {
+      return true;
+    }
+    int here = 0;
+    int elsewhere = 0;
+    for (Presence p : job.present.values()) {
+      if (p.machine.zone.equals(m.zone)) {
+        here++;
+      } else {
+        elsewhere++;
+      }
+    }
+    for (String zone : job.assignedZones) {
+      if (zone.equals(m.zone)) {
+        here++;
+      } else {
+        elsewhere++;
+      }
+    }
+    if (spec.oneZone() && elsewhere > 0) {
+      return false;
+    }
+    return !spec.spread() || here + 1 <= spec.spreadLimit();
+  }
+
+  /** Lower is better: no fetch, then a cheap kind, then the tightest fit. */
+  static double score(Job job, Machine m, Size free, Estimates estimates, double cheapest) {
+    double fetchS = estimates.fetch(job, m).toSeconds();
+    double price = m.type.hourly(m.spot) / Math.max(0.1, m.type.size().cores());
+    double dear = price > cheapest * 1.5 ? 8 : 0;
+    double left = (free.cores() - job.spec.size().cores()) / Math.max(0.1, m.type.size().cores());
+    return fetchS + dear + left * 2 + m.errorsInARow * 10;
+  }
+
+  static double cheapestPerCore(Collection<Machine> machines) {
+    double cheapest = Double.MAX_VALUE;
+    for (Machine m : machines) {
+      if (m.type != null && m.type.size().cores() > 0) {
+        cheapest = Math.min(cheapest, m.type.hourly(m.spot) / m.type.size().cores());
+      }
+    }
+    return cheapest;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -0,0 +1,33 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Span;
+import java.util.Map;
+
+/** What the platform says and what operators may set, as the core needs it. */
+public record Policy(
+    Span report,
+    Span lease,
+    Span keepAfterSync,
+    Map<String, Team> teams,
+    double scaleDown,
+    Span scaleThreshold,
+    Priority preemptFrom,
+    Span patience,
+    Span horizon,
+    Span ordinaryHorizon,
+    Span idleReturn,
+    Span minimumCharge,
+    Span silence,
+    double bootPatience,
+    int faultyAfter) {
+
+  /** A team's guarantee and limit; a limit of 0 means none, a guarantee of 0 too. */
+  public record Team(
+      String name, double cores, double coresLimit, double gpus, double gpusLimit) {}
+
+  /** After this a worker that was last answered now has certainly dropped its tasks. */
+  public Span leaseSurelyOver() {
+    return lease.certainlyElsewhere().plus(Span.millis(500));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/protocol/Attempt.java
@@ -0,0 +1,15 @@
+package io.saltflow.protocol;
+
+/** The number of one attempt at a task; unique across leaders because the term leads it. */
+public record Attempt(long number) {
+  private static final int SEQUENCE_BITS = 32;
+
+  public static Attempt of(Term term, long sequence) {
+    return new Attempt((term.number() << SEQUENCE_BITS) | sequence);
+  }
+
+  @Override
+  public String toString() {
+    return Long.toUnsignedString(number);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/protocol/Beat.java
@@ -0,0 +1,69 @@
+package io.saltflow.protocol;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.avro.AvroRuntimeException;
+import org.apache.avro.io.BinaryDecoder;
+import org.apache.avro.io.BinaryEncoder;
+import org.apache.avro.io.DecoderFactory;
+import org.apache.avro.io.EncoderFactory;
+
+/**
+ * What controllers tell each other, in Avro's binary form by the schema {@code mesh.avsc}. Written
+ * field by field: reading the schema at start would cost a small machine seconds.
+ */
+public record Beat(String host, Term term, boolean leading, long stateQuietMs, List<Counts> jobs) {
+  private static final int MOST_JOBS = 5000;
+
+  /** A job's live counts. */
+  public record Counts(JobId job, int done, int running) {}
+
+  public byte[] encode() {
+    try {
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+      BinaryEncoder out = EncoderFactory.get().directBinaryEncoder(bytes, null);
+      out.writeString(host);
+      out.writeLong(term.number());
+      out.writeBoolean(leading);
+      out.writeLong(stateQuietMs);
+      out.writeArrayStart();
+      int n = Math.min(jobs.size(), MOST_JOBS);
+      out.setItemCount(n);
+      for (Counts c : jobs.subList(0, n)) {
+        out.startItem();
+        out.writeString(c.job.text());
+        out.writeInt(c.done);
+        out.writeInt(c.running);
+      }
+      out.writeArrayEnd();
+      out.flush();
+      return bytes.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding in memory failed", e);
+    }
+  }
+
+  public static Beat decode(byte[] frame) throws BadMessage {
+    try {
+      BinaryDecoder in = DecoderFactory.get().binaryDecoder(frame, null);
+      String host = in.readString();
+      Term term = new Term(in.readLong());
+      boolean leading = in.readBoolean();
+      long quiet = in.readLong();
+      List<Counts> jobs = new ArrayList<>();
+      for (long n = in.readArrayStart(); n != 0; n = in.arrayNext()) {
+        if (n < 0 || jobs.size() + n > MOST_JOBS) {
+          throw new BadMessage("a beat with too many jobs");
+        }
+        for (long i = 0; i < n; i++) {
+          jobs.add(new Counts(new JobId(in.readString()), in.readInt(), in.readInt()));
+        }
+      }
+      return new Beat(host, term, leading, quiet, jobs);
+    } catch (IOException | AvroRuntimeException e) {
+      throw new BadMessage("a beat that can't be read");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/protocol/JobId.java
@@ -0,0 +1,29 @@
+package io.saltflow.protocol;
+
+/** A job's id, chosen by its user: always {@code req-} and digits. */
+public record JobId(String text) implements Comparable<JobId> {
+  private static final int MAX_LENGTH = 64;
+
+  public static boolean valid(String text) {
+    if (!text.startsWith(Wire.JOB_PREFIX) || text.length() > MAX_LENGTH) {
+      return false;
+    }
+    for (int i = Wire.JOB_PREFIX.length(); i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c < '0' || c > '9') {
+        return false;
+      }
+    }
+    return text.length() > Wire.JOB_PREFIX.length();
+  }
+
+  @Override
+  public int compareTo(JobId other) {
+    return text.compareTo(other.text);
+  }
+
+  @Override
+  public String toString() {
+    return text;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/protocol/MachineId.java
@@ -0,0 +1,14 @@
+package io.saltflow.protocol;
+
+/** A machine's name, given by the cloud; the order of names is the order of creation. */
+public record MachineId(String text) implements Comparable<MachineId> {
+  @Override
+  public int compareTo(MachineId other) {
+    return text.compareTo(other.text);
+  }
+
+  @Override
+  public String toString() {
+    return text;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/protocol/MsgPack.java
@@ -0,0 +1,127 @@
+package io.saltflow.protocol;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageFormat;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** MessagePack bodies: maps keyed by text, lists, text, numbers, booleans and null. */
+public final class MsgPack {
+  private static final int MAX_DEPTH = 16;
+
+  private MsgPack() {}
+
+  public static byte[] encode(Body body) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      write(packer, body.fields());
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding in memory failed", e);
+    }
+  }
+
+  private static void write(MessageBufferPacker packer, Object value) throws IOException {
+    if (value == null) {
+      packer.packNil();
+    } else if (value instanceof String s) {
+      packer.packString(s);
+    } else if (value instanceof Boolean b) {
+      packer.packBoolean(b);
+    } else if (value instanceof Double d) {
+      packer.packDouble(d);
+    } else if (value instanceof Number n) {
+      packer.packLong(n.longValue());
+    } else if (value instanceof Body b) {
+      write(packer, b.fields());
+    } else if (value instanceof Map<?, ?> map) {
+      packer.packMapHeader(map.size());
+      for (Map.Entry<?, ?> e : map.entrySet()) {
+        packer.packString((String) e.getKey());
+        write(packer, e.getValue());
+      }
+    } else if (value instanceof List<?> list) {
+      packer.packArrayHeader(list.size());
+      for (Object item : list) {
+        write(packer, item);
+      }
+    } else {
+      throw new IllegalArgumentException("no wire form for " + value.getClass());
+    }
+  }
+
+  public static Body decode(byte[] bytes) throws BadMessage {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      Object value = read(unpacker, bytes.length, 0);
+      if (unpacker.hasNext()) {
+        throw new BadMessage("the body has bytes after its map");
+      }
+      return Body.asMap(value, "body");
+    } catch (IOException | MessagePackException e) {
+      throw new BadMessage("the body is not MessagePack");
+    }
+  }
+
+  private static Object read(MessageUnpacker in, int limit, int depth)
+      throws IOException, BadMessage {
+    if (depth > MAX_DEPTH) {
+      throw new BadMessage("the body is nested too deeply");
+    }
+    switch (in.getNextFormat().getValueType()) {
+      case NIL:
+        in.unpackNil();
+        return null;
+      case BOOLEAN:
+        return in.unpackBoolean();
+      case INTEGER:
+        return readInteger(in);
+      case FLOAT:
+        return in.unpackDouble();
+      case STRING:
+        return in.unpackString();
+      case ARRAY:
+        {
+          int n = checked(in.unpackArrayHeader(), limit);
+          List<Object> list = new ArrayList<>(Math.min(n, 64));
+          for (int i = 0; i < n; i++) {
+            list.add(read(in, limit, depth + 1));
+          }
+          return list;
+        }
+      case MAP:
+        {
+          int n = checked(in.unpackMapHeader(), limit);
+          Map<String, Object> map = new LinkedHashMap<>();
+          for (int i = 0; i < n; i++) {
+            if (!in.getNextFormat().getValueType().isStringType()) {
+              throw new BadMessage("a map key is not text");
+            }
+            map.put(in.unpackString(), read(in, limit, depth + 1));
+          }
+          return map;
+        }
+      default:
+        throw new BadMessage("the body holds a type that has no meaning here");
+    }
+  }
+
+  /** Integers are below 2^64; those from 2^63 on come as the same 64 bits. */
+  private static Object readInteger(MessageUnpacker in) throws IOException {
+    return in.getNextFormat() == MessageFormat.UINT64
+        ? in.unpackBigInteger().longValue()
+        : in.unpackLong();
+  }
+
+  /** A count can't exceed the bytes there are: guards against a header that claims billions. */
+  private static int checked(int count, int limit) throws BadMessage {
+    if (count < 0 || count > limit) {
+      throw new BadMessage("the body is truncated");
+    }
+    return count;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/protocol/TaskId.java
@@ -0,0 +1,26 @@
+package io.saltflow.protocol;
+
+/** One task of a job. */
+public record TaskId(JobId job, int index) {
+  /** Parses {@code req-000412/3}; null when the text names no task. */
+  public static TaskId parse(String text) {
+    int slash = text.indexOf('/');
+    if (slash <= 0 || slash == text.length() - 1 || text.length() - slash > 8) {
+      return null;
+    }
+    int index = 0;
+    for (int i = slash + 1; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c < '0' || c > '9') {
+        return null;
+      }
+      index = index * 10 + (c - '0');
+    }
+    return new TaskId(new JobId(text.substring(0, slash)), index);
+  }
+
+  @Override
+  public String toString() {
+    return job.text() + "/" + index;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/transport/Addresses.java
@@ -0,0 +1,44 @@
+package io.saltflow.transport;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Reads {@code 10.0.0.1:8080}; names are not looked up. */
+public final class Addresses {
+  private Addresses() {}
+
+  public static InetSocketAddress parse(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon <= 0) {
+      throw new IllegalArgumentException("not of the form address:port");
+    }
+    String[] parts = text.substring(0, colon).split("\\.", -1);
+    if (parts.length != 4) {
+      throw new IllegalArgumentException("not an IPv4 address with a port");
+    }
+    byte[] ip = new byte[4];
+    for (int i = 0; i < 4; i++) {
+      ip[i] = (byte) ranged(parts[i], 255);
+    }
+    int port = ranged(text.substring(colon + 1), 65535);
+    try {
+      return new InetSocketAddress(InetAddress.getByAddress(text.substring(0, colon), ip), port);
+    } catch (UnknownHostException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  private static int ranged(String text, int most) {
+    int value;
+    try {
+      value = Integer.parseInt(text);
+    } catch (NumberFormatException e) {
+      throw new IllegalArgumentException("not an IPv4 address with a port", e);
+    }
+    if (value < 0 || value > most) {
+      throw new IllegalArgumentException("not an IPv4 address with a port");
+    }
+    return value;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/transport/HttpBytes.java
@@ -0,0 +1,15 @@
+package io.saltflow.transport;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** A head and a body in one buffer. */
+final class HttpBytes {
+  private HttpBytes() {}
+
+  static ByteBuffer join(CharSequence head, byte[] body) {
+    byte[] headBytes = head.toString().getBytes(StandardCharsets.ISO_8859_1);
+    ByteBuffer out = ByteBuffer.allocate(headBytes.length + body.length);
+    return out.put(headBytes).put(body).flip();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/transport/HttpClient.java
@@ -0,0 +1,193 @@
+package io.saltflow.transport;
+
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.function.Consumer;
+
+/**
+ * Requests to one endpoint over a bounded pool of connections, one request at a time on each. A
+ * request that gets no answer in time closes its connection and ends with status 0: it may have
+ * been executed, or may yet be.
+ */
+public final class HttpClient extends Routine {
+  private static final int MAX_BODY = 8 * 1024 * 1024;
+  private static final Span POOL_IDLE = Span.seconds(20);
+
+  /** What came back; status 0: nothing. */
+  public record Answer(int status, byte[] body, Time sent) {
+    public boolean lost() {
+      return status == 0;
+    }
+  }
+
+  private record Request(
+      String method, String target, byte[] body, Time deadline, Consumer<Answer> then) {}
+
+  private final Loop loop;
+  private final InetSocketAddress address;
+  private final int maxConnections;
+  private final int maxQueue;
+  private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+  private final ArrayDeque<Request> queue = new ArrayDeque<>();
+
+  public HttpClient(
+      Routine parent, Loop loop, InetSocketAddress address, int maxConnections, int maxQueue) {
+    super(parent);
+    this.loop = loop;
+    this.address = address;
+    this.maxConnections = maxConnections;
+    this.maxQueue = maxQueue;
+    loop.every(Span.seconds(5), this, this::dropIdle);
+  }
+
+  public void call(
+      String method, String target, byte[] body, Span timeout, Consumer<Answer> then) {
+    Request request = new Request(method, target, body, loop.now().plus(timeout), then);
+    if (queue.size() >= maxQueue) {
+      loop.after(Span.millis(1), this, () -> then.accept(new Answer(0, new byte[0], loop.now())));
+      return;
+    }
+    queue.add(request);
+    loop.after(timeout, this, () -> expire(request));
+    pump();
+  }
+
+  private void expire(Request request) {
+    if (queue.remove(request)) {
+      request.then.accept(new Answer(0, new byte[0], loop.now()));
+    }
+  }
+
+  private void pump() {
+    while (!queue.isEmpty()) {
+      Connection connection = idle.pollLast();
+      if (connection == null) {
+        if (childCount() >= maxConnections) {
+          return;
+        }
+        connection = connect();
+        if (connection == null) {
+          Request request = queue.poll();
+          loop.after(
+              Span.millis(20),
+              this,
+              () -> request.then.accept(new Answer(0, new byte[0], loop.now())));
+          continue;
+        }
+      }
+      connection.start(queue.poll());
+    }
+  }
+
+  private Connection connect() {
+    try {
+      SocketChannel socket = SocketChannel.open();
+      socket.configureBlocking(false);
+      socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
+      Connection connection = new Connection(socket);
+      try {
+        boolean connected = socket.connect(address);
+        connection.open(connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT);
+        return connection;
+      } catch (IOException e) {
+        connection.cancel();
+        return null;
+      }
+    } catch (IOException e) {
+      return null;
+    }
+  }
+
+  private void dropIdle() {
+    for (Connection connection : idle.toArray(new Connection[0])) {
+      if (loop.now().since(connection.usedAt).longerThan(POOL_IDLE)) {
+        connection.cancel();
+      }
+    }
+  }
+
+  private final class Connection extends Channel {
+    private final HttpParser parser = new HttpParser(false, MAX_BODY);
+    private Request current;
+    private Time sent;
+    private Time usedAt = HttpClient.this.loop.now();
+
+    Connection(SocketChannel socket) {
+      super(HttpClient.this, HttpClient.this.loop, socket);
+    }
+
+    void start(Request request) {
+      current = request;
+      sent = loop.now();
+      parser.reset();
+      StringBuilder head = new StringBuilder(160);
+      head.append(request.method).append(' ').append(request.target).append(" HTTP/1.1\r\n");
+      head.append("Host: ").append(address.getAddress().getHostAddress()).append("\r\n");
+      if (request.body.length > 0) {
+        head.append("Content-Type: application/msgpack\r\n");
+      }
+      head.append("Content-Length: ").append(request.body.length).append("\r\n\r\n");
+      loop.after(new Span(Math.max(1, request.deadline.since(sent).ms())), this, () -> late(request));
+      send(HttpBytes.join(head, request.body));
+    }
+
+    private void late(Request request) {
+      if (current == request) {
+        cancel();
+      }
+    }
+
+    @Override
+    protected void onBytes(ByteBuffer in) throws IOException {
+      if (current == null) {
+        throw new IOException("bytes without a request");
+      }
+      boolean whole;
+      try {
+        whole = parser.feed(in);
+      } catch (HttpParser.Malformed e) {
+        throw new IOException(e);
+      }
+      if (!whole) {
+        return;
+      }
+      Request done = current;
+      current = null;
+      usedAt = loop.now();
+      Answer answer = new Answer(parser.status(), parser.body(), sent);
+      if (parser.wantsClose()) {
+        cancel();
+      } else {
+        idle.addLast(this);
+      }
+      done.then.accept(answer);
+      pump();
+    }
+
+    @Override
+    protected void onCancel() {
+      super.onCancel();
+      idle.remove(this);
+      if (current != null) {
+        Request lost = current;
+        current = null;
+        if (!HttpClient.this.cancelled()) {
+          loop.after(
+              Span.millis(1),
+              HttpClient.this,
+              () -> {
+                lost.then.accept(new Answer(0, new byte[0], sent));
+                pump();
+              });
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/transport/HttpParser.java
@@ -0,0 +1,278 @@
+package io.saltflow.transport;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Reads HTTP/1.1 messages from bytes as they come, either requests or responses. Bodies come with a
+ * length or chunked. Limits hold while reading, so a peer can't make it grow without bound.
+ */
+public final class HttpParser {
+  private static final int MAX_LINE = 4096;
+  private static final int MAX_HEADERS = 64;
+
+  /** Bytes that are not HTTP, or more of them than is allowed. */
+  public static final class Malformed extends Exception {
+    private final int status;
+
+    Malformed(int status, String message) {
+      super(message, null, false, false);
+      this.status = status;
+    }
+
+    public int status() {
+      return status;
+    }
+  }
+
+  private enum Step {
+    FIRST_LINE,
+    HEADERS,
+    BODY,
+    CHUNK_SIZE,
+    CHUNK,
+    CHUNK_END,
+    TRAILER,
+    COMPLETE
+  }
+
+  private final boolean requests;
+  private final int maxBody;
+  private final byte[] line = new byte[MAX_LINE];
+  private Step step = Step.FIRST_LINE;
+  private int lineLength;
+  private int headers;
+  private String method;
+  private String target;
+  private int status;
+  private boolean close;
+  private boolean chunked;
+  private boolean hasLength;
+  private byte[] body = new byte[0];
+  private int bodyLength;
+  private int wanted;
+
+  public HttpParser(boolean requests, int maxBody) {
+    this.requests = requests;
+    this.maxBody = maxBody;
+  }
+
+  public String method() {
+    return method;
+  }
+
+  public String target() {
+    return target;
+  }
+
+  public int status() {
+    return status;
+  }
+
+  public boolean wantsClose() {
+    return close;
+  }
+
+  public byte[] body() {
+    return bodyLength == body.length ? body : java.util.Arrays.copyOf(body, bodyLength);
+  }
+
+  public boolean complete() {
+    return step == Step.COMPLETE;
+  }
+
+  /** Whether some of a message has been read, but not all. */
+  public boolean midway() {
+    return step != Step.COMPLETE && (step != Step.FIRST_LINE || lineLength > 0);
+  }
+
+  public void reset() {
+    step = Step.FIRST_LINE;
+    lineLength = 0;
+    headers = 0;
+    method = null;
+    target = null;
+    status = 0;
+    close = false;
+    chunked = false;
+    hasLength = false;
+    body = new byte[0];
+    bodyLength = 0;
+    wanted = 0;
+  }
+
+  /** Takes what it can; true when a whole message has been read. */
+  public boolean feed(ByteBuffer in) throws Malformed {
+    while (step != Step.COMPLETE) {
+      switch (step) {
+        case BODY, CHUNK -> {
+          int n = Math.min(wanted, in.remaining());
+          reserve(bodyLength + n);
+          in.get(body, bodyLength, n);
+          bodyLength += n;
+          wanted -= n;
+          if (wanted > 0) {
+            return false;
+          }
+          step = step == Step.BODY ? Step.COMPLETE : Step.CHUNK_END;
+        }
+        default -> {
+          String text = readLine(in);
+          if (text == null) {
+            return false;
+          }
+          onLine(text);
+        }
+      }
+    }
+    return true;
+  }
+
+  private void onLine(String text) throws Malformed {
+    switch (step) {
+      case FIRST_LINE -> {
+        if (text.isEmpty()) {
+          return;
+        }
+        firstLine(text);
+        step = Step.HEADERS;
+      }
+      case HEADERS -> {
+        if (text.isEmpty()) {
+          headersDone();
+        } else {
+          header(text);
+        }
+      }
+      case CHUNK_SIZE -> {
+        wanted = chunkSize(text);
+        step = wanted == 0 ? Step.TRAILER : Step.CHUNK;
+      }
+      case CHUNK_END -> {
+        if (!text.isEmpty()) {
+          throw new Malformed(400, "bad chunk");
+        }
+        step = Step.CHUNK_SIZE;
+      }
+      case TRAILER -> {
+        if (text.isEmpty()) {
+          step = Step.COMPLETE;
+        }
+      }
+      default -> throw new IllegalStateException(step.name());
+    }
+  }
+
+  private void firstLine(String text) throws Malformed {
+    int a = text.indexOf(' ');
+    int b = text.indexOf(' ', a + 1);
+    if (requests) {
+      if (a <= 0 || b <= a + 1 || !text.startsWith("HTTP/1.", b + 1)) {
+        throw new Malformed(400, "bad request line");
+      }
+      method = text.substring(0, a);
+      target = text.substring(a + 1, b);
+      close = text.endsWith("/1.0");
+    } else {
+      if (!text.startsWith("HTTP/1.") || a < 0 || text.length() < a + 4) {
+        throw new Malformed(400, "bad status line");
+      }
+      status = number(text.substring(a + 1, a + 4), 10);
+    }
+  }
+
+  private void header(String text) throws Malformed {
+    if (++headers > MAX_HEADERS) {
+      throw new Malformed(431, "too many headers");
+    }
+    int colon = text.indexOf(':');
+    if (colon <= 0) {
+      throw new Malformed(400, "bad header");
+    }
+    String name = text.substring(0, colon);
+    String value = text.substring(colon + 1).trim();
+    if (name.equalsIgnoreCase("Content-Length")) {
+      int length = number(value, 10);
+      if (hasLength && length != wanted) {
+        throw new Malformed(400, "two lengths");
+      }
+      hasLength = true;
+      wanted = length;
+    } else if (name.equalsIgnoreCase("Transfer-Encoding")) {
+      if (!value.equalsIgnoreCase("chunked")) {
+        throw new Malformed(501, "unknown transfer encoding");
+      }
+      chunked = true;
+    } else if (name.equalsIgnoreCase("Connection")) {
+      close = value.equalsIgnoreCase("close") || (close && !value.equalsIgnoreCase("keep-alive"));
+    }
+  }
+
+  private void headersDone() throws Malformed {
+    if (chunked && hasLength) {
+      throw new Malformed(400, "both a length and chunks");
+    }
+    if (chunked) {
+      wanted = 0;
+      step = Step.CHUNK_SIZE;
+    } else if (hasLength && wanted > 0) {
+      if (wanted > maxBody) {
+        throw new Malformed(413, "body too large");
+      }
+      reserve(wanted);
+      step = Step.BODY;
+    } else {
+      step = Step.COMPLETE;
+    }
+  }
+
+  private int chunkSize(String text) throws Malformed {
+    int semicolon = text.indexOf(';');
+    return number((semicolon < 0 ? text : text.substring(0, semicolon)).trim(), 16);
+  }
+
+  private static int number(String text, int radix) throws Malformed {
+    if (text.isEmpty() || text.length() > 9) {
+      throw new Malformed(text.isEmpty() ? 400 : 413, "bad length");
+    }
+    int value = 0;
+    for (int i = 0; i < text.length(); i++) {
+      int digit = Character.digit(text.charAt(i), radix);
+      if (digit < 0 || value > (Integer.MAX_VALUE - digit) / radix) {
+        throw new Malformed(400, "bad length");
+      }
+      value = value * radix + digit;
+    }
+    return value;
+  }
+
+  private void reserve(int size) throws Malformed {
+    if (size > maxBody) {
+      throw new Malformed(413, "body too large");
+    }
+    if (size > body.length) {
+      // Grows with what has come, not with what was announced: a claim alone costs no memory.
+      int grown = hasLength ? Math.min(size, 65536) : Math.max(size, body.length * 2);
+      body = java.util.Arrays.copyOf(body, Math.min(maxBody, Math.max(grown, size)));
+    }
+  }
+
+  private String readLine(ByteBuffer in) throws Malformed {
+    while (in.hasRemaining()) {
+      byte b = in.get();
+      if (b == '\n') {
+        int end = lineLength > 0 && line[lineLength - 1] == '\r' ? lineLength - 1 : lineLength;
+        lineLength = 0;
+        return new String(line, 0, end, StandardCharsets.ISO_8859_1);
+      }
+      if (b < ' ' && b != '\r' && b != '\t') {
+        throw new Malformed(400, "bad byte");
+      }
+      if (lineLength == MAX_LINE) {
+        throw new Malformed(step == Step.FIRST_LINE ? 414 : 431, "line too long");
+      }
+      line[lineLength++] = b;
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/transport/HttpReply.java
@@ -0,0 +1,49 @@
+package io.saltflow.transport;
+
+import java.nio.ByteBuffer;
+
+/** An answer: its status, its body, and when to come back (0: not said). */
+public record HttpReply(int status, byte[] body, int retryAfterS) {
+  private static final byte[] NOTHING = new byte[0];
+
+  public static HttpReply of(int status, byte[] body) {
+    return new HttpReply(status, body, 0);
+  }
+
+  public static HttpReply empty(int status) {
+    return new HttpReply(status, NOTHING, 0);
+  }
+
+  ByteBuffer bytes(boolean close) {
+    StringBuilder head = new StringBuilder(128);
+    head.append("HTTP/1.1 ").append(status).append(' ').append(reason()).append("\r\n");
+    if (body.length > 0) {
+      head.append("Content-Type: application/msgpack\r\n");
+    }
+    head.append("Content-Length: ").append(body.length).append("\r\n");
+    if (retryAfterS > 0) {
+      head.append("Retry-After: ").append(retryAfterS).append("\r\n");
+    }
+    if (close) {
+      head.append("Connection: close\r\n");
+    }
+    head.append("\r\n");
+    return HttpBytes.join(head, body);
+  }
+
+  private String reason() {
+    return switch (status) {
+      case 200 -> "OK";
+      case 201 -> "Created";
+      case 400 -> "Bad Request";
+      case 404 -> "Not Found";
+      case 405 -> "Method Not Allowed";
+      case 408 -> "Request Timeout";
+      case 413 -> "Content Too Large";
+      case 421 -> "Misdirected Request";
+      case 422 -> "Unprocessable Content";
+      case 503 -> "Service Unavailable";
+      default -> "Status";
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/transport/HttpServer.java
@@ -0,0 +1,152 @@
+package io.saltflow.transport;
+
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.function.Consumer;
+
+/** Listens, and runs one routine for each connection. */
+public final class HttpServer extends Routine implements Loop.Ready {
+  private static final int MAX_BODY = 64 * 1024;
+  private static final Span IDLE_LIMIT = Span.seconds(120);
+  private static final Span READ_LIMIT = Span.seconds(10);
+
+  /** What is done with a request. The answer may be given later, but only once. */
+  public interface Handler {
+    void handle(String method, String target, byte[] body, Consumer<HttpReply> answer);
+  }
+
+  private final Loop loop;
+  private final Handler handler;
+  private final int maxConnections;
+  private final ServerSocketChannel listener;
+
+  public HttpServer(
+      Routine parent, Loop loop, InetSocketAddress address, int maxConnections, Handler handler)
+      throws IOException {
+    super(parent);
+    this.loop = loop;
+    this.handler = handler;
+    this.maxConnections = maxConnections;
+    listener = ServerSocketChannel.open();
+    listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+    listener.configureBlocking(false);
+    listener.bind(address, 512);
+    loop.register(listener, SelectionKey.OP_ACCEPT, this);
+  }
+
+  public int port() {
+    return listener.socket().getLocalPort();
+  }
+
+  @Override
+  public void onReady(SelectionKey key) throws IOException {
+    for (int i = 0; i < 64; i++) {
+      SocketChannel socket = listener.accept();
+      if (socket == null) {
+        return;
+      }
+      if (childCount() >= maxConnections) {
+        socket.close();
+        continue;
+      }
+      socket.configureBlocking(false);
+      socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
+      new Connection(socket).open(SelectionKey.OP_READ);
+    }
+  }
+
+  /** Accepting failed, for want of sockets perhaps: the listener stays. */
+  @Override
+  public void onBroken(IOException cause) {}
+
+  @Override
+  protected void onCancel() {
+    try {
+      listener.close();
+    } catch (IOException e) {
+      // The process is ending.
+    }
+  }
+
+  private final class Connection extends Channel {
+    private final HttpParser parser = new HttpParser(true, MAX_BODY);
+    private Time since = HttpServer.this.loop.now();
+    private boolean answering;
+
+    Connection(SocketChannel socket) {
+      super(HttpServer.this, HttpServer.this.loop, socket);
+      loop.every(Span.seconds(5), this, this::checkIdle);
+    }
+
+    private void checkIdle() {
+      Span quiet = loop.now().since(since);
+      if (answering) {
+        return;
+      }
+      if (parser.midway() && quiet.longerThan(READ_LIMIT)) {
+        refuse(408);
+      } else if (quiet.longerThan(IDLE_LIMIT)) {
+        cancel();
+      }
+    }
+
+    private void refuse(int status) {
+      send(HttpReply.empty(status).bytes(true));
+      closeWhenWritten();
+    }
+
+    @Override
+    protected void onBytes(ByteBuffer in) throws IOException {
+      if (answering) {
+        // No request is pipelined: bytes that come early end the connection.
+        throw new IOException("pipelined request");
+      }
+      if (!parser.midway()) {
+        since = loop.now();
+      }
+      try {
+        if (!parser.feed(in)) {
+          return;
+        }
+      } catch (HttpParser.Malformed e) {
+        refuse(e.status());
+        return;
+      }
+      if (in.hasRemaining()) {
+        refuse(400);
+        return;
+      }
+      answering = true;
+      boolean close = parser.wantsClose();
+      try {
+        handler.handle(
+            parser.method(), parser.target(), parser.body(), reply -> answer(reply, close));
+      } catch (RuntimeException e) {
+        if (answering) {
+          answer(new HttpReply(503, new byte[0], 1), true);
+        }
+        throw e;
+      }
+    }
+
+    private void answer(HttpReply reply, boolean close) {
+      if (!answering || cancelled()) {
+        return;
+      }
+      answering = false;
+      since = loop.now();
+      parser.reset();
+      send(reply.bytes(close));
+      if (close && !cancelled()) {
+        closeWhenWritten();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/transport/Loop.java
@@ -0,0 +1,133 @@
+package io.saltflow.transport;
+
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.io.IOException;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.Iterator;
+import java.util.PriorityQueue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The one thread: a selector and timers. Everything the process knows is touched only here. */
+public final class Loop {
+  private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+
+  /** What is called when a channel is ready. */
+  public interface Ready {
+    void onReady(SelectionKey key) throws IOException;
+
+    /** Called when {@link #onReady} threw: the channel is of no more use. */
+    void onBroken(IOException cause);
+  }
+
+  private record Timer(Time due, long order, Routine owner, Runnable action)
+      implements Comparable<Timer> {
+    @Override
+    public int compareTo(Timer o) {
+      int byDue = due.compareTo(o.due);
+      return byDue != 0 ? byDue : Long.compare(order, o.order);
+    }
+  }
+
+  private final Selector selector;
+  private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+  private long timerOrder;
+  private boolean running = true;
+
+  public Loop() throws IOException {
+    selector = Selector.open();
+  }
+
+  public Time now() {
+    return new Time(System.nanoTime() / 1_000_000);
+  }
+
+  /** Runs the action later, unless its owner has been cancelled by then. */
+  public void after(Span delay, Routine owner, Runnable action) {
+    timers.add(new Timer(now().plus(delay), timerOrder++, owner, action));
+  }
+
+  /** Repeats the action until its owner is cancelled. */
+  public void every(Span period, Routine owner, Runnable action) {
+    after(
+        period,
+        owner,
+        () -> {
+          guarded(action);
+          every(period, owner, action);
+        });
+  }
+
+  SelectionKey register(SelectableChannel channel, int ops, Ready handler) throws IOException {
+    return channel.register(selector, ops, handler);
+  }
+
+  public void stop() {
+    running = false;
+    selector.wakeup();
+  }
+
+  /** Runs until {@link #stop}. */
+  public void run() throws IOException {
+    while (running) {
+      long wait = fireTimers();
+      if (wait == 0) {
+        selector.selectNow();
+      } else {
+        selector.select(wait);
+      }
+      Iterator<SelectionKey> it = selector.selectedKeys().iterator();
+      while (it.hasNext()) {
+        SelectionKey key = it.next();
+        it.remove();
+        dispatch(key);
+      }
+    }
+    selector.close();
+  }
+
+  private void dispatch(SelectionKey key) {
+    Ready handler = (Ready) key.attachment();
+    try {
+      if (key.isValid()) {
+        handler.onReady(key);
+      }
+    } catch (IOException e) {
+      guarded(() -> handler.onBroken(e));
+    } catch (RuntimeException e) {
+      // Nothing a peer sends may end the process: the connection ends instead.
+      LOG.error("a connection failed", e);
+      guarded(() -> handler.onBroken(new IOException(e)));
+    }
+  }
+
+  /** Fires what is due; returns how long to wait for the next, at least 1 ms, at most 1 s. */
+  private long fireTimers() {
+    for (int fired = 0; fired < 256; fired++) {
+      Timer next = timers.peek();
+      if (next == null) {
+        return 1000;
+      }
+      long wait = next.due.ms() - now().ms();
+      if (wait > 0) {
+        return Math.min(wait, 1000);
+      }
+      timers.poll();
+      if (next.owner == null || !next.owner.cancelled()) {
+        guarded(next.action);
+      }
+    }
+    return 0;
+  }
+
+  private static void guarded(Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException e) {
+      LOG.error("a duty failed; it goes on", e);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/transport/Mesh.java
@@ -0,0 +1,185 @@
+package io.saltflow.transport;
+
+import io.saltflow.protocol.Span;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Frames between controllers: four bytes of length, then the frame. Each node sends to each. */
+public final class Mesh extends Routine implements Loop.Ready {
+  private static final int MAX_FRAME = 512 * 1024;
+  private static final int MAX_INBOUND = 32;
+
+  private final Loop loop;
+  private final Consumer<byte[]> onFrame;
+  private final ServerSocketChannel listener;
+  private final List<Outbound> outbound = new ArrayList<>();
+  private int inbound;
+
+  public Mesh(
+      Routine parent,
+      Loop loop,
+      InetSocketAddress address,
+      List<InetSocketAddress> siblings,
+      Consumer<byte[]> onFrame)
+      throws IOException {
+    super(parent);
+    this.loop = loop;
+    this.onFrame = onFrame;
+    listener = ServerSocketChannel.open();
+    listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+    listener.configureBlocking(false);
+    listener.bind(address, 16);
+    loop.register(listener, SelectionKey.OP_ACCEPT, this);
+    for (InetSocketAddress sibling : siblings) {
+      outbound.add(new Outbound(sibling));
+    }
+  }
+
+  @Override
+  public void onReady(SelectionKey key) throws IOException {
+    SocketChannel socket = listener.accept();
+    if (socket == null) {
+      return;
+    }
+    if (inbound >= MAX_INBOUND) {
+      socket.close();
+      return;
+    }
+    socket.configureBlocking(false);
+    inbound++;
+    new Inbound(socket).open(SelectionKey.OP_READ);
+  }
+
+  @Override
+  public void onBroken(IOException cause) {}
+
+  /** Sends to every sibling that can be reached; a frame that can't be sent is not kept. */
+  public void broadcast(byte[] frame) {
+    for (Outbound o : outbound) {
+      o.send(frame);
+    }
+  }
+
+  @Override
+  protected void onCancel() {
+    try {
+      listener.close();
+    } catch (IOException e) {
+      // The process is ending.
+    }
+  }
+
+  private final class Inbound extends Channel {
+    private final ByteBuffer length = ByteBuffer.allocate(4);
+    private ByteBuffer frame;
+
+    Inbound(SocketChannel socket) {
+      super(Mesh.this, Mesh.this.loop, socket);
+    }
+
+    @Override
+    protected void onBytes(ByteBuffer in) throws IOException {
+      while (in.hasRemaining()) {
+        if (frame == null) {
+          length.put(in.get());
+          if (!length.hasRemaining()) {
+            int n = length.flip().getInt();
+            length.clear();
+            if (n <= 0 || n > MAX_FRAME) {
+              throw new IOException("a frame of " + n + " bytes");
+            }
+            frame = ByteBuffer.allocate(n);
+          }
+        } else {
+          while (in.hasRemaining() && frame.hasRemaining()) {
+            frame.put(in.get());
+          }
+          if (!frame.hasRemaining()) {
+            byte[] whole = frame.array();
+            frame = null;
+            onFrame.accept(whole);
+          }
+        }
+      }
+    }
+
+    @Override
+    protected void onCancel() {
+      super.onCancel();
+      inbound--;
+    }
+  }
+
+  private final class Outbound {
+    private final InetSocketAddress address;
+    private Link link;
+    private boolean waiting;
+
+    Outbound(InetSocketAddress address) {
+      this.address = address;
+    }
+
+    void send(byte[] frame) {
+      if (link == null || link.cancelled()) {
+        connect();
+      }
+      if (link != null && link.up) {
+        ByteBuffer out = ByteBuffer.allocate(4 + frame.length);
+        link.send(out.putInt(frame.length).put(frame).flip());
+      }
+    }
+
+    private void connect() {
+      if (waiting) {
+        return;
+      }
+      waiting = true;
+      loop.after(Span.seconds(1), Mesh.this, () -> waiting = false);
+      try {
+        SocketChannel socket = SocketChannel.open();
+        socket.configureBlocking(false);
+        socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        link = new Link(socket);
+        link.up = socket.connect(address);
+        link.open(link.up ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT);
+      } catch (IOException e) {
+        if (link != null) {
+          link.cancel();
+        }
+      }
+    }
+  }
+
+  private final class Link extends Channel {
+    private boolean up;
+
+    Link(SocketChannel socket) {
+      super(Mesh.this, Mesh.this.loop, socket);
+      loop.after(
+          Span.seconds(3),
+          this,
+          () -> {
+            if (!up) {
+              cancel();
+            }
+          });
+    }
+
+    @Override
+    protected void onConnected() {
+      up = true;
+    }
+
+    /** Siblings answer over their own links. */
+    @Override
+    protected void onBytes(ByteBuffer in) {}
+  }
+}
