Tombstones for deleted machines, ledger at first report, usage figures in the log

Cause: the cloud's list lags, so machines already returned came back as booting strays and counted as room. A new leader waited 10 s for machines that had never come up, since they were in the ledger from the hire.

--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -136,7 +136,7 @@
     refreshTypes();
     loop.every(Span.millis(200), this, this::tick);
     loop.every(Span.millis(2500), this, () -> books.record(leader));
-    loop.every(Span.millis(500), this, this::rent);
+    loop.every(Span.millis(200), this, this::rent);
     loop.every(Span.millis(500), this, this::giveBack);
     loop.every(Span.seconds(3), this, books::strike);
     loop.every(new Span(Math.max(2000, listLag.ms())), this, this::list);
--- a/src/main/java/io/saltflow/app/Rehearsal.java
+++ b/src/main/java/io/saltflow/app/Rehearsal.java
@@ -1,10 +1,158 @@
 package io.saltflow.app;
 
-/** Placeholder replaced below. */
-final class Rehearsal {
+import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.coordination.Job;
+import io.saltflow.coordination.Leader;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Beat;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JobCodec;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.MachineId;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Report;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Term;
+import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
+import io.saltflow.protocol.WorkerCodec;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.Loop;
+import java.io.IOException;
+import java.util.BitSet;
+import java.util.List;
+
+/**
+ * Run once by the build: it goes through what a controller does in its first seconds, so that the
+ * classes for it land in the class-data archive beside the jar. On a machine with a tenth of a
+ * core, loading them from the jar would cost most of the time until the first healthy answer.
+ */
+public final class Rehearsal {
+  private static final String SETTINGS =
+      """
+      host_name = "rehearsal"
+      zone = "z"
+      serve_on = "127.0.0.1:0"
+      mesh_addr = "127.0.0.1:0"
+      [[siblings]]
+      host_name = "other"
+      zone = "z"
+      addr = "127.0.0.1:9"
+      [endpoints]
+      cloud = "127.0.0.1:9"
+      state = "127.0.0.1:9"
+      [settings]
+      size = 2
+      [[settings.teams]]
+      name = "t"
+      cpus = 8.0
+      cpus_max = 100.0
+      [settings.workers]
+      report_s = 3.0
+      lease_s = 20.0
+      cancel_s = 40.0
+      [settings.state]
+      rps = 100.0
+      write_rps = 25.0
+      value_kb = 8.0
+      txn_ops = 8
+      [settings.cloud]
+      rps = 4.0
+      list_lag_s = 5.0
+      """;
+
   private Rehearsal() {}
 
-  public static void main(String[] args) {
-    Main.run(new String[] {"--version"}, System.out, System.err);
+  public static void main(String[] args) throws Exception {
+    Main.setLogLevel("error");
+    Main.run(new String[] {"check-config", "--config", "/dev/null"}, System.out, System.out);
+    Config config = Config.parse(SETTINGS);
+    OperatorSettings operator = OperatorSettings.defaults();
+    rehearseCore(config, operator);
+    rehearseServing(config, operator);
+  }
+
+  private static JobSpec job(int number) {
+    return new JobSpec(
+        new JobId(Wire.JOB_PREFIX + number),
+        "c",
+        "t",
+        false,
+        number % 2 == 0 ? Priority.HIGH : Priority.LOW,
+        20,
+        new Size(2, 0, 2),
+        null,
+        null,
+        false,
+        number % 3 == 0,
+        true,
+        "image",
+        1,
+        Span.seconds(30),
+        Span.seconds(number % 2 * 10),
+        Span.seconds(2),
+        null);
+  }
+
+  private static void rehearseCore(Config config, OperatorSettings operator) throws BadMessage {
+    Time now = new Time(1000);
+    MachineType type =
+        new MachineType("m", new Size(8, 0, 32), 0.3, 1, 0.3, Span.seconds(15), List.of("z"));
+    Term term = new Term(1);
+    Leader leader =
+        new Leader(
+            operator.policy(config),
+            term,
+            List.of(new Job(job(1), 0, new BitSet())),
+            List.of(new Leader.LedgerEntry(new MachineId("vm-0"), "m", "z", false)),
+            List.of(type),
+            now);
+    for (int i = 2; i < 6; i++) {
+      leader.jobSeen(JobCodec.decode(MsgPack.decode(MsgPack.encode(JobCodec.encode(job(i))))), i);
+    }
+    for (int step = 1; step < 40; step++) {
+      now = now.plus(Span.seconds(1));
+      leader.tick(now);
+      for (Leader.Rental r : leader.toRent(now)) {
+        leader.hired(r, List.of(new MachineId("vm-" + step)), now);
+      }
+      leader.ledgered(leader.toLedger(), true);
+      Report report =
+          new Report(new MachineId("vm-0"), "", "m", "z", false, 1, step, term, null, List.of());
+      MsgPack.encode(WorkerCodec.encodeOrders(term, leader.onReport(report, true, now)));
+      leader.deleted(leader.toDelete(now), now);
+      for (Job job : leader.toRecord()) {
+        leader.recording(job);
+      }
+    }
+    leader.jobGone(job(2).id(), now);
+    leader.summary();
+    Beat beat = new Beat("h", term, true, 0, List.of(new Beat.Counts(job(1).id(), 1, 1)));
+    Beat.decode(beat.encode());
+    JobStore.idOfLive("none");
+  }
+
+  private static void rehearseServing(Config config, OperatorSettings operator)
+      throws IOException {
+    Loop loop = new Loop();
+    Node node = new Node(loop, config, operator, 1);
+    node.start();
+    HttpClient client =
+        new HttpClient(node, loop, Addresses.parse("127.0.0.1:" + node.port()), 4, 16);
+    byte[] body = MsgPack.encode(JobCodec.encode(job(1)));
+    Span patience = Span.seconds(1);
+    for (String path : List.of(Wire.PATH_HEALTH, Wire.PATH_JOBS + "/" + job(1).id(), "/none")) {
+      client.call("GET", path, new byte[0], patience, a -> {});
+    }
+    client.call("POST", Wire.PATH_JOBS, body, patience, a -> {});
+    client.call("POST", Wire.PATH_CHECKIN, body, patience, a -> {});
+    loop.after(Span.millis(1500), node, loop::stop);
+    loop.run();
+    node.cancel();
   }
 }
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -16,8 +16,10 @@
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -29,6 +31,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
   private static final Span ROUND_EVERY = Span.seconds(1);
   private static final Span SAVE_PATIENCE = Span.seconds(5);
+  private static final int MOST_REMEMBERED_GONE = 4000;
 
   /** A machine that a former leader wrote down before it used it. */
   public record LedgerEntry(MachineId id, String type, String zone, boolean spot) {}
@@ -42,6 +45,8 @@
   private final Fencing fencing;
   private final Scheduler scheduler;
   private final Fleet fleet;
+  private final Usage usage = new Usage();
+  private final Set<MachineId> goneForGood = new LinkedHashSet<>();
   private List<Scheduler.Waiting> waiting = List.of();
   private boolean accounted;
   private boolean changed = true;
@@ -122,6 +127,9 @@
     @Override
     public void stopped(Presence p, boolean saved, Time now) {
       changed = true;
+      if (!saved && p.runningSince != null) {
+        usage.lost(p, now.since(p.runningSince).toSeconds());
+      }
       p.job.stopped.set(p.index);
       if (saved && p.runningSince != null) {
         Span before = p.job.ranBefore.getOrDefault(p.index, new Span(0));
@@ -143,6 +151,9 @@
         LOG.info("{} on {} is lost: {}", p.task(), p.machine.id, why);
       }
       p.job.stopped.set(p.index);
+      if (!p.job.spec.checkpoints() && p.runningSince != null) {
+        usage.lost(p, now.since(p.runningSince).toSeconds());
+      }
       if (p.job.spec.checkpoints() && p.runningSince != null) {
         long interval = p.job.spec.checkpoint().ms();
         long kept = now.since(p.runningSince).ms() / interval * interval;
@@ -360,6 +371,7 @@
 
   /** Once in a while: leases that are over, notices, and a round. */
   public void tick(Time now) {
+    usage.sample(fencing.machines(), now);
     fencing.tick(now);
     checkAccounted(now);
     for (Machine m : fencing.machines()) {
@@ -448,11 +460,14 @@
     fleet.answered(rental.hire, 0, now);
   }
 
-  /** Machines that must be written down before they may be used. */
+  /**
+   * Machines that must be written down before they may be used. One that is not up yet is left out:
+   * a new leader would have to wait for it although nothing was ever launched on it.
+   */
   public List<LedgerEntry> toLedger() {
     List<LedgerEntry> out = new ArrayList<>();
     for (Machine m : fencing.machines()) {
-      if (!m.ledgered && !m.ledgerAsked && !m.leaving) {
+      if (m.up && !m.ledgered && !m.ledgerAsked && !m.leaving) {
         m.ledgerAsked = true;
         out.add(new LedgerEntry(m.id, m.typeName, m.zone, m.spot));
       }
@@ -480,6 +495,10 @@
   public void deleted(List<MachineId> ids, Time now) {
     for (MachineId id : ids) {
       fencing.deleted(id, now);
+      goneForGood.add(id);
+    }
+    while (goneForGood.size() > MOST_REMEMBERED_GONE) {
+      goneForGood.remove(goneForGood.iterator().next());
     }
     checkAccounted(now);
   }
@@ -489,7 +508,8 @@
     for (CloudCodec.Listed l : list) {
       Machine m = fencing.find(l.id());
       if (m == null) {
-        if (l.failed()) {
+        if (l.failed() || goneForGood.contains(l.id())) {
+          // The list lags: machines already gone are listed for a while, and would count as room.
           continue;
         }
         Time rented = new Time(now.ms() - l.age().ms());
@@ -538,7 +558,7 @@
     }
     return String.format(
         "%d jobs, %d tasks wait, %d on machines, %.0f of %.0f cores in use, %d machines up, %d"
-            + " booting, %d launches",
-        jobs.size(), queued, tasks, used, cores, up, booting, launches);
+            + " booting, %d launches; %s",
+        jobs.size(), queued, tasks, used, cores, up, booting, launches, usage.summary());
   }
 }
