Dear machines last, pressed low-priority jobs rise, small machines fill first

Now an open request is waited for, dear machines retire with hysteresis, a low job with under 60 s to spare queues as normal, rooms are compared in cores.

--- a/src/main/java/io/saltflow/app/Config.java
+++ b/src/main/java/io/saltflow/app/Config.java
@@ -28,6 +28,7 @@
     InetSocketAddress state,
     int size,
     Map<String, Policy.Team> teams,
+    Map<String, Span> dueByClass,
     Span report,
     Span lease,
     Span cancel,
@@ -84,6 +85,7 @@
         address(c, "endpoints.state", "endpoints.state"),
         (int) positive(c, "settings.size", 1.0 + siblings.size()),
         teams,
+        dueByClass(c),
         Span.seconds(positive(c, "settings.workers.report_s", null)),
         Span.seconds(positive(c, "settings.workers.lease_s", null)),
         Span.seconds(positive(c, "settings.workers.cancel_s", null)),
@@ -96,6 +98,18 @@
         (int) positive(c, "settings.resources.sockets", 1000.0));
   }
 
+  /** The tightest time in which each class should be finished, where an aim gives one. */
+  private static Map<String, Span> dueByClass(UnmodifiableConfig c) throws ConfigError {
+    Map<String, Span> due = new LinkedHashMap<>();
+    for (UnmodifiableConfig o : tables(c, "settings.objectives")) {
+      if ("finished".equals(o.get("kind")) && o.get("class") instanceof String name) {
+        Span within = Span.seconds(amount(o, "within_s", 0.0));
+        due.merge(name, within, (a, b) -> a.longerThan(b) ? b : a);
+      }
+    }
+    return due;
+  }
+
   private static List<UnmodifiableConfig> tables(UnmodifiableConfig c, String name)
       throws ConfigError {
     Object value = c.get(name);
--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -116,7 +116,14 @@
             }
           }
           leader =
-              new Leader(policy, authority.term(), found, ledger, types.get(), loop.now());
+              new Leader(
+                  policy,
+                  authority.term(),
+                  found,
+                  ledger,
+                  types.get(),
+                  loop.now(),
+                  System.currentTimeMillis());
           authority.synced(sent);
           begin(listed.revision());
         });
--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -24,6 +24,8 @@
     double scaleThresholdS,
     String preemptFrom,
     double patienceS,
+    double pressedSlackS,
+    double dearFactor,
     double horizonS,
     double ordinaryHorizonS,
     double idleReturnS,
@@ -34,7 +36,7 @@
   static final String SCHEMA = "/operator-settings.schema.json";
 
   public static OperatorSettings defaults() {
-    return new OperatorSettings(5, 0.2, 1800, "high", 6, 45, 90, 12, 60, 10, 3, 2);
+    return new OperatorSettings(5, 0.2, 1800, "high", 6, 60, 1.8, 45, 90, 12, 60, 10, 3, 2);
   }
 
   /** Reads and checks the file. Only here are the JSON libraries loaded. */
@@ -63,6 +65,8 @@
         node.path("scaleThresholdS").asDouble(d.scaleThresholdS),
         node.path("preemptFrom").asText(d.preemptFrom),
         node.path("patienceS").asDouble(d.patienceS),
+        node.path("pressedSlackS").asDouble(d.pressedSlackS),
+        node.path("dearFactor").asDouble(d.dearFactor),
         node.path("horizonS").asDouble(d.horizonS),
         node.path("ordinaryHorizonS").asDouble(d.ordinaryHorizonS),
         node.path("idleReturnS").asDouble(d.idleReturnS),
@@ -82,10 +86,13 @@
         c.lease(),
         Authority.keepBound(c.lease(), c.cancel()),
         c.teams(),
+        c.dueByClass(),
         scaleDown,
         Span.seconds(scaleThresholdS),
         Priority.valueOf(preemptFrom.toUpperCase(Locale.ROOT)),
         Span.seconds(patienceS),
+        Span.seconds(pressedSlackS),
+        dearFactor,
         Span.seconds(horizonS),
         Span.seconds(ordinaryHorizonS),
         Span.seconds(idleReturnS),
--- a/src/main/java/io/saltflow/app/Rehearsal.java
+++ b/src/main/java/io/saltflow/app/Rehearsal.java
@@ -111,7 +111,8 @@
             List.of(new Job(job(1), 0, new BitSet())),
             List.of(new Leader.LedgerEntry(new MachineId("vm-0"), "m", "z", false)),
             List.of(type),
-            now);
+            now,
+            1000);
     for (int i = 2; i < 6; i++) {
       leader.jobSeen(JobCodec.decode(MsgPack.decode(MsgPack.encode(JobCodec.encode(job(i))))), i);
     }
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -140,6 +140,37 @@
     return out;
   }
 
+  /**
+   * Dear machines are let go while the others can work the backlog off in time. The bound is well
+   * below the one at which they are rented, so that they do not come and go.
+   */
+  void retire(Collection<Machine> machines, Collection<Job> jobs, Time now) {
+    List<Machine> up = new ArrayList<>();
+    for (Machine m : machines) {
+      if (m.usable()) {
+        up.add(m);
+      }
+    }
+    double cheapest = Placement.cheapestPerCore(up);
+    double cheapCores = 0;
+    for (Machine m : up) {
+      if (m.pricePerCore() <= cheapest * policy.dearFactor()) {
+        cheapCores += m.type.size().cores();
+      }
+    }
+    double waitS = remainingWork(jobs, now) / Math.max(1, cheapCores);
+    boolean enough = waitS < policy.ordinaryHorizon().toSeconds() * 0.7;
+    boolean tooLittle = waitS > policy.ordinaryHorizon().toSeconds();
+    for (Machine m : up) {
+      boolean dear = m.pricePerCore() > cheapest * policy.dearFactor();
+      if (!dear || tooLittle) {
+        m.retiring = false;
+      } else if (enough) {
+        m.retiring = true;
+      }
+    }
+  }
+
   /** Core-seconds that all accepted work still needs, by prediction. */
   private double remainingWork(Collection<Job> jobs, Time now) {
     double work = 0;
@@ -188,10 +219,13 @@
           double hourly = type.hourly(spot);
           cheapestPerTask = Math.min(cheapestPerTask, hourly / slots);
           Backoff b = backoffs.get(option.kind());
-          if ((b != null && now.before(b.until)) || asked(option, planned)) {
+          if (b != null && now.before(b.until)) {
             continue;
           }
-          double cost = Math.ceil((double) tasks / slots) * hourly;
+          // A large machine costs more than its price: one long task keeps all of it, and all of
+          // it is taken at once.
+          double cost =
+              Math.ceil((double) tasks / slots) * hourly * (1 + type.size().cores() / 500);
           if (cost < bestCost) {
             best = option;
             bestCost = cost;
@@ -199,11 +233,12 @@
         }
       }
     }
-    if (best == null) {
+    if (best == null || asked(best, planned)) {
+      // The best kind was just asked for: its answer comes before a worse kind is taken.
       return null;
     }
     double perTask = best.type.hourly(best.spot) / job.spec.size().countIn(best.type.size());
-    if (!pressing && perTask > cheapestPerTask * 1.8) {
+    if (!pressing && perTask > cheapestPerTask * policy.dearFactor()) {
       return null;
     }
     return best;
@@ -298,6 +333,9 @@
     }
     // The first minute is charged whether it is used or not.
     Span idle = now.since(m.idleSince);
+    if (m.retiring && age.longerThan(policy.minimumCharge())) {
+      return "it is dear and no longer needed";
+    }
     boolean paid = age.longerThan(policy.minimumCharge());
     if (paid && idle.longerThan(policy.idleReturn())) {
       return "it is idle";
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -3,6 +3,7 @@
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
 import io.saltflow.protocol.MachineId;
+import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import java.util.ArrayList;
@@ -26,6 +27,9 @@
   final List<String> assignedZones = new ArrayList<>();
 
   int errors;
+  /** Its time is running out: it queues above its own priority. */
+  boolean pressed;
+
   boolean cancelled;
   boolean finishing;
   boolean dirty;
@@ -73,6 +77,11 @@
     return !spec.daemon() && done.cardinality() == spec.tasks();
   }
 
+  /** The priority that it queues by: work of low priority rises when its time is running out. */
+  Priority queuedAs() {
+    return pressed && spec.priority() == Priority.LOW ? Priority.NORMAL : spec.priority();
+  }
+
   /** Whether its failures look like the job's own mistake: it fails on machine after machine. */
   boolean failsEverywhere() {
     return errorMachines.size() >= 3 && doneCount() == 0;
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -63,7 +63,8 @@
       Collection<Job> jobs,
       Collection<LedgerEntry> ledger,
       Collection<MachineType> knownTypes,
-      Time now) {
+      Time now,
+      long wallMs) {
     this.policy = policy;
     this.term = term;
     this.tookOver = now;
@@ -73,7 +74,7 @@
     }
     estimates = new Estimates(policy);
     fencing = new Fencing(policy, term, this.jobs, new Happenings(), now);
-    scheduler = new Scheduler(policy, estimates);
+    scheduler = new Scheduler(policy, estimates, wallMs - now.ms());
     fleet = new Fleet(policy, term, estimates);
     typesKnown(knownTypes);
     for (LedgerEntry e : ledger) {
@@ -399,6 +400,7 @@
 
   private void round(Time now) {
     changed = false;
+    fleet.retire(fencing.machines(), jobs.values(), now);
     lastRound = now;
     waiting = scheduler.round(jobs.values(), fencing.machines(), now);
   }
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -34,6 +34,9 @@
 
   boolean ledgered;
   boolean ledgerAsked;
+  /** Dear and no longer needed: it gets no new tasks, and goes when it is empty. */
+  boolean retiring;
+
   boolean leaving;
   boolean deleteAsked;
   Time lastHeard;
@@ -93,6 +96,10 @@
     }
   }
 
+  double pricePerCore() {
+    return type.hourly(spot) / Math.max(0.1, type.size().cores());
+  }
+
   String kind() {
     return typeName + "/" + zone + (spot ? "/spot" : "/ordinary");
   }
--- a/src/main/java/io/saltflow/coordination/Placement.java
+++ b/src/main/java/io/saltflow/coordination/Placement.java
@@ -59,20 +59,21 @@
     return !spec.spread() || here + 1 <= spec.spreadLimit();
   }
 
-  /** Lower is better: no fetch, then a cheap kind, then the tightest fit. */
-  static double score(Job job, Machine m, Size free, Estimates estimates, double cheapest) {
+  /**
+   * Lower is better: no fetch, then a cheap kind, then the least room left. Room is counted in
+   * cores, not in parts, so that small machines fill first: one long task would keep a large one.
+   */
+  static double score(Job job, Machine m, Size free, Estimates estimates, boolean dear) {
     double fetchS = estimates.fetch(job, m).toSeconds();
-    double price = m.type.hourly(m.spot) / Math.max(0.1, m.type.size().cores());
-    double dear = price > cheapest * 1.5 ? 8 : 0;
-    double left = (free.cores() - job.spec.size().cores()) / Math.max(0.1, m.type.size().cores());
-    return fetchS + dear + left * 2 + m.errorsInARow * 10;
+    double left = free.cores() - job.spec.size().cores();
+    return fetchS + (dear ? 8 : 0) + Math.min(10, left * 0.25) + m.errorsInARow * 10;
   }
 
   static double cheapestPerCore(Collection<Machine> machines) {
     double cheapest = Double.MAX_VALUE;
     for (Machine m : machines) {
       if (m.type != null && m.type.size().cores() > 0) {
-        cheapest = Math.min(cheapest, m.type.hourly(m.spot) / m.type.size().cores());
+        cheapest = Math.min(cheapest, m.pricePerCore());
       }
     }
     return cheapest;
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -35,9 +35,11 @@
 
   private final Policy policy;
   private final Estimates estimates;
+  private final long wallMinusClockMs;
   private Promise promise;
 
-  Scheduler(Policy policy, Estimates estimates) {
+  Scheduler(Policy policy, Estimates estimates, long wallMinusClockMs) {
+    this.wallMinusClockMs = wallMinusClockMs;
     this.policy = policy;
     this.estimates = estimates;
   }
@@ -61,6 +63,7 @@
     }
     for (Job job : jobs) {
       job.assignedZones.clear();
+      job.pressed = pressed(job, now);
     }
     double cheapest = Placement.cheapestPerCore(usable);
     Map<String, Size> use = teamUse(machines);
@@ -100,13 +103,31 @@
     return waiting;
   }
 
+  /**
+   * Whether a job of low priority has little time to spare before its deadline, or before the time
+   * its class should be finished in. Our extension: without it such work starves while work of
+   * normal priority keeps coming.
+   */
+  private boolean pressed(Job job, Time now) {
+    Span due = job.spec.deadline();
+    if (due == null) {
+      due = policy.dueByClass().get(job.spec.jobClass());
+    }
+    if (due == null || job.spec.daemon()) {
+      return false;
+    }
+    Span age = new Span(now.ms() + wallMinusClockMs - job.arrivedWallMs);
+    Span spare = due.minus(age).minus(estimates.predict(job, 0).times(1.3));
+    return !spare.longerThan(policy.pressedSlack());
+  }
+
   /** Guarantee first, then priority, then arrival; ids settle what arrived together. */
   static List<Job> inOrder(Collection<Job> jobs, Set<JobId> guaranteed) {
     List<Job> order = new ArrayList<>(jobs);
     order.sort(
         Comparator.comparing((Job j) -> j.failsEverywhere())
             .thenComparing(j -> !guaranteed.contains(j.id()))
-            .thenComparing(j -> j.spec.priority(), Comparator.reverseOrder())
+            .thenComparing(Job::queuedAs, Comparator.reverseOrder())
             .thenComparing(j -> j.arrivedWallMs)
             .thenComparing(Job::id));
     return order;
@@ -191,7 +212,11 @@
       if (job.errorMachines.contains(m.id) && !job.failsEverywhere() && usable.size() > 1) {
         continue;
       }
-      double score = Placement.score(job, m, free, estimates, cheapest);
+      if (m.retiring && job.spec.priority().compareTo(policy.preemptFrom()) < 0) {
+        continue;
+      }
+      boolean dear = m.pricePerCore() > cheapest * policy.dearFactor();
+      double score = Placement.score(job, m, free, estimates, dear);
       if (score < bestScore) {
         best = m;
         bestScore = score;
