--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -296,6 +296,11 @@
   }
 
   private void giveBack() {
+    if (!authority.mayLaunch(loop.now())) {
+      // A leader that is cut off sees only silence. Its deletes would be held back and carried out
+      // minutes later, on machines that a successor is using.
+      return;
+    }
     pendingDeletes.addAll(leader.toDelete(loop.now()));
     if (deleting || pendingDeletes.isEmpty() || !cloud.ready()) {
       return;
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -407,7 +407,7 @@
 
   /** Rentals to ask for. Each stays open until {@link #hired} or {@link #refused}. */
   public List<Rental> toRent(Time now) {
-    if (types.isEmpty()) {
+    if (types.isEmpty() || unsure(now)) {
       return List.of();
     }
     List<Rental> out = new ArrayList<>();
@@ -418,6 +418,14 @@
     return out;
   }
 
+  /**
+   * A new leader takes tasks that it has not heard of yet for waiting ones: renting for them would
+   * buy machines that nobody needs.
+   */
+  private boolean unsure(Time now) {
+    return !accounted && now.since(tookOver).compareTo(policy.silence().times(1.5)) < 0;
+  }
+
   /** A rental that was asked for. */
   public static final class Rental {
     private final Fleet.Hire hire;
