Jobs that no leader has launched start while a takeover still accounts for machines

The record now says 'started' before a first launch, so a successor knows which jobs can be nowhere; unheard machines count in full against team limits.

--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -112,7 +112,7 @@
           for (StateClient.Entry e : listed.entries()) {
             JobStore.Recorded r = decode(e.key(), e.value());
             if (r != null) {
-              found.add(new Job(r.spec(), r.arrivedWallMs(), r.done()));
+              found.add(new Job(r.spec(), r.arrivedWallMs(), r.done(), r.maybeStarted()));
             }
           }
           leader =
@@ -154,6 +154,7 @@
   private void tick() {
     leader.tick(loop.now());
     books.finish(leader);
+    books.mark(leader);
     books.ledger(leader);
     if (leader.deaf(loop.now())) {
       onDeaf.accept(Span.seconds(10));
@@ -178,6 +179,7 @@
               for (Body event : a.body().maps(Wire.EVENTS)) {
                 take(event);
               }
+              books.mark(leader);
               authority.synced(sent);
               long next = Math.max(after, a.revision());
               loop.after(WATCH_PAUSE, this, () -> watch(next));
@@ -202,7 +204,7 @@
     if (id != null && leader.job(id) == null) {
       JobStore.Recorded r = decode(put, event.map(Wire.VALUE));
       if (r != null) {
-        leader.jobSeen(r.spec(), r.arrivedWallMs());
+        leader.jobSeen(r.spec(), r.arrivedWallMs(), r.maybeStarted());
       }
     }
   }
@@ -224,7 +226,7 @@
             JobStore.Recorded r = decode(e.key(), e.value());
             if (r != null) {
               live.add(r.spec().id());
-              leader.jobSeen(r.spec(), r.arrivedWallMs());
+              leader.jobSeen(r.spec(), r.arrivedWallMs(), r.maybeStarted());
             }
           }
           for (Job job : new ArrayList<>(leader.jobs())) {
--- a/src/main/java/io/saltflow/app/Main.java
+++ b/src/main/java/io/saltflow/app/Main.java
@@ -99,8 +99,7 @@
   }
 
   static void setLogLevel(String level) {
-    String known =
-        level == null || !level.matches("error|warn|info|debug|trace") ? "info" : level;
+    String known = level == null || !level.matches("error|warn|info|debug|trace") ? "info" : level;
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", known);
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
     System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -88,12 +88,7 @@
     mesh = new Mesh(this, loop, config.meshOn(), config.siblings(), this::onFrame);
     users =
         new UserApi(
-            jobs,
-            state,
-            config.teams(),
-            types::values,
-            this::countsOf,
-            System::currentTimeMillis);
+            jobs, state, config.teams(), types::values, this::countsOf, System::currentTimeMillis);
     workers =
         new WorkerApi(
             config.host(),
--- a/src/main/java/io/saltflow/app/Rehearsal.java
+++ b/src/main/java/io/saltflow/app/Rehearsal.java
@@ -5,7 +5,6 @@
 import io.saltflow.coordination.Leader;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Beat;
-import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobCodec;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
@@ -108,13 +107,14 @@
         new Leader(
             operator.policy(config),
             term,
-            List.of(new Job(job(1), 0, new BitSet())),
+            List.of(new Job(job(1), 0, new BitSet(), true)),
             List.of(new Leader.LedgerEntry(new MachineId("vm-0"), "m", "z", false)),
             List.of(type),
             now,
             1000);
     for (int i = 2; i < 6; i++) {
-      leader.jobSeen(JobCodec.decode(MsgPack.decode(MsgPack.encode(JobCodec.encode(job(i))))), i);
+      leader.jobSeen(
+          JobCodec.decode(MsgPack.decode(MsgPack.encode(JobCodec.encode(job(i))))), i, true);
     }
     for (int step = 1; step < 40; step++) {
       now = now.plus(Span.seconds(1));
@@ -138,8 +138,7 @@
     JobStore.idOfLive("none");
   }
 
-  private static void rehearseServing(Config config, OperatorSettings operator)
-      throws IOException {
+  private static void rehearseServing(Config config, OperatorSettings operator) throws IOException {
     Loop loop = new Loop();
     Node node = new Node(loop, config, operator, 1);
     node.start();
--- a/src/main/java/io/saltflow/app/UserApi.java
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -165,8 +165,7 @@
     Consumer<HttpReply> bounded = admitted(answer);
     if (bounded != null) {
       JobId job = new JobId(id);
-      jobs.cancel(
-          job, o -> bounded.accept(reply(job, o, Replies.error(404, "no such job"))));
+      jobs.cancel(job, o -> bounded.accept(reply(job, o, Replies.error(404, "no such job"))));
     }
   }
 
--- a/src/main/java/io/saltflow/bookkeeping/Budget.java
+++ b/src/main/java/io/saltflow/bookkeeping/Budget.java
@@ -24,6 +24,11 @@
     return true;
   }
 
+  public boolean has(int n, Time now) {
+    refill(now);
+    return tokens >= Math.min(n, perSecond);
+  }
+
   public void takeAnyway(int n, Time now) {
     refill(now);
     tokens = Math.max(-perSecond, tokens - n);
--- a/src/main/java/io/saltflow/bookkeeping/CloudClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/CloudClient.java
@@ -68,7 +68,8 @@
           if (good != serving && status != 429) {
             boolean trouble = status == 0 || (status == 503 && !refusal(a.body()));
             if (good || trouble) {
-              LOG.info(good ? "the cloud answers again" : "the cloud does not serve us: {}", status);
+              LOG.info(
+                  good ? "the cloud answers again" : "the cloud does not serve us: {}", status);
               serving = good;
             }
           }
@@ -91,11 +92,20 @@
   }
 
   public void types(Consumer<List<MachineType>> then) {
-    call("GET", Wire.PATH_TYPES, null, CloudCodec::decodeTypes, (status, types) -> then.accept(types));
+    call(
+        "GET",
+        Wire.PATH_TYPES,
+        null,
+        CloudCodec::decodeTypes,
+        (status, types) -> then.accept(types));
   }
 
   public void hire(
-      String hire, String type, String zone, boolean spot, int count,
+      String hire,
+      String type,
+      String zone,
+      boolean spot,
+      int count,
       BiConsumer<Integer, List<MachineId>> then) {
     call(
         "POST",
@@ -124,8 +134,12 @@
   private void page(
       String after, List<CloudCodec.Listed> sofar, Consumer<List<CloudCodec.Listed>> then) {
     String target =
-        Wire.PATH_MACHINES + "?" + (after.isEmpty() ? "" : Wire.AFTER + "=" + after + "&")
-            + Wire.PAGE + "=" + PAGE;
+        Wire.PATH_MACHINES
+            + "?"
+            + (after.isEmpty() ? "" : Wire.AFTER + "=" + after + "&")
+            + Wire.PAGE
+            + "="
+            + PAGE;
     call(
         "GET",
         target,
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -26,6 +26,7 @@
   private static final String ARRIVED = "at";
   private static final String DONE_SET = "done";
   private static final String DONE_COUNT = "n";
+  private static final String STARTED = "started";
   private static final String PHASE = "phase";
   private static final Span TRY = Span.millis(1500);
   private static final Span PAUSE = Span.millis(100);
@@ -56,7 +57,7 @@
   }
 
   /** A live job as it was recorded. */
-  public record Recorded(JobSpec spec, long arrivedWallMs, BitSet done) {}
+  public record Recorded(JobSpec spec, long arrivedWallMs, BitSet done, boolean maybeStarted) {}
 
   private final Loop loop;
   private final StateClient state;
@@ -78,7 +79,7 @@
 
   /** Writes a new job down, or finds that it is known. */
   public void admit(JobSpec spec, long wallMs, Consumer<Outcome> then) {
-    Body record = encode(spec, wallMs, "", 0);
+    Body record = encode(spec, wallMs, "", 0, false);
     if (MsgPack.encode(record).length * 5 / 4 > valueBytes) {
       then.accept(new Outcome.TooLarge());
       return;
@@ -109,8 +110,7 @@
   }
 
   /** A request that got no clear answer is tried again at once, or given up on at once. */
-  private void again(
-      StateClient.Answer a, Time deadline, Runnable retry, Consumer<Outcome> then) {
+  private void again(StateClient.Answer a, Time deadline, Runnable retry, Consumer<Outcome> then) {
     boolean worthIt = a.status() == 0 || a.status() == 429 || a.status() == 409;
     if (worthIt && loop.now().plus(PAUSE).plus(TRY).before(deadline)) {
       loop.after(PAUSE, this, retry);
@@ -213,19 +213,21 @@
   }
 
   void progress(Txn txn, JobSpec spec, long arrivedWallMs, BitSet done) {
-    int room = valueBytes * 3 / 4 - MsgPack.encode(encode(spec, arrivedWallMs, "", 0)).length;
+    int room = valueBytes * 3 / 4 - MsgPack.encode(encode(spec, arrivedWallMs, "", 0, true)).length;
     Body record =
-        encode(spec, arrivedWallMs, Ranges.encode(done, Math.max(0, room)), done.cardinality());
+        encode(
+            spec, arrivedWallMs, Ranges.encode(done, Math.max(0, room)), done.cardinality(), true);
     // Without an end, so that a late progress record can't bring a cancelled job back.
     txn.guard(Keys.over(spec.id()), Stamp.ABSENT).put(Keys.live(spec.id()), record);
   }
 
-  private static Body encode(JobSpec spec, long wallMs, String done, int count) {
+  private static Body encode(JobSpec spec, long wallMs, String done, int count, boolean started) {
     return Body.of()
         .with(SPEC, JobCodec.encode(spec))
         .with(ARRIVED, wallMs)
         .with(DONE_SET, done)
-        .with(DONE_COUNT, count);
+        .with(DONE_COUNT, count)
+        .with(STARTED, started);
   }
 
   public static Recorded decode(Body record) throws BadMessage {
@@ -233,7 +235,8 @@
     return new Recorded(
         spec,
         record.integer(ARRIVED),
-        Ranges.decode(record.textOr(DONE_SET, ""), spec.tasks()));
+        Ranges.decode(record.textOr(DONE_SET, ""), spec.tasks()),
+        record.flagOr(STARTED, true));
   }
 
   /** Every job that is not over, and the revision from which to watch. */
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -50,10 +50,10 @@
     return underWay >= 3;
   }
 
-  private void commit(Txn txn, Consumer<Boolean> then) {
+  private void commit(StateClient.Rank rank, Txn txn, Consumer<Boolean> then) {
     underWay++;
     state.commit(
-        StateClient.Rank.BOOKS,
+        rank,
         txn,
         TRY,
         a -> {
@@ -76,6 +76,7 @@
         jobs.finish(txn, job.id(), job.spec().tasks());
       }
       commit(
+          StateClient.Rank.USER,
           txn,
           ok -> {
             for (Job job : some) {
@@ -108,6 +109,26 @@
         });
   }
 
+  /** Jobs may be launched once their record says so: a successor then knows to look for them. */
+  public void mark(Leader leader) {
+    List<Job> all = leader.toMark();
+    for (int i = 0; i < all.size(); i += txnOps) {
+      List<Job> some = all.subList(i, Math.min(all.size(), i + txnOps));
+      Txn txn = guarded();
+      for (Job job : some) {
+        jobs.progress(txn, job.spec(), job.arrivedWallMs(), job.doneTasks());
+      }
+      commit(
+          StateClient.Rank.USER,
+          txn,
+          ok -> {
+            for (Job job : some) {
+              leader.marked(job, ok);
+            }
+          });
+    }
+  }
+
   /** Progress of live jobs. */
   public void record(Leader leader) {
     List<Job> all = leader.toRecord();
@@ -122,6 +143,7 @@
         jobs.progress(txn, job.spec(), job.arrivedWallMs(), set);
       }
       commit(
+          StateClient.Rank.BOOKS,
           txn,
           ok -> {
             for (int k = 0; k < some.size(); k++) {
@@ -145,7 +167,7 @@
         Body value = Body.of().with(TYPE, e.type()).with(ZONE, e.zone()).with(SPOT, e.spot());
         txn.put(Keys.machine(e.id()), value);
       }
-      commit(txn, ok -> leader.ledgered(some, ok));
+      commit(StateClient.Rank.USER, txn, ok -> leader.ledgered(some, ok));
     }
   }
 
@@ -165,6 +187,7 @@
       txn.delete(Keys.machine(id));
     }
     commit(
+        StateClient.Rank.BOOKS,
         txn,
         ok -> {
           if (!ok) {
@@ -202,11 +225,14 @@
 
   public void writeTypes(List<MachineType> types) {
     commit(
+        StateClient.Rank.BOOKS,
         guarded().put(Keys.TYPES, CloudCodec.encodeTypes(types)),
         ok -> LOG.debug("machine types written: {}", ok));
   }
 
-  /** The machine types as a leader wrote them down; null when there are none or none can be read. */
+  /**
+   * The machine types as a leader wrote them down; null when there are none or none can be read.
+   */
   public static void readTypes(StateClient state, Consumer<List<MachineType>> then) {
     state.get(
         StateClient.Rank.USER,
@@ -214,8 +240,7 @@
         TRY,
         e -> {
           try {
-            then.accept(
-                e == null || e.value() == null ? null : CloudCodec.decodeTypes(e.value()));
+            then.accept(e == null || e.value() == null ? null : CloudCodec.decodeTypes(e.value()));
           } catch (BadMessage bad) {
             LOG.error("machine types: {}", bad.getMessage());
             then.accept(null);
--- a/src/main/java/io/saltflow/bookkeeping/StateClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -75,19 +75,30 @@
   }
 
   public void call(
-      Rank rank, String method, String target, Body body, int writeCount, Span timeout,
+      Rank rank,
+      String method,
+      String target,
+      Body body,
+      int writeCount,
+      Span timeout,
       Consumer<Answer> then) {
     attempt(rank, method, target, body, writeCount, loop.now().plus(timeout), timeout, then);
   }
 
   private void attempt(
-      Rank rank, String method, String target, Body body, int writeCount, Time deadline,
-      Span timeout, Consumer<Answer> then) {
+      Rank rank,
+      String method,
+      String target,
+      Body body,
+      int writeCount,
+      Time deadline,
+      Span timeout,
+      Consumer<Answer> then) {
     Time now = loop.now();
     if (rank == Rank.LEADERSHIP) {
       requests.takeAnyway(1, now);
       writes.takeAnyway(writeCount, now);
-    } else if (!mayGo(writeCount, now)) {
+    } else if (!mayGo(rank, writeCount, now)) {
       if (now.after(deadline)) {
         then.accept(new Answer(429, null, now));
         return;
@@ -106,7 +117,11 @@
         a -> answered(a, then));
   }
 
-  private boolean mayGo(int writeCount, Time now) {
+  private boolean mayGo(Rank rank, int writeCount, Time now) {
+    if (rank == Rank.BOOKS && !writes.has(writeCount * 2, now)) {
+      // Books that can wait leave room for what users and tasks wait for.
+      return false;
+    }
     if (!requests.take(1, now)) {
       return false;
     }
@@ -151,10 +166,7 @@
           try {
             if (a.ok()) {
               then.accept(
-                  new Entry(
-                      key,
-                      a.body.map(Wire.VALUE),
-                      new Stamp(a.body.integer(Wire.VERSION))));
+                  new Entry(key, a.body.map(Wire.VALUE), new Stamp(a.body.integer(Wire.VERSION))));
             } else if (a.status == 404) {
               then.accept(new Entry(key, null, Stamp.ABSENT));
             } else {
@@ -180,12 +192,22 @@
   }
 
   private void page(
-      Rank rank, String prefix, String after, List<Entry> sofar, long revision,
+      Rank rank,
+      String prefix,
+      String after,
+      List<Entry> sofar,
+      long revision,
       Consumer<Listing> then) {
     String target =
-        Wire.PATH_KV + "?" + Wire.PREFIX + "=" + prefix
+        Wire.PATH_KV
+            + "?"
+            + Wire.PREFIX
+            + "="
+            + prefix
             + (after.isEmpty() ? "" : "&" + Wire.AFTER + "=" + after)
-            + "&" + Wire.PAGE + "=500";
+            + "&"
+            + Wire.PAGE
+            + "=500";
     call(
         rank,
         "GET",
@@ -225,9 +247,19 @@
   public void watch(String prefix, long after, Span hold, Consumer<Answer> then) {
     requests.takeAnyway(1, loop.now());
     String target =
-        Wire.PATH_WATCH + "?" + Wire.PREFIX + "=" + prefix + "&" + Wire.AFTER + "=" + after
-            + "&" + Wire.HOLD_MS + "=" + hold.ms();
-    watches.call(
-        "GET", target, NOTHING, hold.plus(Span.seconds(2)), a -> answered(a, then));
+        Wire.PATH_WATCH
+            + "?"
+            + Wire.PREFIX
+            + "="
+            + prefix
+            + "&"
+            + Wire.AFTER
+            + "="
+            + after
+            + "&"
+            + Wire.HOLD_MS
+            + "="
+            + hold.ms();
+    watches.call("GET", target, NOTHING, hold.plus(Span.seconds(2)), a -> answered(a, then));
   }
 }
--- a/src/main/java/io/saltflow/coordination/Estimates.java
+++ b/src/main/java/io/saltflow/coordination/Estimates.java
@@ -65,7 +65,9 @@
     return Span.seconds(job.spec.imageGb() / Math.max(0.01, m.type.fetchGbPerS()));
   }
 
-  /** When a task that is on a machine should leave it; one that is overdue may take as long again. */
+  /**
+   * When a task that is on a machine should leave it; one that is overdue may take as long again.
+   */
   Time end(Presence p, Time now) {
     if (p.stopping) {
       Time stop = p.stopAt.plus(p.grace).plus(Span.seconds(2));
@@ -76,7 +78,8 @@
     }
     Span run = predict(p.job, p.index);
     if (p.runningSince == null) {
-      Span fetch = Span.seconds(p.job.spec.imageGb() / Math.max(0.01, p.machine.type.fetchGbPerS()));
+      Span fetch =
+          Span.seconds(p.job.spec.imageGb() / Math.max(0.01, p.machine.type.fetchGbPerS()));
       return Time.later(p.launchedAt.plus(fetch), now).plus(run);
     }
     Time due = p.runningSince.plus(run);
--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -46,12 +46,7 @@
   private final Map<MachineId, Machine> machines = new LinkedHashMap<>();
   private final Time tookOver;
 
-  Fencing(
-      Policy policy,
-      Term term,
-      Map<JobId, Job> jobs,
-      Events events,
-      Time tookOver) {
+  Fencing(Policy policy, Term term, Map<JobId, Job> jobs, Events events, Time tookOver) {
     this.policy = policy;
     this.term = term;
     this.jobs = jobs;
@@ -230,11 +225,9 @@
     }
   }
 
-  Presence launch(
-      Job job, int index, Attempt attempt, Machine m, boolean backfilled, Time now) {
+  Presence launch(Job job, int index, Attempt attempt, Machine m, boolean backfilled, Time now) {
     Presence p =
-        new Presence(
-            job, index, attempt, m, now, m.session, m.sequence, Presence.State.SENT);
+        new Presence(job, index, attempt, m, now, m.session, m.sequence, Presence.State.SENT);
     p.backfilled = backfilled;
     put(p);
     m.idleSince = null;
@@ -251,8 +244,7 @@
     p.job.present.remove(p.index, p);
   }
 
-  private void dropAll(
-      Machine m, Predicate<Presence> which, String why, Time now) {
+  private void dropAll(Machine m, Predicate<Presence> which, String why, Time now) {
     for (Presence p : new ArrayList<>(m.presences.values())) {
       if (which.test(p)) {
         remove(p);
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -108,7 +108,8 @@
         left = (int) Math.min(left, Math.ceil(spare / cores));
       }
       while (left > 0 && out.size() < 4) {
-        boolean pressing = urgent || work / Math.max(1, fleetCores) > policy.ordinaryHorizon().toSeconds();
+        boolean pressing =
+            urgent || work / Math.max(1, fleetCores) > policy.ordinaryHorizon().toSeconds();
         Option option = choose(w.job(), left, types, pressing, now, out);
         if (option == null) {
           break;
@@ -211,7 +212,8 @@
           if (!job.spec.allows(type.name(), zone, spot)) {
             continue;
           }
-          if (job.spec.oneZone() && !job.present.isEmpty()
+          if (job.spec.oneZone()
+              && !job.present.isEmpty()
               && !job.present.firstEntry().getValue().machine.zone.equals(zone)) {
             continue;
           }
@@ -274,8 +276,7 @@
   }
 
   /** Machines to return: silent, faulty, never up, taken soon and empty, or idle for too long. */
-  List<MachineId> toReturn(
-      Collection<Machine> machines, Time tookOver, Time now) {
+  List<MachineId> toReturn(Collection<Machine> machines, Time tookOver, Time now) {
     List<MachineId> out = new ArrayList<>();
     Span quiet = policy.report().times(1.25).plus(Span.seconds(1));
     int heard = 0;
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -23,20 +23,32 @@
   final TreeMap<Integer, Time> notBefore = new TreeMap<>();
   final TreeMap<Integer, Span> ranBefore = new TreeMap<>();
   final Set<MachineId> errorMachines = new HashSet<>();
+
   /** Zones of the tasks given out by the last round and not yet launched. */
   final List<String> assignedZones = new ArrayList<>();
 
+  /** A former leader may have launched some of it, so a new one must know where before it does. */
+  final boolean maybeStartedBefore;
+
+  /** The record says that it may be launched, so a successor will look for it. */
+  boolean startRecorded;
+
+  boolean startAsked;
   int errors;
+
   /** Its time is running out: it queues above its own priority. */
   boolean pressed;
 
   boolean cancelled;
   boolean finishing;
   boolean dirty;
+
   /** The done tasks that the state service holds. */
   BitSet recorded;
 
-  public Job(JobSpec spec, long arrivedWallMs, BitSet done) {
+  public Job(JobSpec spec, long arrivedWallMs, BitSet done, boolean maybeStarted) {
+    this.maybeStartedBefore = maybeStarted;
+    this.startRecorded = maybeStarted;
     this.spec = spec;
     this.arrivedWallMs = arrivedWallMs;
     this.done = done;
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -190,9 +190,9 @@
     changed = true;
   }
 
-  public void jobSeen(JobSpec spec, long arrivedWallMs) {
+  public void jobSeen(JobSpec spec, long arrivedWallMs, boolean maybeStarted) {
     if (!jobs.containsKey(spec.id())) {
-      jobs.put(spec.id(), new Job(spec, arrivedWallMs, new BitSet()));
+      jobs.put(spec.id(), new Job(spec, arrivedWallMs, new BitSet(), maybeStarted));
       changed = true;
       LOG.info(
           "{} arrived: {} {} tasks of {}, {}",
@@ -260,6 +260,24 @@
     job.dirty = false;
   }
 
+  /** Jobs whose record must say that they may be started before they are. */
+  public List<Job> toMark() {
+    List<Job> out = new ArrayList<>();
+    for (Job job : jobs.values()) {
+      if (!job.startRecorded && !job.startAsked && !job.cancelled) {
+        job.startAsked = true;
+        out.add(job);
+      }
+    }
+    return out;
+  }
+
+  public void marked(Job job, boolean written) {
+    job.startRecorded |= written;
+    job.startAsked = written;
+    changed = true;
+  }
+
   public void recorded(Job job, BitSet done) {
     job.recorded = done;
   }
@@ -286,7 +304,7 @@
       return orders;
     }
     halt(m, r, orders, now);
-    if (mayLaunch && accounted && m.usable()) {
+    if (mayLaunch && m.usable()) {
       launch(m, orders, now);
     }
     return orders;
@@ -330,13 +348,14 @@
     if (m.assigned.isEmpty()) {
       return;
     }
-    Map<String, Size> use = Scheduler.teamUse(fencing.machines());
+    Map<String, Size> use = scheduler.mostUse(fencing.machines());
     Size free = m.free();
     for (Machine.Assigned a : m.assigned) {
       Job job = a.job();
       // Checked once more against what is true now: the round may be a second old.
       if (job.cancelled
           || job.finishing
+          || !mayStart(job)
           || job.done.get(a.index())
           || job.present.containsKey(a.index())
           || !job.spec.size().fitsIn(free)
@@ -361,6 +380,14 @@
     m.assigned.clear();
   }
 
+  /**
+   * Until every machine is accounted for, only jobs that no former leader can have launched may
+   * start: any other task might be on a machine that has not been heard of.
+   */
+  private boolean mayStart(Job job) {
+    return job.startRecorded && (accounted || !job.maybeStartedBefore);
+  }
+
   private void checkAccounted(Time now) {
     if (!accounted && fencing.allAccounted()) {
       accounted = true;
@@ -402,7 +429,7 @@
     changed = false;
     fleet.retire(fencing.machines(), jobs.values(), now);
     lastRound = now;
-    waiting = scheduler.round(jobs.values(), fencing.machines(), now);
+    waiting = scheduler.round(jobs.values(), fencing.machines(), accounted, now);
   }
 
   /** Rentals to ask for. Each stays open until {@link #hired} or {@link #refused}. */
@@ -411,7 +438,8 @@
       return List.of();
     }
     List<Rental> out = new ArrayList<>();
-    for (Fleet.Hire h : fleet.plan(waiting, jobs.values(), fencing.machines(), types.values(), now)) {
+    for (Fleet.Hire h :
+        fleet.plan(waiting, jobs.values(), fencing.machines(), types.values(), now)) {
       LOG.info("renting {} {}", h.count(), h.kind());
       out.add(new Rental(h));
     }
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -34,6 +34,7 @@
 
   boolean ledgered;
   boolean ledgerAsked;
+
   /** Dear and no longer needed: it gets no new tasks, and goes when it is empty. */
   boolean retiring;
 
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -26,8 +26,7 @@
     int faultyAfter) {
 
   /** A team's guarantee and limit; a limit of 0 means none, a guarantee of 0 too. */
-  public record Team(
-      String name, double cores, double coresLimit, double gpus, double gpusLimit) {}
+  public record Team(String name, double cores, double coresLimit, double gpus, double gpusLimit) {}
 
   /** After this a worker that was last answered now has certainly dropped its tasks. */
   public Span leaseSurelyOver() {
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -48,7 +48,8 @@
   record Waiting(Job job, int tasks) {}
 
   /** Gives tasks to machines and marks tasks to stop; returns who still waits, in queue order. */
-  List<Waiting> round(Collection<Job> jobs, Collection<Machine> machines, Time now) {
+  List<Waiting> round(
+      Collection<Job> jobs, Collection<Machine> machines, boolean accounted, Time now) {
     Placement.Room room = new Placement.Room();
     List<Machine> usable = new ArrayList<>();
     List<Machine> booting = new ArrayList<>();
@@ -66,12 +67,15 @@
       job.pressed = pressed(job, now);
     }
     double cheapest = Placement.cheapestPerCore(usable);
-    Map<String, Size> use = teamUse(machines);
+    Map<String, Size> use = mostUse(machines);
     Set<JobId> guaranteed = guaranteed(jobs);
     List<Waiting> waiting = new ArrayList<>();
     Job head = null;
     for (Job job : inOrder(jobs, guaranteed)) {
-      if (job.cancelled || job.finishing || job.pendingCount() == 0) {
+      if (job.cancelled
+          || job.finishing
+          || job.pendingCount() == 0
+          || (!accounted && job.maybeStartedBefore)) {
         continue;
       }
       boolean limited = false;
@@ -154,7 +158,25 @@
     return out;
   }
 
-  /** What each team's tasks use, wherever they might be. */
+  /**
+   * The most that each team's tasks may use: what is known, and all of every machine that might
+   * hold tasks of a former leader and has not been heard of.
+   */
+  Map<String, Size> mostUse(Collection<Machine> machines) {
+    Map<String, Size> use = teamUse(machines);
+    Size unknown = Size.ZERO;
+    for (Machine m : machines) {
+      if (m.mightHoldOldTasks) {
+        unknown = unknown.plus(m.type == null ? new Size(1e9, 1e9, 1e9) : m.type.size());
+      }
+    }
+    for (String team : policy.teams().keySet()) {
+      use.merge(team, unknown, Size::plus);
+    }
+    return use;
+  }
+
+  /** What each team's tasks use, wherever they are known to be. */
   static Map<String, Size> teamUse(Collection<Machine> machines) {
     Map<String, Size> use = new HashMap<>();
     for (Machine m : machines) {
@@ -444,9 +466,7 @@
       }
       List<Presence> victims = new ArrayList<>();
       for (Presence p : m.presences.values()) {
-        if (!p.stopping
-            && estimates.end(p, now).after(limit)
-            && mayStop(p, job, guaranteed, use)) {
+        if (!p.stopping && estimates.end(p, now).after(limit) && mayStop(p, job, guaranteed, use)) {
           victims.add(p);
         }
       }
--- a/src/main/java/io/saltflow/protocol/JobCodec.java
+++ b/src/main/java/io/saltflow/protocol/JobCodec.java
@@ -31,8 +31,7 @@
     if (tasks < 1 || tasks > MAX_TASKS) {
       throw new BadMessage(Wire.TASKS + ": out of range");
     }
-    Size size =
-        new Size(b.amount(Wire.CORES), b.amount(Wire.GPUS), b.amount(Wire.MEMORY_GB));
+    Size size = new Size(b.amount(Wire.CORES), b.amount(Wire.GPUS), b.amount(Wire.MEMORY_GB));
     List<String> types = b.get(Wire.TYPES) == null ? null : b.texts(Wire.TYPES);
     Span deadline = b.get(Wire.DEADLINE_S) == null ? null : b.seconds(Wire.DEADLINE_S);
     return new JobSpec(
--- a/src/main/java/io/saltflow/transport/HttpClient.java
+++ b/src/main/java/io/saltflow/transport/HttpClient.java
@@ -47,8 +47,7 @@
     loop.every(Span.seconds(5), this, this::dropIdle);
   }
 
-  public void call(
-      String method, String target, byte[] body, Span timeout, Consumer<Answer> then) {
+  public void call(String method, String target, byte[] body, Span timeout, Consumer<Answer> then) {
     Request request = new Request(method, target, body, loop.now().plus(timeout), then);
     if (queue.size() >= maxQueue) {
       loop.after(Span.millis(1), this, () -> then.accept(new Answer(0, new byte[0], loop.now())));
@@ -134,7 +133,8 @@
         head.append("Content-Type: application/msgpack\r\n");
       }
       head.append("Content-Length: ").append(request.body.length).append("\r\n\r\n");
-      loop.after(new Span(Math.max(1, request.deadline.since(sent).ms())), this, () -> late(request));
+      loop.after(
+          new Span(Math.max(1, request.deadline.since(sent).ms())), this, () -> late(request));
       send(HttpBytes.join(head, request.body));
     }
 
