--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -278,13 +278,12 @@
   /** Machines to return: silent, faulty, never up, taken soon and empty, or idle for too long. */
   List<MachineId> toReturn(Collection<Machine> machines, Time tookOver, Time now) {
     List<MachineId> out = new ArrayList<>();
-    Span quiet = policy.report().times(1.25).plus(Span.seconds(1));
     int heard = 0;
     int silent = 0;
     for (Machine m : machines) {
       if (m.up || m.mightHoldOldTasks) {
         heard++;
-        if (silentFor(m, tookOver, now).longerThan(quiet)) {
+        if (silentFor(m, tookOver, now).longerThan(policy.reportOverdue())) {
           silent++;
         }
       }
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -290,10 +290,14 @@
   public List<Order> onReport(Report r, boolean mayLaunch, Time now) {
     lastReport = now;
     heardAny = true;
+    Machine before = fencing.find(r.machine());
+    boolean knownUsable = before != null && before.accounted && !before.quiet;
     Machine m = fencing.onReport(r, types, now);
     if (m == null) {
       return null;
     }
+    m.quiet = false;
+    changed |= m.accounted && !knownUsable;
     checkAccounted(now);
     if (changed) {
       round(now);
@@ -404,6 +408,7 @@
     checkAccounted(now);
     for (Machine m : fencing.machines()) {
       drain(m, now);
+      m.quiet = m.up && now.since(m.lastHeard).longerThan(policy.reportOverdue());
     }
     for (Job job : new ArrayList<>(jobs.values())) {
       forgetIfEmpty(job);
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -32,6 +32,9 @@
   /** Might hold tasks that a former leader launched. */
   boolean mightHoldOldTasks;
 
+  /** Reports are overdue: what is given to it now would wait, perhaps for nothing. */
+  boolean quiet;
+
   boolean ledgered;
   boolean ledgerAsked;
 
@@ -69,7 +72,14 @@
 
   /** Whether new tasks may be placed here. */
   boolean usable() {
-    return up && accounted && ledgered && !leaving && !faulty && noticeAt == null && type != null;
+    return up
+        && !quiet
+        && accounted
+        && ledgered
+        && !leaving
+        && !faulty
+        && noticeAt == null
+        && type != null;
   }
 
   /** On its way up, as far as is known. */
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -28,6 +28,11 @@
   /** A team's guarantee and limit; a limit of 0 means none, a guarantee of 0 too. */
   public record Team(String name, double cores, double coresLimit, double gpus, double gpusLimit) {}
 
+  /** A report that has not come after this is overdue. */
+  public Span reportOverdue() {
+    return report.times(1.25).plus(Span.seconds(1));
+  }
+
   /** After this a worker that was last answered now has certainly dropped its tasks. */
   public Span leaseSurelyOver() {
     return lease.certainlyElsewhere().plus(Span.millis(500));
--- /dev/null
+++ b/src/test/java/io/saltflow/coordination/FaultsTest.java
@@ -0,0 +1,102 @@
+package io.saltflow.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Span;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Days of random faults, with the rules checked after each step. */
+class FaultsTest {
+  private static final double DAY_S = 400;
+
+  private static World day(long seed, Policy policy, boolean forgetLedger) {
+    World w = new World(seed, policy);
+    w.forgetLedger = forgetLedger;
+    w.loss = 0.02;
+    int next = 1;
+    while (w.now < DAY_S * 1000) {
+      if (w.chance(0.06)) {
+        w.submit(randomJob(w, next++));
+      }
+      fault(w, next);
+      w.step();
+    }
+    // A quiet end, in which everything must get done.
+    w.loss = 0;
+    for (int i = 0; i < 2400 && !w.allOver(); i++) {
+      w.step();
+    }
+    return w;
+  }
+
+  private static JobSpec randomJob(World w, int number) {
+    return Jobs.job(number)
+        .team(w.chance(0.5) ? "red" : "blue")
+        .priority(Priority.values()[w.random.nextInt(4)])
+        .tasks(1 + w.random.nextInt(14))
+        .cores(1 + w.random.nextInt(4))
+        .estimateS(5 + w.random.nextInt(40))
+        .checkpointS(w.chance(0.3) ? 5 : 0)
+        .oneZone(w.chance(0.2))
+        .spread(w.chance(0.2))
+        .zone(w.chance(0.1) ? "a" : null)
+        .spot(w.chance(0.8))
+        .build();
+  }
+
+  private static void fault(World w, int jobs) {
+    if (w.chance(0.008)) {
+      w.loseLeader(w.chance(0.5) ? 5000 + w.random.nextInt(40) * 1000L : 0);
+    }
+    if (w.chance(0.004)) {
+      w.cloudDownUntil = w.now + 20_000;
+    }
+    World.Worker worker = w.anyWorker();
+    if (worker != null && w.chance(0.03)) {
+      switch (w.random.nextInt(4)) {
+        case 0 -> worker.dead = true;
+        case 1 -> worker.cutUntil = w.now + w.random.nextInt(60) * 500L;
+        case 2 -> worker.hungUntil = w.now + w.random.nextInt(25) * 500L;
+        default -> worker.failsAll = true;
+      }
+    }
+    if (jobs > 1 && w.chance(0.005)) {
+      w.cancel(new JobId(Jobs.id(1 + w.random.nextInt(jobs - 1))));
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+  void rulesHoldAndAllWorkGetsDone(long seed) {
+    World w = day(seed, World.policy(Span.millis(World.LEASE)), false);
+    assertEquals("", String.join("\n", w.broken));
+    assertTrue(w.started > 50, "too little happened: " + w.started);
+    assertTrue(w.allOver(), "work was left undone");
+  }
+
+  @Test
+  void withoutTheLedgerSomethingRunsTwice() {
+    assertBreaks("ran_twice", World.policy(Span.millis(World.LEASE)), true);
+  }
+
+  @Test
+  void withoutWaitingForLeasesSomethingRunsTwice() {
+    assertBreaks("ran_twice", World.policy(Span.millis(1000)), false);
+  }
+
+  /** The checks themselves must be able to fail: a guard is taken away, and they do. */
+  private static void assertBreaks(String rule, Policy policy, boolean forgetLedger) {
+    boolean seen = false;
+    for (long seed = 1; seed <= 8 && !seen; seed++) {
+      World w = day(seed, policy, forgetLedger);
+      seen = w.broken.stream().anyMatch(b -> b.startsWith(rule));
+    }
+    assertTrue(seen, rule + " should have been seen");
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/coordination/FencingTest.java
@@ -0,0 +1,153 @@
+package io.saltflow.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.protocol.MachineId;
+import io.saltflow.protocol.Order;
+import io.saltflow.protocol.Report;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Term;
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What proves that a task is nowhere, and what does not. */
+class FencingTest {
+  private static final Policy POLICY = World.policy(Span.millis(World.LEASE));
+
+  private static Floor takenOver() {
+    return new Floor(
+        POLICY, List.of(Floor.job(Jobs.job(1).cores(5).build(), true)), "vm-1", "vm-2");
+  }
+
+  private static long launches(List<Order> orders) {
+    return orders.stream().filter(o -> o instanceof Order.Launch).count();
+  }
+
+  @Test
+  void reportWithAnOlderTokenProvesNothing() {
+    Floor f = takenOver();
+    assertEquals(0, launches(f.leader.onReport(f.report("vm-1", new Term(6)), true, f.time())));
+    assertEquals(0, launches(f.leader.onReport(f.report("vm-2", new Term(6)), true, f.time())));
+    assertEquals(0, launches(f.checkIn("vm-1")), "vm-2 may still hold the task");
+    assertEquals(1, launches(f.checkIn("vm-2")) + launches(f.checkIn("vm-1")));
+  }
+
+  @Test
+  void silentMachineHoldsLaunchesUntilItsLeaseIsSurelyOver() {
+    Floor f = takenOver();
+    f.checkIn("vm-1");
+    long ms = POLICY.keepAfterSync().plus(POLICY.leaseSurelyOver()).ms();
+    f.pass((ms - 1000) / 1000.0);
+    assertEquals(0, launches(f.checkIn("vm-1")));
+    f.pass(2);
+    assertEquals(1, launches(f.checkIn("vm-1")));
+  }
+
+  @Test
+  void successfulDeleteIsProof() {
+    Floor f = takenOver();
+    f.checkIn("vm-1");
+    f.leader.deleted(List.of(new MachineId("vm-2")), f.time());
+    assertEquals(1, launches(f.checkIn("vm-1")));
+  }
+
+  @Test
+  void jobThatNobodyCanHaveLaunchedNeedNotWait() {
+    Floor f = takenOver();
+    f.checkIn("vm-1");
+    f.arrive(Jobs.job(2).cores(2).build());
+    List<Order> orders = f.checkIn("vm-1");
+    assertEquals(1, launches(orders));
+    assertEquals(Floor.task(2, 0), orders.get(0).task());
+  }
+
+  /** The unheard machine may be full of the team's tasks: its limit may not be spent. */
+  @Test
+  void unheardMachinesCountAgainstTeamLimits() {
+    Floor f =
+        new Floor(
+            POLICY,
+            List.of(Floor.job(Jobs.job(1).build(), true)),
+            "vm-1",
+            "vm-2",
+            "vm-3",
+            "vm-4",
+            "vm-5",
+            "vm-6");
+    f.checkIn("vm-1");
+    f.arrive(Jobs.job(2).team("red").cores(2).build());
+    assertEquals(0, launches(f.checkIn("vm-1")), "5 machines of 10 cores against a limit of 48");
+    assertEquals(1, launches(f.checkIn("vm-2")) + launches(f.checkIn("vm-1")));
+  }
+
+  @Test
+  void answerThatWasLostLeadsToANewAttempt() throws IOException {
+    Floor f = new Floor(POLICY, List.of());
+    f.checkIn("vm-1");
+    f.arrive(Jobs.job(1).cores(5).build());
+    Report r = f.report("vm-1", Floor.TERM);
+    List<Order> lost = f.leader.onReport(r, true, f.time());
+    f.say("an answer with " + lost.size() + " order is lost: attempt " + lost.get(0).attempt());
+    f.pass(1);
+    assertNull(f.leader.onReport(r, true, f.time()), "the same report again is not answered");
+    f.say("the report comes once more and is not answered");
+    f.pass(3);
+    List<Order> again = f.checkIn("vm-1");
+    f.say("attempt " + again.get(0).attempt());
+    Traces.check("lost-answer", f.trace);
+  }
+
+  @Test
+  void newSessionAndOverdueLeaseFreeTasks() {
+    Floor f = new Floor(POLICY, List.of());
+    f.checkIn("vm-1");
+    f.checkIn("vm-2");
+    f.arrive(Jobs.job(1).cores(5).tasks(1).build());
+    String first = launches(f.checkIn("vm-1")) == 1 ? "vm-1" : "vm-2";
+    if (first.equals("vm-2")) {
+      f.checkIn("vm-2");
+    }
+    f.newSession(first);
+    f.pass(1);
+    assertEquals(1, launches(f.checkIn(first)), "a new session has nothing of the old one");
+  }
+
+  /** A report held back by a cut lists what was long ago: it must not hide where the task is. */
+  @Test
+  void lateReportDoesNotMoveATask() {
+    Floor f = new Floor(POLICY, List.of());
+    f.checkIn("vm-1");
+    f.arrive(Jobs.job(1).cores(5).estimateS(500).build());
+    f.checkIn("vm-1");
+    f.pass(1);
+    f.checkIn("vm-1");
+    Report late = f.report("vm-1", Floor.TERM);
+    f.pass(20);
+    f.checkIn("vm-2");
+    f.checkIn("vm-2");
+    assertTrue(f.on.get("vm-2").containsKey(Floor.task(1, 0)), "its lease was over");
+    List<Order> orders = f.leader.onReport(late, true, f.time());
+    assertTrue(orders.get(0) instanceof Order.Halt);
+    assertEquals("vm-2", f.leader.job(Floor.task(1, 0).job()).present.get(0).machine.id.text());
+  }
+
+  @Test
+  void cancelledTaskIsHaltedWhereverItShowsUp() throws IOException {
+    Floor f = new Floor(POLICY, List.of());
+    f.checkIn("vm-1");
+    f.arrive(Jobs.job(1).cores(5).estimateS(500).build());
+    f.checkIn("vm-1");
+    f.say("the user cancels it");
+    f.leader.jobGone(Floor.task(1, 0).job(), f.time());
+    f.pass(1);
+    f.checkIn("vm-1");
+    f.pass(1);
+    f.checkIn("vm-1");
+    f.pass(1);
+    assertTrue(f.leader.jobs().isEmpty());
+    Traces.check("cancelled", f.trace);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/coordination/RoundsTest.java
@@ -0,0 +1,225 @@
+package io.saltflow.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.MachineId;
+import io.saltflow.protocol.Order;
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Report;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.TaskId;
+import java.io.IOException;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Rounds of one leader, most of them as traces to read. */
+class RoundsTest {
+  private static Policy policy(double thresholdS) {
+    return new Policy(
+        Span.seconds(3),
+        Span.seconds(16),
+        Span.seconds(20),
+        Map.of(
+            "blue", new Policy.Team("blue", 0, 0, 0, 0),
+            "red", new Policy.Team("red", 10, 12, 0, 0)),
+        Map.of(),
+        0.2,
+        Span.seconds(thresholdS),
+        Priority.HIGH,
+        Span.seconds(6),
+        Span.seconds(30),
+        1.8,
+        Span.seconds(45),
+        Span.seconds(90),
+        Span.seconds(12),
+        Span.seconds(60),
+        Span.seconds(10),
+        3,
+        2);
+  }
+
+  private static Floor oneMachine(double thresholdS) {
+    Floor f = new Floor(policy(thresholdS), List.of());
+    f.checkIn("vm-1");
+    return f;
+  }
+
+  /**
+   * The paper's figure 3: A and B run; C, the head, must wait for B; D and E are estimated to run
+   * past that, yet are backfilled by their scaled estimates. D ends in time; E is stopped when C's
+   * reserved time has come, and goes on when C has ended.
+   */
+  @Test
+  void figure3() throws IOException {
+    Floor f = oneMachine(0);
+    f.arrive(Jobs.job(1).cores(4).estimateS(20).build());
+    f.arrive(Jobs.job(2).cores(6).estimateS(70).build());
+    f.checkIn("vm-1");
+    f.arrive(Jobs.job(3).cores(9).estimateS(40).build());
+    f.arrive(Jobs.job(4).cores(2).estimateS(100).checkpointS(10).priority(Priority.LOW).build());
+    f.arrive(Jobs.job(5).cores(2).estimateS(200).checkpointS(10).priority(Priority.LOW).build());
+    f.checkIn("vm-1");
+    f.work("vm-1", 20);
+    f.ends("vm-1", Floor.task(1, 0), Report.ExitCause.DONE);
+    f.work("vm-1", 20);
+    f.ends("vm-1", Floor.task(4, 0), Report.ExitCause.DONE);
+    f.work("vm-1", 30);
+    f.ends("vm-1", Floor.task(2, 0), Report.ExitCause.DONE);
+    f.work("vm-1", 40);
+    f.ends("vm-1", Floor.task(3, 0), Report.ExitCause.DONE);
+    f.work("vm-1", 2);
+    Traces.check("figure3", f.trace);
+  }
+
+  /** Without scaling, the same two jobs have to wait, as in the classical algorithm. */
+  @Test
+  void classicalBackfillLeavesThemWaiting() {
+    Floor f = oneMachine(1800);
+    f.arrive(Jobs.job(2).cores(6).estimateS(50).build());
+    f.checkIn("vm-1");
+    f.arrive(Jobs.job(3).cores(9).estimateS(40).build());
+    f.arrive(Jobs.job(4).cores(2).estimateS(100).checkpointS(10).priority(Priority.LOW).build());
+    assertTrue(launches(f.checkIn("vm-1")).isEmpty());
+    // What ends before the reserve time is backfilled all the same.
+    f.arrive(Jobs.job(5).cores(2).estimateS(20).priority(Priority.LOW).build());
+    assertEquals(List.of(Floor.task(5, 0)), launches(f.checkIn("vm-1")));
+  }
+
+  private static List<TaskId> launches(List<Order> orders) {
+    return orders.stream().filter(o -> o instanceof Order.Launch).map(Order::task).toList();
+  }
+
+  @Test
+  void urgentWorkStopsWhatLosesLeastAndNothingOfItsOwnPriority() throws IOException {
+    Floor f = oneMachine(1800);
+    f.arrive(Jobs.job(1).cores(4).estimateS(100).priority(Priority.HIGH).build());
+    f.arrive(Jobs.job(2).cores(3).estimateS(100).priority(Priority.LOW).build());
+    f.arrive(Jobs.job(3).cores(3).estimateS(100).checkpointS(10).priority(Priority.LOW).build());
+    f.checkIn("vm-1");
+    f.work("vm-1", 20);
+    f.arrive(Jobs.job(4).cores(3).estimateS(10).priority(Priority.HIGH).build());
+    f.checkIn("vm-1");
+    f.pass(3);
+    f.checkIn("vm-1");
+    f.pass(3);
+    f.checkIn("vm-1");
+    Traces.check("preemption", f.trace);
+  }
+
+  @Test
+  void roomThatComesByItselfSoonIsWaitedFor() {
+    Floor f = oneMachine(1800);
+    f.arrive(Jobs.job(1).cores(10).estimateS(30).priority(Priority.LOW).build());
+    f.checkIn("vm-1");
+    f.work("vm-1", 26);
+    f.arrive(Jobs.job(2).cores(3).estimateS(10).priority(Priority.HIGH).build());
+    assertTrue(f.checkIn("vm-1").isEmpty(), "it ends in 5 s: stopping it would be thrash");
+  }
+
+  @Test
+  void teamLimitHoldsAndOverLimitJobsDoNotBlockOthers() {
+    Floor f = oneMachine(1800);
+    f.checkIn("vm-2");
+    f.arrive(Jobs.job(1).team("red").tasks(5).cores(4).build());
+    f.arrive(Jobs.job(2).team("blue").cores(4).build());
+    int red = launches(f.checkIn("vm-1")).size() + launches(f.checkIn("vm-2")).size();
+    // Three of red's tasks use its 12 cores; the fourth launch is blue's.
+    assertEquals(4, red);
+    assertEquals(3, f.leader.job(new JobId(Jobs.id(1))).present.size());
+  }
+
+  @Test
+  void spreadAndOneZoneCountTasksWhereverTheyMightBe() {
+    Floor f = oneMachine(1800);
+    f.checkIn("vm-2b");
+    f.arrive(Jobs.job(1).tasks(3).cores(1).spread(true).build());
+    f.arrive(Jobs.job(2).tasks(4).cores(1).oneZone(true).build());
+    int a = launches(f.checkIn("vm-1")).size();
+    int b = launches(f.checkIn("vm-2b")).size();
+    assertEquals(7, a + b);
+    Job spread = f.leader.job(new JobId(Jobs.id(1)));
+    assertEquals(2, spread.present.values().stream().map(p -> p.machine.zone).distinct().count());
+    Job oneZone = f.leader.job(new JobId(Jobs.id(2)));
+    assertEquals(1, oneZone.present.values().stream().map(p -> p.machine.zone).distinct().count());
+  }
+
+  @Test
+  void faultyMachineIsReturnedAndItsTasksGoElsewhere() throws IOException {
+    Floor f = oneMachine(1800);
+    f.arrive(Jobs.job(1).tasks(2).cores(5).estimateS(30).build());
+    f.checkIn("vm-1");
+    f.checkIn("vm-2");
+    f.pass(1);
+    f.ends("vm-1", Floor.task(1, 0), Report.ExitCause.ERROR);
+    f.ends("vm-1", Floor.task(1, 1), Report.ExitCause.ERROR);
+    f.checkIn("vm-1");
+    f.say("to return: " + f.leader.toDelete(f.time()));
+    f.pass(1);
+    f.checkIn("vm-2");
+    Traces.check("faulty-machine", f.trace);
+  }
+
+  @Test
+  void jobThatFailsEverywhereIsNotTakenForFaultyMachines() {
+    Floor f = oneMachine(1800);
+    f.arrive(Jobs.job(1).tasks(1).cores(5).estimateS(30).build());
+    int machine = 1;
+    for (int i = 0; i < 12; i++) {
+      String name = "vm-" + machine;
+      f.checkIn(name);
+      if (f.on.get(name).containsKey(Floor.task(1, 0))) {
+        f.ends(name, Floor.task(1, 0), Report.ExitCause.ERROR);
+        f.checkIn(name);
+      }
+      machine = machine % 4 + 1;
+      f.pass(1);
+    }
+    Job job = f.leader.job(new JobId(Jobs.id(1)));
+    assertTrue(job.failsEverywhere());
+    assertTrue(job.errors <= 6, "it loops hot: " + job.errors);
+    assertTrue(f.leader.toDelete(f.time()).isEmpty(), "its machines are sound");
+  }
+
+  @Test
+  void daemonsAreReplacedWhenTheirMachineIsGone() {
+    Floor f = oneMachine(1800);
+    f.arrive(Jobs.job(1).daemon().tasks(2).cores(1).estimateS(0).build());
+    assertEquals(2, launches(f.checkIn("vm-1")).size());
+    f.checkIn("vm-2");
+    f.leader.deleted(List.of(new MachineId("vm-1")), f.time());
+    f.pass(1);
+    assertEquals(2, launches(f.checkIn("vm-2")).size());
+  }
+
+  @Test
+  void resultIsClearedOnlyOnceItIsRecorded() {
+    Floor f = oneMachine(1800);
+    f.arrive(Jobs.job(1).tasks(2).cores(10).build());
+    f.checkIn("vm-1");
+    f.ends("vm-1", Floor.task(1, 0), Report.ExitCause.DONE);
+    f.pass(1);
+    assertFalse(f.checkIn("vm-1").stream().anyMatch(o -> o instanceof Order.Clear));
+    Job job = f.leader.toRecord().get(0);
+    f.leader.recorded(job, (BitSet) job.doneTasks().clone());
+    f.pass(1);
+    assertTrue(f.checkIn("vm-1").stream().anyMatch(o -> o instanceof Order.Clear));
+  }
+
+  /** Work of low priority whose time runs out queues with work of normal priority. */
+  @Test
+  void pressedWorkRises() {
+    Floor f = oneMachine(1800);
+    f.arrive(Jobs.job(1).cores(10).estimateS(60).build());
+    f.checkIn("vm-1");
+    f.arrive(Jobs.job(2).cores(10).estimateS(20).priority(Priority.LOW).deadlineS(90).build());
+    f.work("vm-1", 50);
+    f.arrive(Jobs.job(3).cores(10).estimateS(20).build());
+    f.ends("vm-1", Floor.task(1, 0), Report.ExitCause.DONE);
+    assertEquals(List.of(Floor.task(2, 0)), launches(f.checkIn("vm-1")));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -0,0 +1,487 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.Attempt;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.MachineId;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.Order;
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Report;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.TaskId;
+import io.saltflow.protocol.Term;
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.core.source64.SplitMix64;
+
+/**
+ * Stand-ins for workers, cloud and state service in memory, under a virtual clock, with the rules
+ * checked after each step. A step is half a second. Everything random comes from the seed.
+ */
+final class World {
+  static final long STEP = 500;
+  static final long LEASE = 16_000;
+  static final long CANCEL = 41_000;
+  static final long LEADER_LEASE = 5_000;
+
+  /** A job as the state service holds it. */
+  static final class JobRecord {
+    final JobSpec spec;
+    final long at;
+    BitSet done = new BitSet();
+    boolean started;
+    boolean over;
+    long cancelledAt = -1;
+
+    JobRecord(JobSpec spec, long at) {
+      this.spec = spec;
+      this.at = at;
+    }
+  }
+
+  private static final class OnMachine {
+    final Attempt attempt;
+    Report.TaskState state = Report.TaskState.FETCHING;
+    Report.ExitCause cause;
+    long fetchedAt;
+    long endsAt;
+
+    OnMachine(Attempt attempt, long fetchedAt) {
+      this.attempt = attempt;
+      this.fetchedAt = fetchedAt;
+    }
+
+    boolean exited() {
+      return state == Report.TaskState.EXITED;
+    }
+  }
+
+  /** A machine with its worker. */
+  final class Worker {
+    final MachineId id;
+    final String zone;
+    final boolean spot;
+    final long upAt;
+    final Map<TaskId, OnMachine> tasks = new LinkedHashMap<>();
+    long session = 1;
+    long tick;
+    Term token = Term.NONE;
+    long leaseFrom;
+    long nextReport;
+    boolean dead;
+    boolean failsAll;
+    long cutUntil;
+    long hungUntil;
+
+    Worker(MachineId id, String zone, boolean spot, long upAt) {
+      this.id = id;
+      this.zone = zone;
+      this.spot = spot;
+      this.upAt = upAt;
+      this.leaseFrom = upAt;
+      this.nextReport = upAt;
+    }
+
+    Report report() {
+      List<Report.TaskReport> list = new ArrayList<>();
+      tasks.forEach(
+          (id, t) -> list.add(new Report.TaskReport(id, t.attempt, t.state, t.cause, false)));
+      return new Report(this.id, "", TYPE.name(), zone, spot, session, ++tick, token, null, list);
+    }
+
+    void step() {
+      if (dead || now < upAt || now < hungUntil) {
+        return;
+      }
+      if (now - leaseFrom > LEASE) {
+        tasks.clear();
+        session++;
+        leaseFrom = now;
+        nextReport = now;
+        say(id + " lets its lease run out");
+      }
+      tasks.forEach(this::progress);
+    }
+
+    private void progress(TaskId id, OnMachine t) {
+      JobRecord job = records.get(id.job());
+      if (t.state == Report.TaskState.FETCHING && now >= t.fetchedAt) {
+        if (failsAll) {
+          t.state = Report.TaskState.EXITED;
+          t.cause = Report.ExitCause.ERROR;
+          nextReport = now;
+          return;
+        }
+        checkStart(this, id, job);
+        t.state = Report.TaskState.RUNNING;
+        t.endsAt = now + job.spec.estimate().ms();
+      } else if (t.state == Report.TaskState.RUNNING && now >= t.endsAt) {
+        t.state = Report.TaskState.EXITED;
+        t.cause = Report.ExitCause.DONE;
+        nextReport = now;
+      }
+    }
+
+    void obey(Term from, List<Order> orders) {
+      if (from.compareTo(token) < 0) {
+        return;
+      }
+      if (!from.equals(token)) {
+        token = from;
+        nextReport = now + STEP;
+      }
+      for (Order o : orders) {
+        OnMachine t = tasks.get(o.task());
+        if (o instanceof Order.Launch) {
+          if (t == null) {
+            tasks.put(o.task(), new OnMachine(o.attempt(), now + 1000));
+            say(id + " is told to launch " + o.task());
+            nextReport = now + STEP;
+          }
+        } else if (t != null && t.attempt.equals(o.attempt())) {
+          if (o instanceof Order.Halt && !t.exited()) {
+            t.state = Report.TaskState.EXITED;
+            t.cause = Report.ExitCause.STOPPED;
+            say(id + " stops " + o.task());
+            nextReport = now + STEP;
+          } else if (o instanceof Order.Clear && t.exited()) {
+            tasks.remove(o.task());
+          }
+        }
+      }
+    }
+  }
+
+  /** A node that leads, or believes so. */
+  final class Lead {
+    final Leader core;
+    final Authority authority;
+    long cutUntil;
+
+    Lead(Leader core, Authority authority) {
+      this.core = core;
+      this.authority = authority;
+    }
+
+    boolean cut() {
+      return now < cutUntil;
+    }
+  }
+
+  private record Held(long until, Report report) {}
+
+  static final MachineType TYPE =
+      new MachineType("box", new Size(8, 0, 32), 1, 0.4, 0.1, Span.seconds(15), List.of("a", "b"));
+
+  final UniformRandomProvider random;
+  final Policy policy;
+  final Map<JobId, JobRecord> records = new TreeMap<>();
+  final Set<Leader.LedgerEntry> ledger = new HashSet<>();
+  final Map<MachineId, Worker> workers = new TreeMap<>();
+  final List<String> trace = new ArrayList<>();
+  final List<String> broken = new ArrayList<>();
+  final List<Lead> old = new ArrayList<>();
+  private final List<Held> held = new ArrayList<>();
+  Lead lead;
+  long now = 1000;
+  long termNumber;
+  long electAt;
+  long cloudDownUntil;
+  int started;
+  private int machineNumber;
+
+  /** Guards that a test may take away, to see that the checks would notice. */
+  boolean forgetLedger;
+
+  double loss;
+
+  World(long seed, Policy policy) {
+    this.random = new SplitMix64(seed);
+    this.policy = policy;
+    this.electAt = now;
+  }
+
+  static Policy policy(Span lease) {
+    return new Policy(
+        Span.seconds(3),
+        lease,
+        Authority.keepBound(Span.millis(LEASE), Span.millis(CANCEL)),
+        Map.of(
+            "red",
+            new Policy.Team("red", 16, 48, 0, 0),
+            "blue",
+            new Policy.Team("blue", 0, 0, 0, 0)),
+        Map.of(),
+        0.2,
+        Span.seconds(1800),
+        Priority.HIGH,
+        Span.seconds(6),
+        Span.seconds(60),
+        1.8,
+        Span.seconds(45),
+        Span.seconds(90),
+        Span.seconds(12),
+        Span.seconds(60),
+        Span.seconds(10),
+        3,
+        2);
+  }
+
+  Time time() {
+    return new Time(now);
+  }
+
+  void say(String what) {
+    trace.add(String.format("%7.1f  %s", now / 1000.0, what));
+  }
+
+  boolean chance(double p) {
+    return random.nextDouble() < p;
+  }
+
+  void submit(JobSpec spec) {
+    records.put(spec.id(), new JobRecord(spec, now));
+    say(spec.id() + " is submitted");
+  }
+
+  void cancel(JobId id) {
+    JobRecord r = records.get(id);
+    if (!r.over) {
+      r.over = true;
+      r.cancelledAt = now;
+      say(id + " is cancelled");
+    }
+  }
+
+  /** A rule: nothing starts twice, in the wrong place, beyond a limit, or after a cancel. */
+  private void checkStart(Worker w, TaskId id, JobRecord job) {
+    started++;
+    say(id + " starts on " + w.id);
+    double team = 0;
+    int zoneHere = 0;
+    int zoneElsewhere = 0;
+    for (Worker other : workers.values()) {
+      if (other.dead) {
+        continue;
+      }
+      for (Map.Entry<TaskId, OnMachine> e : other.tasks.entrySet()) {
+        boolean on = e.getValue().state == Report.TaskState.RUNNING;
+        boolean self = other == w && e.getKey().equals(id);
+        if (!on && !self) {
+          continue;
+        }
+        if (!self && e.getKey().equals(id)) {
+          broken.add("ran_twice: " + id + " on " + w.id + " and " + other.id + " at " + now);
+        }
+        JobRecord r = records.get(e.getKey().job());
+        if (r.spec.team().equals(job.spec.team())) {
+          team += r.spec.size().cores();
+        }
+        if (r == job && !self) {
+          if (other.zone.equals(w.zone)) {
+            zoneHere++;
+          } else {
+            zoneElsewhere++;
+          }
+        }
+      }
+    }
+    double limit = policy.teams().get(job.spec.team()).coresLimit();
+    if (limit > 0 && team > limit) {
+      broken.add("quota: " + job.spec.team() + " uses " + team + " at " + now);
+    }
+    JobSpec s = job.spec;
+    if (!s.allows("box", w.zone, w.spot)
+        || (s.oneZone() && zoneElsewhere > 0)
+        || (s.spread() && zoneHere + 1 > s.spreadLimit())) {
+      broken.add("wrong_place: " + id + " on " + w.id + " at " + now);
+    }
+    if (job.cancelledAt >= 0 && now > job.cancelledAt + CANCEL) {
+      broken.add("ran_cancelled: " + id + " starts at " + now);
+    }
+  }
+
+  private void checkCancelled() {
+    for (Worker w : workers.values()) {
+      for (TaskId id : w.tasks.keySet()) {
+        JobRecord r = records.get(id.job());
+        boolean on = !w.dead && !w.tasks.get(id).exited();
+        if (on && r.cancelledAt >= 0 && now > r.cancelledAt + CANCEL && now >= w.hungUntil) {
+          broken.add("ran_cancelled: " + id + " on " + w.id + " at " + now);
+        }
+      }
+    }
+  }
+
+  void step() {
+    now += STEP;
+    elect();
+    workers.values().forEach(Worker::step);
+    deliverHeld();
+    for (Worker w : new ArrayList<>(workers.values())) {
+      report(w);
+    }
+    if (lead != null && !lead.cut()) {
+      drive(lead);
+    }
+    checkCancelled();
+  }
+
+  void run(double seconds) {
+    for (long end = now + (long) (seconds * 1000); now < end; ) {
+      step();
+    }
+  }
+
+  private void elect() {
+    if (lead != null || now < electAt) {
+      return;
+    }
+    List<Job> jobs = new ArrayList<>();
+    for (JobRecord r : records.values()) {
+      if (!r.over) {
+        jobs.add(new Job(r.spec, r.at, (BitSet) r.done.clone(), r.started));
+      }
+    }
+    Term term = new Term(++termNumber);
+    Authority authority = new Authority(Span.millis(LEADER_LEASE), policy.keepAfterSync());
+    authority.won(term, Stamp.ABSENT, time());
+    List<Leader.LedgerEntry> known = forgetLedger ? List.of() : new ArrayList<>(ledger);
+    lead = new Lead(new Leader(policy, term, jobs, known, List.of(TYPE), time(), now), authority);
+    say("term " + term + " begins");
+  }
+
+  /** The leader ends, or is cut off for so long; a successor comes when its lease is over. */
+  void loseLeader(long cutFor) {
+    if (lead == null) {
+      return;
+    }
+    say(cutFor > 0 ? "the leader is cut off" : "the leader crashes");
+    if (cutFor > 0) {
+      lead.cutUntil = now + cutFor;
+      old.add(lead);
+    }
+    lead = null;
+    electAt = now + LEADER_LEASE + 500;
+  }
+
+  private void report(Worker w) {
+    if (w.dead || now < w.upAt || now < w.hungUntil || now < w.nextReport) {
+      return;
+    }
+    w.nextReport = now + 3000;
+    Report r = w.report();
+    if (now < w.cutUntil) {
+      // Held back by the cut, and delivered when it ends, however old it is by then.
+      held.add(new Held(w.cutUntil, r));
+      return;
+    }
+    Lead to = lead;
+    for (Lead o : old) {
+      if (o.cut() && w.zone.equals("b")) {
+        to = o;
+      }
+    }
+    if (to == null) {
+      return;
+    }
+    answer(w, to, r, true);
+  }
+
+  private void answer(Worker w, Lead to, Report r, boolean inTime) {
+    if (!to.authority.mayKeep(time()) || r.token().compareTo(to.core.term()) > 0) {
+      return;
+    }
+    List<Order> orders = to.core.onReport(r, to.authority.mayLaunch(time()), time());
+    if (orders == null || !inTime || chance(loss)) {
+      return;
+    }
+    if (to.core.term().compareTo(w.token) >= 0) {
+      w.leaseFrom = now;
+      w.obey(to.core.term(), orders);
+    }
+  }
+
+  private void deliverHeld() {
+    for (Held h : new ArrayList<>(held)) {
+      if (now >= h.until && lead != null) {
+        held.remove(h);
+        Worker w = workers.get(h.report.machine());
+        if (w != null) {
+          answer(w, lead, h.report, false);
+        }
+      }
+    }
+  }
+
+  private void drive(Lead l) {
+    l.authority.renewed(time());
+    l.authority.synced(time());
+    Leader core = l.core;
+    for (JobRecord r : records.values()) {
+      if (r.over && core.job(r.spec.id()) != null) {
+        core.jobGone(r.spec.id(), time());
+      } else if (!r.over) {
+        core.jobSeen(r.spec, r.at, r.started);
+      }
+    }
+    for (Job j : core.toMark()) {
+      records.get(j.id()).started = true;
+      core.marked(j, true);
+    }
+    core.tick(time());
+    for (Job j : core.toFinish()) {
+      records.get(j.id()).over = true;
+      core.finished(j);
+      say(j.id() + " is done");
+    }
+    for (Job j : core.toRecord()) {
+      core.recording(j);
+      records.get(j.id()).done = (BitSet) j.doneTasks().clone();
+      core.recorded(j, (BitSet) j.doneTasks().clone());
+    }
+    List<Leader.LedgerEntry> entries = core.toLedger();
+    ledger.addAll(entries);
+    core.ledgered(entries, true);
+    if (now < cloudDownUntil) {
+      return;
+    }
+    for (Leader.Rental r : core.toRent(time())) {
+      List<MachineId> hosts = new ArrayList<>();
+      for (int i = 0; i < r.count() && workers.size() < 24; i++) {
+        MachineId id = new MachineId(String.format("vm-%06d", machineNumber++));
+        workers.put(id, new Worker(id, r.zone(), r.spot(), now + 8000 + random.nextInt(16) * 500));
+        hosts.add(id);
+      }
+      say(hosts.size() + " of " + r.count() + " machines are rented in " + r.zone());
+      core.hired(r, hosts, time());
+    }
+    List<MachineId> gone = core.toDelete(time());
+    if (!gone.isEmpty()) {
+      gone.forEach(workers::remove);
+      gone.forEach(id -> ledger.removeIf(e -> e.id().equals(id)));
+      core.deleted(gone, time());
+      say(gone.size() + " machines are returned");
+    }
+  }
+
+  boolean allOver() {
+    return records.values().stream().allMatch(r -> r.over);
+  }
+
+  Worker anyWorker() {
+    List<Worker> all = new ArrayList<>(workers.values());
+    return all.isEmpty() ? null : all.get(random.nextInt(all.size()));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/protocol/WireTest.java
@@ -0,0 +1,191 @@
+package io.saltflow.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import org.apache.avro.Schema;
+import org.apache.avro.generic.GenericDatumReader;
+import org.apache.avro.generic.GenericRecord;
+import org.apache.avro.io.DecoderFactory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Messages that are taken, and messages that are refused with a reason. */
+class WireTest {
+  private static Body submission() {
+    return Body.of()
+        .with("id", "req-000412")
+        .with("lane", "train")
+        .with("crew", "vision")
+        .with("shape", "array")
+        .with("urgency", "high")
+        .with("shards", 16)
+        .with("cores", 8.0)
+        .with("gpus", 1)
+        .with("ramGb", 64.0)
+        .with("bundle", "img-07")
+        .with("sizeGb", 6.2)
+        .with("rigs", List.of("g8"))
+        .with("yard", null)
+        .with("together", true)
+        .with("apart", false)
+        .with("loaners", true)
+        .with("expectS", 240.0)
+        .with("snapshotS", 30.0)
+        .with("flushS", 4.0)
+        .with("dueS", 900.0)
+        .with("somethingNew", List.of(1, 2));
+  }
+
+  private static Body sent(Body b) throws BadMessage {
+    return MsgPack.decode(MsgPack.encode(b));
+  }
+
+  @Test
+  void jobSurvivesTheWireAndTheRecord() throws BadMessage {
+    JobSpec spec = JobCodec.decode(sent(submission()));
+    assertEquals(new Size(8, 1, 64), spec.size());
+    assertEquals(Priority.HIGH, spec.priority());
+    assertEquals(spec, JobCodec.decode(sent(JobCodec.encode(spec))));
+    Body bare = submission();
+    bare.fields().keySet().removeAll(List.of("rigs", "yard", "dueS"));
+    assertEquals(null, JobCodec.decode(sent(bare)).deadline());
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "id",
+        "lane",
+        "crew",
+        "shape",
+        "urgency",
+        "shards",
+        "cores",
+        "gpus",
+        "ramGb",
+        "bundle",
+        "sizeGb",
+        "together",
+        "apart",
+        "loaners",
+        "expectS",
+        "snapshotS",
+        "flushS"
+      })
+  void missingOrMistypedFieldIsNamed(String field) {
+    Body missing = submission();
+    missing.fields().remove(field);
+    BadMessage e = assertThrows(BadMessage.class, () -> JobCodec.decode(sent(missing)));
+    assertTrue(e.getMessage().startsWith(field), e.getMessage());
+    Body mistyped = submission().with(field, List.of());
+    assertThrows(BadMessage.class, () -> JobCodec.decode(sent(mistyped)));
+  }
+
+  @Test
+  void valuesOutOfRangeAreRefused() {
+    for (Object[] bad :
+        new Object[][] {
+          {"cores", -1.0},
+          {"cores", Double.NaN},
+          {"cores", Double.POSITIVE_INFINITY},
+          {"shards", 0},
+          {"shards", 100_001},
+          {"shards", 2.5},
+          {"shards", -1L},
+          {"id", "req-"},
+          {"id", "job-1"},
+          {"id", "req-12x"},
+          {"id", "req-1/../../x"},
+          {"shape", "gang"},
+          {"urgency", "low"},
+          {"rigs", "g8"},
+          {"rigs", List.of(1)}
+        }) {
+      Body b = submission().with((String) bad[0], bad[1]);
+      assertThrows(BadMessage.class, () -> JobCodec.decode(sent(b)), bad[0] + "=" + bad[1]);
+    }
+  }
+
+  /** Guards against headers that claim billions, bottomless nesting, and anything cut short. */
+  @Test
+  void hostileBytesAreRefusedCheaply() {
+    byte[] whole = MsgPack.encode(submission());
+    for (int cut = 0; cut < whole.length; cut++) {
+      byte[] part = Arrays.copyOf(whole, cut);
+      assertThrows(BadMessage.class, () -> MsgPack.decode(part), "cut at " + cut);
+    }
+    byte[] huge = {(byte) 0xdf, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff};
+    assertThrows(BadMessage.class, () -> MsgPack.decode(huge));
+    byte[] deep = new byte[60_000];
+    Arrays.fill(deep, (byte) 0x91);
+    assertThrows(BadMessage.class, () -> MsgPack.decode(deep));
+    assertThrows(BadMessage.class, () -> MsgPack.decode(new byte[] {(byte) 0x93, 1, 2, 3}));
+    assertThrows(BadMessage.class, () -> MsgPack.decode(Arrays.copyOf(whole, whole.length + 1)));
+  }
+
+  @Test
+  void integersUpToTwoToTheSixtyFourKeepTheirBits() throws BadMessage {
+    byte[] max = {(byte) 0x81, (byte) 0xa1, 'n', (byte) 0xcf, -1, -1, -1, -1, -1, -1, -1, -1};
+    assertEquals(-1L, MsgPack.decode(max).integer("n"));
+    assertTrue(new Term(-1L).compareTo(new Term(5)) > 0);
+    assertEquals("18446744073709551615", new Attempt(-1L).toString());
+  }
+
+  @Test
+  void reportIsReadAndOrdersAreWritten() throws BadMessage {
+    Body task =
+        Body.of()
+            .with("shard", "req-000398/0")
+            .with("try", 1)
+            .with("phase", "exited")
+            .with("cause", "done");
+    Body b =
+        Body.of()
+            .with("host", "vm-000231")
+            .with("addr", "10.1.0.232:9000")
+            .with("rig", "g8")
+            .with("yard", "a")
+            .with("loaners", true)
+            .with("shift", 1)
+            .with("tick", 88)
+            .with("baton", 41)
+            .with("warningS", null)
+            .with("shards", List.of(task));
+    Report r = WorkerCodec.decodeReport(sent(b));
+    assertEquals(Report.ExitCause.DONE, r.tasks().get(0).cause());
+    assertTrue(r.newerThan(1, 87));
+    Order halt = new Order.Halt(r.tasks().get(0).task(), new Attempt(1), Span.seconds(10));
+    Body answer = sent(WorkerCodec.encodeOrders(new Term(41), List.of(halt)));
+    assertEquals(
+        "{verb=halt, shard=req-000398/0, try=1, windDownS=10.0}",
+        new LinkedHashMap<>(answer.maps("orders").get(0).fields()).toString());
+  }
+
+  /** The field-by-field writer keeps to the schema that other programs read by. */
+  @Test
+  void beatIsAvroByItsSchema() throws IOException, BadMessage {
+    List<Beat.Counts> counts = new ArrayList<>();
+    counts.add(new Beat.Counts(new JobId("req-1"), 2, 3));
+    Beat beat = new Beat("saltbox-1", new Term(9), true, 40, counts);
+    assertEquals(beat, Beat.decode(beat.encode()));
+    try (InputStream in = Beat.class.getResourceAsStream("/mesh.avsc")) {
+      Schema schema = new Schema.Parser().parse(in);
+      GenericRecord record =
+          new GenericDatumReader<GenericRecord>(schema)
+              .read(null, DecoderFactory.get().binaryDecoder(beat.encode(), null));
+      assertEquals("saltbox-1", record.get("host").toString());
+      assertEquals(
+          "[{\"job\": \"req-1\", \"done\": 2, \"running\": 3}]", record.get("jobs").toString());
+    }
+    assertThrows(BadMessage.class, () -> Beat.decode(new byte[] {2, 'x', 1}));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/transport/HttpParserTest.java
@@ -0,0 +1,87 @@
+package io.saltflow.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** HTTP as it comes: in pieces, in chunks, and wrong. */
+class HttpParserTest {
+  private static ByteBuffer bytes(String text) {
+    return ByteBuffer.wrap(text.replace("~", "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+  }
+
+  @Test
+  void requestIsReadByteByByte() throws HttpParser.Malformed {
+    HttpParser p = new HttpParser(true, 100);
+    ByteBuffer all = bytes("POST /checkin HTTP/1.1~Host: x~Content-Length: 5~~hello");
+    while (all.hasRemaining()) {
+      assertFalse(p.complete());
+      p.feed(ByteBuffer.wrap(new byte[] {all.get()}));
+    }
+    assertTrue(p.complete());
+    assertEquals("POST", p.method());
+    assertEquals("/checkin", p.target());
+    assertEquals("hello", new String(p.body(), StandardCharsets.ISO_8859_1));
+    assertFalse(p.wantsClose());
+  }
+
+  @Test
+  void chunksAreJoinedAndResponsesRead() throws HttpParser.Malformed {
+    HttpParser p = new HttpParser(false, 100);
+    assertTrue(
+        p.feed(
+            bytes(
+                "HTTP/1.1 200 OK~Transfer-Encoding: chunked~Connection: close~~3~abc~2;x=y~de~0~~")));
+    assertEquals(200, p.status());
+    assertEquals("abcde", new String(p.body(), StandardCharsets.ISO_8859_1));
+    assertTrue(p.wantsClose());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "400 | GET /~~",
+        "400 | nonsense~~",
+        "400 | GET / FTP/1.1~~",
+        "400 | GET / HTTP/1.1~no colon~~",
+        "400 | POST / HTTP/1.1~Content-Length: x~~",
+        "400 | POST / HTTP/1.1~Content-Length: -1~~",
+        "400 | POST / HTTP/1.1~Content-Length: 1~Content-Length: 2~~",
+        "400 | POST / HTTP/1.1~Content-Length: 1~Transfer-Encoding: chunked~~",
+        "413 | POST / HTTP/1.1~Content-Length: 101~~",
+        "413 | POST / HTTP/1.1~Content-Length: 99999999999~~",
+        "413 | POST / HTTP/1.1~Transfer-Encoding: chunked~~fffffff~",
+        "501 | POST / HTTP/1.1~Transfer-Encoding: gzip~~"
+      })
+  void malformedIsRefused(int status, String text) {
+    HttpParser p = new HttpParser(true, 100);
+    ByteBuffer in = bytes(text.strip() + "x".repeat(200));
+    HttpParser.Malformed e = assertThrows(HttpParser.Malformed.class, () -> p.feed(in));
+    assertEquals(status, e.status());
+  }
+
+  @Test
+  void linesAndHeadersAreBounded() {
+    HttpParser long1 = new HttpParser(true, 100);
+    assertEquals(
+        414,
+        assertThrows(
+                HttpParser.Malformed.class, () -> long1.feed(bytes("GET /" + "a".repeat(5000))))
+            .status());
+    HttpParser many = new HttpParser(true, 100);
+    assertEquals(
+        431,
+        assertThrows(
+                HttpParser.Malformed.class,
+                () -> many.feed(bytes("GET / HTTP/1.1~" + "a: b~".repeat(70))))
+            .status());
+  }
+}
