--- a/src/main/java/io/saltflow/app/Rehearsal.java
+++ b/src/main/java/io/saltflow/app/Rehearsal.java
@@ -151,7 +151,7 @@
     }
     client.call("POST", Wire.PATH_JOBS, body, patience, a -> {});
     client.call("POST", Wire.PATH_CHECKIN, body, patience, a -> {});
-    loop.after(Span.millis(1500), node, loop::stop);
+    loop.after(Span.millis(1500), node, loop::pause);
     loop.run();
     node.cancel();
   }
--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -195,6 +195,7 @@
         };
     if (p.state == Presence.State.RUNNING && p.runningSince == null) {
       p.runningSince = now;
+      LOG.debug("{} runs on {}, {} s after its launch", p.task(), m.id, sinceLaunch(p, now));
       m.remember(job.spec.image());
     }
     if (p.state == Presence.State.SAVING && !p.stopping) {
@@ -202,6 +203,10 @@
     }
   }
 
+  private static double sinceLaunch(Presence p, Time now) {
+    return now.since(p.launchedAt).toSeconds();
+  }
+
   private void exited(Machine m, Job job, Presence p, Report.TaskReport t, Time now) {
     if (job == null || t.task().index() >= job.spec.tasks()) {
       return;
--- a/src/main/java/io/saltflow/transport/Loop.java
+++ b/src/main/java/io/saltflow/transport/Loop.java
@@ -35,7 +35,7 @@
   private final Selector selector;
   private final PriorityQueue<Timer> timers = new PriorityQueue<>();
   private long timerOrder;
-  private boolean running = true;
+  private boolean running;
 
   public Loop() throws IOException {
     selector = Selector.open();
@@ -65,13 +65,14 @@
     return channel.register(selector, ops, handler);
   }
 
-  public void stop() {
+  /** Lets {@link #run} return; it may be called again. */
+  public void pause() {
     running = false;
-    selector.wakeup();
   }
 
-  /** Runs until {@link #stop}. */
+  /** Runs until {@link #pause}. */
   public void run() throws IOException {
+    running = true;
     while (running) {
       long wait = fireTimers();
       if (wait == 0) {
@@ -86,7 +87,6 @@
         dispatch(key);
       }
     }
-    selector.close();
   }
 
   private void dispatch(SelectionKey key) {
--- /dev/null
+++ b/src/test/java/io/saltflow/app/ConfigTest.java
@@ -0,0 +1,127 @@
+package io.saltflow.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.protocol.Span;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Settings and the command line. */
+class ConfigTest {
+  static final String SETTINGS =
+      """
+      host_name = "node-0"
+      zone = "a"
+      serve_on = "127.0.0.1:0"
+      mesh_addr = "127.0.0.1:0"
+      something_new = true
+      [endpoints]
+      cloud = "10.9.9.9:1"
+      state = "10.9.9.9:1"
+      [settings]
+      size = 1
+      zones = ["a"]
+      [[settings.teams]]
+      name = "red"
+      cpus = 4.0
+      cpus_max = 40.0
+      [[settings.objectives]]
+      kind = "finished"
+      class = "pages"
+      within_s = 300.0
+      share = 0.9
+      [[settings.objectives]]
+      kind = "finished"
+      class = "pages"
+      within_s = 200.0
+      share = 0.9
+      [settings.workers]
+      report_s = 3.0
+      lease_s = 20.0
+      cancel_s = 40.0
+      [settings.state]
+      rps = 100.0
+      write_rps = 25.0
+      value_kb = 8.0
+      txn_ops = 8
+      [settings.cloud]
+      rps = 4.0
+      list_lag_s = 5.0
+      """;
+
+  @TempDir Path folder;
+  private final ByteArrayOutputStream said = new ByteArrayOutputStream();
+
+  private int run(String... args) {
+    PrintStream out = new PrintStream(said, true, StandardCharsets.UTF_8);
+    return Main.run(args, out, out);
+  }
+
+  private String file(String name, String text) throws IOException {
+    Path file = folder.resolve(name);
+    Files.writeString(file, text);
+    return file.toString();
+  }
+
+  @Test
+  void platformSettingsAreRead() throws ConfigError {
+    Config c = Config.parse(SETTINGS);
+    assertEquals(40.0, c.teams().get("red").coresLimit());
+    assertEquals(Span.seconds(200), c.dueByClass().get("pages"), "the tightest aim counts");
+    assertEquals(8, c.txnOps());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "host_name | host_name = \"node-0\" | x = 1",
+        "serve_on | 127.0.0.1:0 | localhost:0",
+        "endpoints.state | state = \"10.9.9.9:1\" | state = \"10.9.9.9:99999\"",
+        "settings.workers.lease_s | lease_s = 20.0 | lease_s = \"long\"",
+        "settings.state.txn_ops | txn_ops = 8 | txn_ops = 0",
+        "settings.cloud.rps | rps = 4.0 | rps = -1.0",
+        "not TOML | [settings.cloud] | [settings.cloud"
+      })
+  void badFieldIsNamed(String named, String good, String bad) {
+    ConfigError e =
+        assertThrows(ConfigError.class, () -> Config.parse(SETTINGS.replace(good, bad)));
+    assertTrue(e.getMessage().startsWith(named), e.getMessage());
+  }
+
+  @Test
+  void commandLineSaysWhatIsWrong() throws IOException {
+    String good = file("good.toml", SETTINGS);
+    assertEquals(0, run("check-config", "--config", good));
+    assertEquals(0, run("--help"));
+    assertEquals(0, run("--version"));
+    assertEquals(2, run("check-config", "--config", folder.resolve("none").toString()));
+    assertEquals(2, run("check-config"));
+    assertEquals(2, run("dance"));
+    assertEquals(2, run("serve", "--config", file("bad.toml", "host_name = 3")));
+    assertTrue(said.toString(StandardCharsets.UTF_8).contains("host_name: text is required"));
+  }
+
+  @Test
+  void operatorSettingsAreCheckedByTheirSchema() throws IOException {
+    String config = file("good.toml", SETTINGS);
+    String good = file("ops.json", "{\"horizonS\": 30, \"preemptFrom\": \"critical\"}");
+    assertEquals(0, run("check-config", "--config", config, "--settings", good));
+    String unknown = file("unknown.json", "{\"horizon\": 30}");
+    assertEquals(2, run("check-config", "--config", config, "--settings", unknown));
+    assertTrue(said.toString(StandardCharsets.UTF_8).contains("horizon"));
+    String range = file("range.json", "{\"scaleDown\": 2}");
+    assertEquals(2, run("check-config", "--config", config, "--settings", range));
+    assertEquals(2, run("check-config", "--config", config, "--settings", file("x.json", "{")));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -0,0 +1,165 @@
+package io.saltflow.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** One node on loopback before stand-ins: what users are told, in order and in an outage. */
+class NodeTest {
+  private static final byte[] NOTHING = new byte[0];
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private final StandInState state = new StandInState();
+  private final Root root = new Root();
+  private Loop loop;
+  private Node node;
+  private HttpClient user;
+  private int status;
+  private Body body;
+
+  @BeforeEach
+  void start() throws IOException, ConfigError {
+    loop = new Loop();
+    HttpServer outside =
+        new HttpServer(root, loop, Addresses.parse("127.0.0.1:0"), 64, state::handle);
+    String at = "127.0.0.1:" + outside.port();
+    Config config = Config.parse(ConfigTest.SETTINGS.replace("10.9.9.9:1", at));
+    node = new Node(loop, config, OperatorSettings.defaults(), 1);
+    node.start();
+    user = new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + node.port()), 4, 16);
+    call("GET", "/healthz", NOTHING);
+    assertEquals(200, status);
+    for (int i = 0; i < 200 && submit("req-000001", "red") == 503; i++) {
+      // The machine types are not known in the first moments.
+      loop.after(Span.millis(20), root, loop::pause);
+      loop.run();
+    }
+    assertEquals(201, status);
+  }
+
+  @AfterEach
+  void end() {
+    node.cancel();
+    root.cancel();
+  }
+
+  private int call(String method, String path, byte[] sent) throws IOException {
+    status = -1;
+    user.call(
+        method,
+        path,
+        sent,
+        Span.seconds(10),
+        a -> {
+          status = a.status();
+          try {
+            body = a.body().length == 0 ? null : MsgPack.decode(a.body());
+          } catch (BadMessage e) {
+            body = null;
+          }
+          loop.after(Span.millis(1), root, loop::pause);
+        });
+    loop.run();
+    return status;
+  }
+
+  private int submit(String id, String crew) throws IOException {
+    return call("POST", "/submissions", MsgPack.encode(submission(id, crew)));
+  }
+
+  private static Body submission(String id, String crew) {
+    return Body.of()
+        .with("id", id)
+        .with("lane", "c")
+        .with("crew", crew)
+        .with("shape", "array")
+        .with("urgency", "normal")
+        .with("shards", 2)
+        .with("cores", 2.0)
+        .with("gpus", 0.0)
+        .with("ramGb", 1.0)
+        .with("bundle", "i")
+        .with("sizeGb", 1.0)
+        .with("together", false)
+        .with("apart", false)
+        .with("loaners", true)
+        .with("expectS", 10.0)
+        .with("snapshotS", 0.0)
+        .with("flushS", 0.0);
+  }
+
+  @Test
+  void aJobsLifeAsItsUserSeesIt() throws IOException {
+    assertEquals(200, submit("req-000001", "red"), "known already");
+    assertEquals(200, submit("req-000001", "nobody"), "known ids are not judged again");
+    assertEquals(200, call("GET", "/submissions/req-000001", NOTHING));
+    assertEquals("pending", body.get("phase"));
+    assertEquals(404, call("GET", "/submissions/req-000009", NOTHING));
+    assertEquals(404, call("POST", "/submissions/req-000009/withdraw", NOTHING));
+    assertEquals(200, call("POST", "/submissions/req-000001/withdraw", NOTHING));
+    assertEquals("cancelled", body.get("phase"));
+    assertEquals(200, call("POST", "/submissions/req-000001/withdraw", NOTHING));
+    assertEquals(200, submit("req-000001", "red"));
+    assertEquals("cancelled", body.get("phase"), "it never comes back");
+    assertTrue(state.keys.containsKey("over/req-000001"));
+    assertTrue(!state.keys.containsKey("live/req-000001"));
+  }
+
+  @Test
+  void whatCannotBeTakenIsRefusedWithItsReason() throws IOException {
+    assertEquals(422, submit("req-000002", "nobody"));
+    assertNotNull(body.get("error"));
+    assertEquals(400, call("POST", "/submissions", new byte[] {1, 2, 3}));
+    Body big = submission("req-000003", "red").with("cores", 9.0);
+    assertEquals(422, call("POST", "/submissions", MsgPack.encode(big)));
+    Body gang = submission("req-000004", "red").with("shape", "gang");
+    assertEquals(400, call("POST", "/submissions", MsgPack.encode(gang)));
+    assertEquals(405, call("GET", "/submissions", NOTHING));
+    assertEquals(404, call("GET", "/nothing", NOTHING));
+  }
+
+  @Test
+  void inAnOutageNothingIsToldThatIsNotKnown() throws IOException {
+    assertEquals(200, call("POST", "/submissions/req-000001/withdraw", NOTHING));
+    assertEquals(201, submit("req-000005", "red"));
+    state.down = true;
+    assertEquals(503, submit("req-000006", "red"));
+    assertEquals(503, submit("req-000005", "nobody"), "neither 200 nor 422 can be told");
+    assertEquals(503, call("GET", "/submissions/req-000005", NOTHING));
+    assertEquals(503, call("GET", "/submissions/req-000007", NOTHING), "404 would be a guess");
+    assertEquals(200, call("GET", "/submissions/req-000001", NOTHING), "an end never changes");
+    assertEquals("cancelled", body.get("phase"));
+    state.down = false;
+    while (submit("req-000006", "red") == 503) {
+      assertTrue(state.keys.size() < 100);
+    }
+    assertEquals(201, status);
+  }
+
+  /** The write was carried out though its answer was lost: the user must not hear otherwise. */
+  @Test
+  void lostAnswerOfAWriteIsCleared() throws IOException {
+    state.loseNextAnswer = true;
+    assertEquals(200, submit("req-000008", "red"));
+    assertEquals("pending", body.get("phase"));
+  }
+}
