--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -86,7 +86,7 @@
       }
     }
     double work = remainingWork(jobs, now);
-    double spare = work / Math.max(0.001, policy.horizon().toSeconds()) - fleetCores;
+    double spare = coresWanted(jobs, types, now) - fleetCores;
     for (Scheduler.Waiting w : waiting) {
       int left = w.tasks();
       if (w.job().failsEverywhere()) {
@@ -172,6 +172,45 @@
     }
   }
 
+  /**
+   * The cores with which every job would be worked off within the horizon, or sooner where its due
+   * time asks for it. Machines that are rented now are of use only once they are up.
+   */
+  private double coresWanted(Collection<Job> jobs, Collection<MachineType> types, Time now) {
+    double bootS = Double.MAX_VALUE;
+    for (MachineType type : types) {
+      bootS = Math.min(bootS, type.boot().toSeconds());
+    }
+    double horizonS = policy.horizon().toSeconds();
+    double wanted = 0;
+    for (Job job : jobs) {
+      if (job.cancelled || job.finishing) {
+        continue;
+      }
+      double cores = job.spec.size().cores();
+      if (job.spec.daemon()) {
+        wanted += cores * job.spec.tasks();
+        continue;
+      }
+      double runS = estimates.predict(job, 0).toSeconds();
+      double windowS = horizonS;
+      if (job.dueAt != null) {
+        windowS = Math.min(windowS, job.dueAt.since(now).toSeconds() - bootS);
+      }
+      wanted += cores * job.pendingCount() * Math.min(1, runS / Math.max(runS, windowS));
+      for (Presence p : job.present.values()) {
+        double leftS = Math.max(0, estimates.end(p, now).since(now).toSeconds());
+        wanted += cores * Math.min(1, leftS / horizonS);
+      }
+    }
+    return wanted;
+  }
+
+  /** How long a job's tasks may still wait so that it ends in time. */
+  private double spareS(Job job, Time now) {
+    return job.dueAt.since(now).toSeconds() - estimates.predict(job, 0).toSeconds();
+  }
+
   /** Core-seconds that all accepted work still needs, by prediction. */
   private double remainingWork(Collection<Job> jobs, Time now) {
     double work = 0;
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -36,6 +36,9 @@
   boolean startAsked;
   int errors;
 
+  /** When it should be complete, by its deadline or its class's aim; null: no such time. */
+  Time dueAt;
+
   /** Its time is running out: it queues above its own priority. */
   boolean pressed;
 
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -39,6 +39,7 @@
   private final Policy policy;
   private final Term term;
   private final Time tookOver;
+  private final long wallMinusClockMs;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private final Estimates estimates;
@@ -69,12 +70,14 @@
     this.term = term;
     this.tookOver = now;
     this.lastReport = now;
+    this.wallMinusClockMs = wallMs - now.ms();
     for (Job job : jobs) {
+      setDue(job);
       this.jobs.put(job.id(), job);
     }
     estimates = new Estimates(policy);
     fencing = new Fencing(policy, term, this.jobs, new Happenings(), now);
-    scheduler = new Scheduler(policy, estimates, wallMs - now.ms());
+    scheduler = new Scheduler(policy, estimates);
     fleet = new Fleet(policy, term, estimates);
     typesKnown(knownTypes);
     for (LedgerEntry e : ledger) {
@@ -190,9 +193,21 @@
     changed = true;
   }
 
+  private void setDue(Job job) {
+    Span due = job.spec.deadline();
+    if (due == null) {
+      due = policy.dueByClass().get(job.spec.jobClass());
+    }
+    if (due != null && !job.spec.daemon()) {
+      job.dueAt = new Time(job.arrivedWallMs - wallMinusClockMs).plus(due);
+    }
+  }
+
   public void jobSeen(JobSpec spec, long arrivedWallMs, boolean maybeStarted) {
     if (!jobs.containsKey(spec.id())) {
-      jobs.put(spec.id(), new Job(spec, arrivedWallMs, new BitSet(), maybeStarted));
+      Job job = new Job(spec, arrivedWallMs, new BitSet(), maybeStarted);
+      setDue(job);
+      jobs.put(spec.id(), job);
       changed = true;
       LOG.info(
           "{} arrived: {} {} tasks of {}, {}",
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -35,11 +35,9 @@
 
   private final Policy policy;
   private final Estimates estimates;
-  private final long wallMinusClockMs;
   private Promise promise;
 
-  Scheduler(Policy policy, Estimates estimates, long wallMinusClockMs) {
-    this.wallMinusClockMs = wallMinusClockMs;
+  Scheduler(Policy policy, Estimates estimates) {
     this.policy = policy;
     this.estimates = estimates;
   }
@@ -113,15 +111,10 @@
    * normal priority keeps coming.
    */
   private boolean pressed(Job job, Time now) {
-    Span due = job.spec.deadline();
-    if (due == null) {
-      due = policy.dueByClass().get(job.spec.jobClass());
-    }
-    if (due == null || job.spec.daemon()) {
+    if (job.dueAt == null) {
       return false;
     }
-    Span age = new Span(now.ms() + wallMinusClockMs - job.arrivedWallMs);
-    Span spare = due.minus(age).minus(estimates.predict(job, 0).times(1.3));
+    Span spare = job.dueAt.since(now).minus(estimates.predict(job, 0).times(1.3));
     return !spare.longerThan(policy.pressedSlack());
   }
 
