--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -28,7 +28,7 @@
     double dearFactor,
     double horizonS,
     double ordinaryHorizonS,
-    double idleReturnS,
+    double idleReturnBoots,
     double minimumChargeS,
     double silenceS,
     double bootPatience,
@@ -36,7 +36,7 @@
   static final String SCHEMA = "/operator-settings.schema.json";
 
   public static OperatorSettings defaults() {
-    return new OperatorSettings(5, 0.2, 1800, "high", 6, 60, 1.8, 45, 90, 12, 60, 10, 3, 2);
+    return new OperatorSettings(5, 0.2, 1800, "high", 6, 60, 1.8, 45, 90, 1, 60, 10, 3, 2);
   }
 
   /** Reads and checks the file. Only here are the JSON libraries loaded. */
@@ -69,7 +69,7 @@
         node.path("dearFactor").asDouble(d.dearFactor),
         node.path("horizonS").asDouble(d.horizonS),
         node.path("ordinaryHorizonS").asDouble(d.ordinaryHorizonS),
-        node.path("idleReturnS").asDouble(d.idleReturnS),
+        node.path("idleReturnBoots").asDouble(d.idleReturnBoots),
         node.path("minimumChargeS").asDouble(d.minimumChargeS),
         node.path("silenceS").asDouble(d.silenceS),
         node.path("bootPatience").asDouble(d.bootPatience),
@@ -95,7 +95,7 @@
         dearFactor,
         Span.seconds(horizonS),
         Span.seconds(ordinaryHorizonS),
-        Span.seconds(idleReturnS),
+        idleReturnBoots,
         Span.seconds(minimumChargeS),
         Span.seconds(Math.max(silenceS, c.report().toSeconds() * 3)),
         bootPatience,
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -377,7 +377,8 @@
       return "it is dear and no longer needed";
     }
     boolean paid = age.longerThan(policy.minimumCharge());
-    if (paid && idle.longerThan(policy.idleReturn())) {
+    if (paid && idle.longerThan(m.type.boot().times(policy.idleReturnBoots()))) {
+      // Kept for as long as it would take to rent another: longer costs more than it can save.
       return "it is idle";
     }
     return null;
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -19,7 +19,7 @@
     double dearFactor,
     Span horizon,
     Span ordinaryHorizon,
-    Span idleReturn,
+    double idleReturnBoots,
     Span minimumCharge,
     Span silence,
     double bootPatience,
--- a/src/test/java/io/saltflow/app/NodeTest.java
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -158,7 +158,7 @@
   /** The write was carried out though its answer was lost: the user must not hear otherwise. */
   @Test
   void lostAnswerOfAWriteIsCleared() throws IOException {
-    state.loseNextAnswer = true;
+    state.loseAnswerFor = "live/req-000008";
     assertEquals(200, submit("req-000008", "red"));
     assertEquals("pending", body.get("phase"));
   }
--- a/src/test/java/io/saltflow/app/StandInState.java
+++ b/src/test/java/io/saltflow/app/StandInState.java
@@ -22,8 +22,8 @@
   long epoch = 1;
   boolean down;
 
-  /** The next transaction is carried out, but its answer never comes. */
-  boolean loseNextAnswer;
+  /** The next transaction that puts this key is carried out, but its answer never comes. */
+  String loseAnswerFor;
 
   private static HttpReply reply(int status, Body body) {
     return HttpReply.of(status, MsgPack.encode(body));
@@ -45,9 +45,10 @@
       } else if (path.equals("/kv")) {
         answer.accept(reply(200, list(target.replaceAll(".*prefix=([^&]*).*", "$1"))));
       } else if (path.equals("/multi")) {
+        boolean watched = loseAnswerFor != null && !keys.containsKey(loseAnswerFor);
         HttpReply done = multi(MsgPack.decode(body));
-        if (loseNextAnswer && done.status() == 200) {
-          loseNextAnswer = false;
+        if (watched && keys.containsKey(loseAnswerFor)) {
+          loseAnswerFor = null;
         } else {
           answer.accept(done);
         }
--- a/src/test/java/io/saltflow/coordination/RoundsTest.java
+++ b/src/test/java/io/saltflow/coordination/RoundsTest.java
@@ -36,7 +36,7 @@
         1.8,
         Span.seconds(45),
         Span.seconds(90),
-        Span.seconds(12),
+        1,
         Span.seconds(60),
         Span.seconds(10),
         3,
