--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -85,6 +85,7 @@
         fleetCores += h.type.size().cores();
       }
     }
+    double stoppable = stoppableCores(jobs);
     double work = remainingWork(jobs, now);
     double spare = coresWanted(jobs, types, now) - fleetCores;
     for (Scheduler.Waiting w : waiting) {
@@ -101,9 +102,14 @@
       if (left == 0) {
         continue;
       }
-      boolean urgent =
-          w.job().spec.priority().compareTo(policy.preemptFrom()) >= 0 || w.job().spec.daemon();
       double cores = w.job().spec.size().cores();
+      boolean urgent = w.job().spec.daemon();
+      if (w.job().spec.priority().compareTo(policy.preemptFrom()) >= 0) {
+        // Room that can be had by stopping lower work is there before any machine is up; what was
+        // stopped then counts as backlog.
+        urgent |= stoppable < cores * left;
+        stoppable -= cores * left;
+      }
       if (!urgent && fleetCores > 0 && cores > 0) {
         left = (int) Math.min(left, Math.ceil(spare / cores));
       }
@@ -206,6 +212,17 @@
     return wanted;
   }
 
+  /** Cores in use by work that urgent work may stop. */
+  private double stoppableCores(Collection<Job> jobs) {
+    double cores = 0;
+    for (Job job : jobs) {
+      if (job.spec.priority().compareTo(policy.preemptFrom()) < 0) {
+        cores += job.spec.size().cores() * job.present.size();
+      }
+    }
+    return cores;
+  }
+
   /** How long a job's tasks may still wait so that it ends in time. */
   private double spareS(Job job, Time now) {
     return job.dueAt.since(now).toSeconds() - estimates.predict(job, 0).toSeconds();
