--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -25,6 +25,7 @@
     String preemptFrom,
     double patienceS,
     double pressedSlackS,
+    double lengthWeight,
     double dearFactor,
     double horizonS,
     double ordinaryHorizonS,
@@ -36,7 +37,7 @@
   static final String SCHEMA = "/operator-settings.schema.json";
 
   public static OperatorSettings defaults() {
-    return new OperatorSettings(5, 0.2, 1800, "high", 6, 60, 1.8, 45, 90, 0.4, 60, 10, 3, 2);
+    return new OperatorSettings(5, 0.2, 1800, "high", 6, 60, 2, 1.8, 45, 90, 0.4, 60, 10, 3, 2);
   }
 
   /** Reads and checks the file. Only here are the JSON libraries loaded. */
@@ -66,6 +67,7 @@
         node.path("preemptFrom").asText(d.preemptFrom),
         node.path("patienceS").asDouble(d.patienceS),
         node.path("pressedSlackS").asDouble(d.pressedSlackS),
+        node.path("lengthWeight").asDouble(d.lengthWeight),
         node.path("dearFactor").asDouble(d.dearFactor),
         node.path("horizonS").asDouble(d.horizonS),
         node.path("ordinaryHorizonS").asDouble(d.ordinaryHorizonS),
@@ -92,6 +94,7 @@
         Priority.valueOf(preemptFrom.toUpperCase(Locale.ROOT)),
         Span.seconds(patienceS),
         Span.seconds(pressedSlackS),
+        lengthWeight,
         dearFactor,
         Span.seconds(horizonS),
         Span.seconds(ordinaryHorizonS),
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -39,6 +39,9 @@
   /** When it should be complete, by its deadline or its class's aim; null: no such time. */
   Time dueAt;
 
+  /** Its place among jobs of the same priority, in milliseconds of arrival. */
+  double place;
+
   /** Its time is running out: it queues above its own priority. */
   boolean pressed;
 
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -16,6 +16,7 @@
     Priority preemptFrom,
     Span patience,
     Span pressedSlack,
+    double lengthWeight,
     double dearFactor,
     Span horizon,
     Span ordinaryHorizon,
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -60,9 +60,14 @@
         booting.add(m);
       }
     }
+    double cores = 0;
+    for (Machine m : usable) {
+      cores += m.type.size().cores();
+    }
     for (Job job : jobs) {
       job.assignedZones.clear();
       job.pressed = pressed(job, now);
+      job.place = place(job, cores);
     }
     double cheapest = Placement.cheapestPerCore(usable);
     Map<String, Size> use = mostUse(machines);
@@ -105,6 +110,21 @@
     return waiting;
   }
 
+  /**
+   * Arrival, put back by the time that what the job still has to start would keep the whole fleet:
+   * a short job passes a long one that came a little earlier, which it hardly delays. The delay of
+   * the long one is bounded by its own length, so it can't starve. Our extension; a weight of 0 is
+   * the paper's order of arrival.
+   */
+  private double place(Job job, double fleetCores) {
+    double lengthS =
+        job.pendingCount()
+            * job.spec.size().cores()
+            * estimates.predict(job, 0).toSeconds()
+            / Math.max(1, fleetCores);
+    return job.arrivedWallMs + policy.lengthWeight() * lengthS * 1000;
+  }
+
   /**
    * Whether a job of low priority has little time to spare before its deadline, or before the time
    * its class should be finished in. Our extension: without it such work starves while work of
@@ -125,7 +145,7 @@
         Comparator.comparing((Job j) -> j.failsEverywhere())
             .thenComparing(j -> !guaranteed.contains(j.id()))
             .thenComparing(Job::queuedAs, Comparator.reverseOrder())
-            .thenComparing(j -> j.arrivedWallMs)
+            .thenComparing(j -> j.place)
             .thenComparing(Job::id));
     return order;
   }
--- a/src/test/java/io/saltflow/coordination/RoundsTest.java
+++ b/src/test/java/io/saltflow/coordination/RoundsTest.java
@@ -33,6 +33,7 @@
         Priority.HIGH,
         Span.seconds(6),
         Span.seconds(30),
+        1,
         1.8,
         Span.seconds(45),
         Span.seconds(90),
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -228,6 +228,7 @@
         Priority.HIGH,
         Span.seconds(6),
         Span.seconds(60),
+        1,
         1.8,
         Span.seconds(45),
         Span.seconds(90),
