--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -23,6 +23,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -47,6 +48,7 @@
   private final Supplier<Collection<MachineType>> types;
   private final Consumer<List<MachineType>> onTypes;
   private final Consumer<Span> onDeaf;
+  private final BooleanSupplier outageForAll;
   private Leader leader;
   private boolean listing;
   private boolean deleting;
@@ -63,7 +65,8 @@
       Span listLag,
       Supplier<Collection<MachineType>> types,
       Consumer<List<MachineType>> onTypes,
-      Consumer<Span> onDeaf) {
+      Consumer<Span> onDeaf,
+      BooleanSupplier outageForAll) {
     super(parent);
     this.loop = loop;
     this.policy = policy;
@@ -76,6 +79,7 @@
     this.types = types;
     this.onTypes = onTypes;
     this.onDeaf = onDeaf;
+    this.outageForAll = outageForAll;
   }
 
   /** The core, or null while the records are being read. */
@@ -140,6 +144,7 @@
 
   private void begin(long revision) {
     watch(revision);
+    list();
     refreshTypes();
     loop.every(Span.millis(200), this, this::tick);
     loop.every(Span.millis(2500), this, () -> books.record(leader));
@@ -262,7 +267,10 @@
   }
 
   private void rent() {
-    if (!authority.mayLaunch(loop.now())) {
+    boolean elsewhere = !authority.mayLaunch(loop.now());
+    if (elsewhere && !(authority.mayKeep(loop.now()) && outageForAll.getAsBoolean())) {
+      // Somebody else may lead by now. In an outage for all nobody can, and machines that are
+      // rented meanwhile are up when it ends.
       return;
     }
     for (Leader.Rental r : leader.toRent(loop.now())) {
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -128,7 +128,8 @@
               config.listLag(),
               types::values,
               Node.this::typesKnown,
-              abstain -> leadership.stepDown("no worker's report reaches it", abstain));
+              abstain -> leadership.stepDown("no worker's report reaches it", abstain),
+              Node.this::outageForAll);
       duty.start();
       beat();
     }
@@ -238,6 +239,11 @@
     if (config.siblings().isEmpty()) {
       return true;
     }
+    return outageForAll();
+  }
+
+  /** Whether every sibling that can be heard is without the state service, and one can. */
+  private boolean outageForAll() {
     boolean someHeard = false;
     for (Heard h : siblings.values()) {
       if (loop.now().since(h.at).compareTo(BEAT_FRESH) < 0) {
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -336,21 +336,27 @@
     List<MachineId> out = new ArrayList<>();
     int heard = 0;
     int silent = 0;
+    int old = 0;
+    int unheard = 0;
     for (Machine m : machines) {
       if (m.up || m.mightHoldOldTasks) {
         heard++;
         if (silentFor(m, tookOver, now).longerThan(policy.reportOverdue())) {
           silent++;
         }
+        old++;
+        unheard += m.mightHoldOldTasks ? 1 : 0;
       }
     }
     // When many fall silent at once, the cut is more likely to be ours than theirs.
     boolean cut = silent >= 3 && silent * 2 > heard;
+    // A new leader that has heard nearly all waits less for the rest: they hold everything up.
+    Span patience = policy.silence().times(unheard * 5 <= old ? 0.65 : 1);
     for (Machine m : machines) {
       if (m.deleteAsked) {
         continue;
       }
-      String why = reason(m, cut, tookOver, now);
+      String why = reason(m, cut, patience, tookOver, now);
       if (why != null) {
         LOG.info("machine {} ({}) is returned: {}", m.id, m.kind(), why);
         m.leaving = true;
@@ -365,10 +371,15 @@
     return now.since(Time.later(m.lastHeard, tookOver));
   }
 
-  private String reason(Machine m, boolean cut, Time tookOver, Time now) {
+  private String reason(Machine m, boolean cut, Span patience, Time tookOver, Time now) {
     Span silence = silentFor(m, tookOver, now);
-    if ((m.up || m.mightHoldOldTasks)
-        && silence.longerThan(cut ? policy.leaseSurelyOver() : policy.silence())) {
+    Span most = m.mightHoldOldTasks ? patience : policy.silence();
+    if (m.unlisted) {
+      most = m.mightHoldOldTasks ? policy.report() : policy.reportOverdue();
+    } else if (cut) {
+      most = policy.leaseSurelyOver();
+    }
+    if ((m.up || m.mightHoldOldTasks) && silence.longerThan(most)) {
       return "it has been silent for " + Math.round(silence.toSeconds()) + " s";
     }
     if (m.type == null) {
@@ -379,8 +390,8 @@
     }
     Span age = now.since(m.rentedAt);
     if (m.booting()) {
-      Span most = m.type.boot().times(policy.bootPatience()).plus(Span.seconds(10));
-      return age.longerThan(most) ? "it never came up" : null;
+      Span longest = m.type.boot().times(policy.bootPatience()).plus(Span.seconds(10));
+      return age.longerThan(longest) ? "it never came up" : null;
     }
     if (!m.presences.isEmpty() || !m.assigned.isEmpty() || m.idleSince == null || !m.accounted) {
       return null;
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -546,6 +546,11 @@
 
   /** Machines to delete; each stays asked for until {@link #deleted}. */
   public List<MachineId> toDelete(Time now) {
+    if (types.isEmpty()) {
+      // A leader elected in its first second may not have read the types yet: every machine would
+      // look like one of an unknown type, and be returned with all that runs on it.
+      return List.of();
+    }
     return fleet.toReturn(fencing.machines(), tookOver, now);
   }
 
@@ -563,6 +568,9 @@
 
   /** The cloud's list: it shows machines that we did not know, and those that failed. */
   public void listed(List<CloudCodec.Listed> list, Time now) {
+    for (Machine m : fencing.machines()) {
+      m.unlisted = true;
+    }
     for (CloudCodec.Listed l : list) {
       Machine m = fencing.find(l.id());
       if (m == null) {
@@ -574,8 +582,9 @@
         fencing.add(new Machine(l.id(), types.get(l.type()), l.type(), l.zone(), l.spot(), rented));
         LOG.info("machine {} ({}) is listed and was not expected", l.id(), l.type());
         changed = true;
-      } else if (l.failed() && !m.leaving) {
-        m.faulty = true;
+      } else {
+        m.unlisted = false;
+        m.faulty |= l.failed();
       }
     }
   }
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -35,6 +35,9 @@
   /** Reports are overdue: what is given to it now would wait, perhaps for nothing. */
   boolean quiet;
 
+  /** The cloud's last list did not have it: no proof, but reason not to wait long for it. */
+  boolean unlisted;
+
   boolean ledgered;
   boolean ledgerAsked;
 
--- a/src/test/java/io/saltflow/coordination/FencingTest.java
+++ b/src/test/java/io/saltflow/coordination/FencingTest.java
@@ -9,6 +9,7 @@
 import io.saltflow.protocol.Report;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Term;
+import io.saltflow.protocol.Time;
 import java.io.IOException;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -150,4 +151,20 @@
     assertTrue(f.leader.jobs().isEmpty());
     Traces.check("cancelled", f.trace);
   }
+
+  /** A leader that has not read the machine types yet once returned the whole fleet. */
+  @Test
+  void nothingIsReturnedBeforeTheTypesAreKnown() {
+    Leader leader =
+        new Leader(
+            POLICY,
+            Floor.TERM,
+            List.of(),
+            List.of(new Leader.LedgerEntry(new MachineId("vm-1"), "box", "a", false)),
+            List.of(),
+            new Time(1000),
+            1000);
+    leader.tick(new Time(1200));
+    assertTrue(leader.toDelete(new Time(1200)).isEmpty());
+  }
 }
