--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -114,8 +114,11 @@
         left = (int) Math.min(left, Math.ceil(spare / cores));
       }
       while (left > 0 && out.size() < 4) {
+        double waitS = work / Math.max(1, fleetCores);
         boolean pressing =
-            urgent || work / Math.max(1, fleetCores) > policy.ordinaryHorizon().toSeconds();
+            urgent
+                || waitS > policy.ordinaryHorizon().toSeconds()
+                || wouldBeLate(w.job(), waitS, now);
         Option option = choose(w.job(), left, types, pressing, now, out);
         if (option == null) {
           break;
@@ -166,8 +169,12 @@
       }
     }
     double waitS = remainingWork(jobs, now) / Math.max(1, cheapCores);
-    boolean enough = waitS < policy.ordinaryHorizon().toSeconds() * 0.7;
-    boolean tooLittle = waitS > policy.ordinaryHorizon().toSeconds();
+    boolean late = false;
+    for (Job job : jobs) {
+      late |= job.pendingCount() > 0 && wouldBeLate(job, waitS, now);
+    }
+    boolean enough = !late && waitS < policy.ordinaryHorizon().toSeconds() * 0.7;
+    boolean tooLittle = late || waitS > policy.ordinaryHorizon().toSeconds();
     for (Machine m : up) {
       boolean dear = m.pricePerCore() > cheapest * policy.dearFactor();
       if (!dear || tooLittle) {
@@ -223,6 +230,11 @@
     return cores;
   }
 
+  /** Whether a job would miss its own deadline by waiting so long. */
+  private boolean wouldBeLate(Job job, double waitS, Time now) {
+    return job.spec.deadline() != null && job.dueAt != null && waitS > spareS(job, now);
+  }
+
   /** How long a job's tasks may still wait so that it ends in time. */
   private double spareS(Job job, Time now) {
     return job.dueAt.since(now).toSeconds() - estimates.predict(job, 0).toSeconds();
