--- a/src/main/java/io/saltflow/app/Rehearsal.java
+++ b/src/main/java/io/saltflow/app/Rehearsal.java
@@ -23,6 +23,9 @@
 import io.saltflow.transport.HttpClient;
 import io.saltflow.transport.Loop;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.BitSet;
 import java.util.List;
 
@@ -68,8 +71,10 @@
   private Rehearsal() {}
 
   public static void main(String[] args) throws Exception {
-    Main.setLogLevel("error");
-    Main.run(new String[] {"check-config", "--config", "/dev/null"}, System.out, System.out);
+    // What the log lines need is loaded too; the lines themselves are of no interest.
+    Main.setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "info"));
+    System.setErr(new PrintStream(OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8));
+    Main.run(new String[] {"check-config", "--config", "/dev/null"}, System.err, System.err);
     Config config = Config.parse(SETTINGS);
     OperatorSettings operator = OperatorSettings.defaults();
     rehearseCore(config, operator);
