--- /dev/null
+++ b/src/test/java/io/saltflow/LayersTest.java
@@ -0,0 +1,59 @@
+package io.saltflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The layers point one way, and the core knows no sockets, no clock and no randomness. */
+class LayersTest {
+  private static final Path MAIN = Path.of("src/main/java/io/saltflow");
+  private static final Pattern IMPORT =
+      Pattern.compile("^import (?:static )?io\\.saltflow\\.(\\w+)\\.", Pattern.MULTILINE);
+  private static final Pattern IMPURE =
+      Pattern.compile("System\\.(nanoTime|currentTimeMillis)|Math\\.random|java\\.n(et|io)\\.");
+  private static final Map<String, List<String>> MAY_USE =
+      Map.of(
+          "protocol", List.of(),
+          "transport", List.of("protocol"),
+          "coordination", List.of("protocol"),
+          "bookkeeping", List.of("protocol", "transport", "coordination"),
+          "app", List.of("protocol", "transport", "coordination", "bookkeeping"));
+
+  private static List<Path> sources(String layer) throws IOException {
+    try (Stream<Path> files = Files.walk(MAIN.resolve(layer))) {
+      return files.filter(f -> f.toString().endsWith(".java")).toList();
+    }
+  }
+
+  @Test
+  void importsFollowTheLayers() throws IOException {
+    for (Map.Entry<String, List<String>> layer : MAY_USE.entrySet()) {
+      List<Path> files = sources(layer.getKey());
+      assertFalse(files.isEmpty(), layer.getKey());
+      for (Path file : files) {
+        Matcher m = IMPORT.matcher(Files.readString(file));
+        while (m.find()) {
+          boolean allowed =
+              m.group(1).equals(layer.getKey()) || layer.getValue().contains(m.group(1));
+          assertEquals(true, allowed, file + " uses " + m.group(1));
+        }
+      }
+    }
+  }
+
+  @Test
+  void theCoreIsPure() throws IOException {
+    for (Path file : sources("coordination")) {
+      assertFalse(IMPURE.matcher(Files.readString(file)).find(), file.toString());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/coordination/Policies.java
@@ -0,0 +1,38 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Span;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The settings that tests run under. */
+final class Policies {
+  private Policies() {}
+
+  static Policy of(Span lease, Span keepAfterSync, double thresholdS, Policy.Team... teams) {
+    Map<String, Policy.Team> byName = new LinkedHashMap<>();
+    for (Policy.Team team : teams) {
+      byName.put(team.name(), team);
+    }
+    return new Policy(
+        Span.seconds(3),
+        lease,
+        keepAfterSync,
+        byName,
+        Map.of(),
+        0.2,
+        Span.seconds(thresholdS),
+        Priority.HIGH,
+        Span.seconds(6),
+        Span.seconds(30),
+        1,
+        1.8,
+        Span.seconds(45),
+        Span.seconds(90),
+        1,
+        Span.seconds(60),
+        Span.seconds(10),
+        3,
+        2);
+  }
+}
--- a/src/test/java/io/saltflow/coordination/RoundsTest.java
+++ b/src/test/java/io/saltflow/coordination/RoundsTest.java
@@ -14,34 +14,17 @@
 import java.io.IOException;
 import java.util.BitSet;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** Rounds of one leader, most of them as traces to read. */
 class RoundsTest {
   private static Policy policy(double thresholdS) {
-    return new Policy(
-        Span.seconds(3),
+    return Policies.of(
         Span.seconds(16),
         Span.seconds(20),
-        Map.of(
-            "blue", new Policy.Team("blue", 0, 0, 0, 0),
-            "red", new Policy.Team("red", 10, 12, 0, 0)),
-        Map.of(),
-        0.2,
-        Span.seconds(thresholdS),
-        Priority.HIGH,
-        Span.seconds(6),
-        Span.seconds(30),
-        1,
-        1.8,
-        Span.seconds(45),
-        Span.seconds(90),
-        1,
-        Span.seconds(60),
-        Span.seconds(10),
-        3,
-        2);
+        thresholdS,
+        new Policy.Team("blue", 0, 0, 0, 0),
+        new Policy.Team("red", 10, 12, 0, 0));
   }
 
   private static Floor oneMachine(double thresholdS) {
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -6,7 +6,6 @@
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Order;
-import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Report;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
@@ -213,30 +212,12 @@
   }
 
   static Policy policy(Span lease) {
-    return new Policy(
-        Span.seconds(3),
+    return Policies.of(
         lease,
         Authority.keepBound(Span.millis(LEASE), Span.millis(CANCEL)),
-        Map.of(
-            "red",
-            new Policy.Team("red", 16, 48, 0, 0),
-            "blue",
-            new Policy.Team("blue", 0, 0, 0, 0)),
-        Map.of(),
-        0.2,
-        Span.seconds(1800),
-        Priority.HIGH,
-        Span.seconds(6),
-        Span.seconds(60),
-        1,
-        1.8,
-        Span.seconds(45),
-        Span.seconds(90),
-        1,
-        Span.seconds(60),
-        Span.seconds(10),
-        3,
-        2);
+        1800,
+        new Policy.Team("red", 16, 48, 0, 0),
+        new Policy.Team("blue", 0, 0, 0, 0));
   }
 
   Time time() {
