--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -37,7 +37,7 @@
   static final String SCHEMA = "/operator-settings.schema.json";
 
   public static OperatorSettings defaults() {
-    return new OperatorSettings(5, 0.2, 1800, "high", 6, 60, 4, 1.8, 45, 90, 0.4, 60, 10, 3, 2);
+    return new OperatorSettings(5, 0.2, 1800, "high", 6, 60, 4, 1.8, 75, 90, 0.4, 60, 10, 3, 2);
   }
 
   /** Reads and checks the file. Only here are the JSON libraries loaded. */
