--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -27,6 +27,7 @@
     double pressedSlackS,
     double lengthWeight,
     double dearFactor,
+    double dearShare,
     double horizonS,
     double ordinaryHorizonS,
     double idleReturnBoots,
@@ -37,7 +38,8 @@
   static final String SCHEMA = "/operator-settings.schema.json";
 
   public static OperatorSettings defaults() {
-    return new OperatorSettings(5, 0.2, 1800, "high", 6, 60, 4, 1.8, 75, 90, 0.4, 60, 10, 3, 2);
+    return new OperatorSettings(
+        5, 0.2, 1800, "high", 6, 60, 4, 1.8, 0.25, 75, 90, 0.4, 60, 10, 3, 2);
   }
 
   /** Reads and checks the file. Only here are the JSON libraries loaded. */
@@ -69,6 +71,7 @@
         node.path("pressedSlackS").asDouble(d.pressedSlackS),
         node.path("lengthWeight").asDouble(d.lengthWeight),
         node.path("dearFactor").asDouble(d.dearFactor),
+        node.path("dearShare").asDouble(d.dearShare),
         node.path("horizonS").asDouble(d.horizonS),
         node.path("ordinaryHorizonS").asDouble(d.ordinaryHorizonS),
         node.path("idleReturnBoots").asDouble(d.idleReturnBoots),
@@ -96,6 +99,7 @@
         Span.seconds(pressedSlackS),
         lengthWeight,
         dearFactor,
+        dearShare,
         Span.seconds(horizonS),
         Span.seconds(ordinaryHorizonS),
         idleReturnBoots,
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -85,6 +85,9 @@
         fleetCores += h.type.size().cores();
       }
     }
+    // Not even for late work may one dear machine cost a good part of what all the others do: a
+    // large one would idle around its last long task.
+    double dearest = fleetHourly(machines) * policy.dearShare();
     double stoppable = stoppableCores(jobs);
     double work = remainingWork(jobs, now);
     double spare = coresWanted(jobs, types, now) - fleetCores;
@@ -119,7 +122,8 @@
             urgent
                 || waitS > policy.ordinaryHorizon().toSeconds()
                 || wouldBeLate(w.job(), waitS, now);
-        Option option = choose(w.job(), left, types, pressing, now, out);
+        Option option =
+            choose(w.job(), left, types, pressing, urgent ? Double.MAX_VALUE : dearest, now, out);
         if (option == null) {
           break;
         }
@@ -219,6 +223,14 @@
     return wanted;
   }
 
+  private static double fleetHourly(Collection<Machine> machines) {
+    double hourly = 0;
+    for (Machine m : machines) {
+      hourly += m.type == null ? 0 : m.type.hourly(m.spot);
+    }
+    return hourly;
+  }
+
   /** Cores in use by work that urgent work may stop. */
   private double stoppableCores(Collection<Job> jobs) {
     double cores = 0;
@@ -265,6 +277,7 @@
       int tasks,
       Collection<MachineType> types,
       boolean pressing,
+      double dearest,
       Time now,
       List<Hire> planned) {
     Option best = null;
@@ -294,6 +307,9 @@
           }
           // A large machine costs more than its price: one long task keeps all of it, and all of
           // it is taken at once.
+          if (hourly > dearest && hourly / slots > cheapestPerTask * policy.dearFactor()) {
+            continue;
+          }
           double cost =
               Math.ceil((double) tasks / slots) * hourly * (1 + type.size().cores() / 500);
           if (cost < bestCost) {
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -18,6 +18,7 @@
     Span pressedSlack,
     double lengthWeight,
     double dearFactor,
+    double dearShare,
     Span horizon,
     Span ordinaryHorizon,
     double idleReturnBoots,
--- a/src/test/java/io/saltflow/coordination/Policies.java
+++ b/src/test/java/io/saltflow/coordination/Policies.java
@@ -27,6 +27,7 @@
         Span.seconds(30),
         1,
         1.8,
+        0.25,
         Span.seconds(45),
         Span.seconds(90),
         1,
