--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -30,6 +30,7 @@
 public final class Leader {
   private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
   private static final Span ROUND_EVERY = Span.seconds(1);
+  private static final int MANY = 6;
   private static final Span SAVE_PATIENCE = Span.seconds(5);
   private static final int MOST_REMEMBERED_GONE = 4000;
 
@@ -597,7 +598,9 @@
         expected++;
       }
     }
-    return heardAny && expected >= 2 && now.since(lastReport).longerThan(policy.report().times(3));
+    // With many machines some report comes every moment: a short silence of all says enough.
+    Span silence = expected >= MANY ? policy.reportOverdue() : policy.report().times(3);
+    return heardAny && expected >= 2 && now.since(lastReport).longerThan(silence);
   }
 
   /** One line that tells the state of things to whoever reads the log. */
