--- a/src/main/java/io/saltflow/app/Config.java
+++ b/src/main/java/io/saltflow/app/Config.java
@@ -38,7 +38,8 @@
     int txnOps,
     double cloudRps,
     Span listLag,
-    int sockets) {
+    int sockets,
+    double cpuShare) {
 
   public static Config read(Path file) throws ConfigError {
     try (Reader in = Files.newBufferedReader(file)) {
@@ -95,7 +96,8 @@
         (int) positive(c, "settings.state.txn_ops", null),
         positive(c, "settings.cloud.rps", null),
         Span.seconds(amount(c, "settings.cloud.list_lag_s", 5.0)),
-        (int) positive(c, "settings.resources.sockets", 1000.0));
+        (int) positive(c, "settings.resources.sockets", 1000.0),
+        Math.min(1, positive(c, "settings.resources.cpu", 1.0)));
   }
 
   /** The tightest time in which each class should be finished, where an aim gives one. */
--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -87,6 +87,7 @@
 
   Policy policy(Config c) {
     return new Policy(
+        c.cpuShare(),
         c.report(),
         c.lease(),
         Authority.keepBound(c.lease(), c.cancel()),
--- a/src/main/java/io/saltflow/coordination/Estimates.java
+++ b/src/main/java/io/saltflow/coordination/Estimates.java
@@ -13,8 +13,26 @@
   private static final int MAX_CLASSES = 256;
   private static final Span SHORTEST = Span.seconds(1);
 
+  private static final int MAX_RATIO = 100_000;
+
+  /** Observed run times of a class, in parts of a hundred of what was estimated. */
+  private static final class Seen {
+    private final Histogram histogram = new Histogram(1, MAX_RATIO, 2);
+    private double median = 1.0;
+    private long nextLook = ENOUGH;
+
+    /** The median is read anew as the count grows, not at each prediction: reading it is slow. */
+    void add(long ratio) {
+      histogram.recordValue(ratio);
+      if (histogram.getTotalCount() >= nextLook) {
+        median = histogram.getValueAtPercentile(50) / 100.0;
+        nextLook += Math.max(1, nextLook / 32);
+      }
+    }
+  }
+
   private final Policy policy;
-  private final Map<String, Histogram> ratios = new HashMap<>();
+  private final Map<String, Seen> ratios = new HashMap<>();
 
   Estimates(Policy policy) {
     this.policy = policy;
@@ -24,20 +42,20 @@
     if (spec.estimate().ms() <= 0 || ran.ms() <= 0) {
       return;
     }
-    Histogram h = ratios.get(spec.jobClass());
-    if (h == null) {
+    Seen seen = ratios.get(spec.jobClass());
+    if (seen == null) {
       if (ratios.size() >= MAX_CLASSES) {
         return;
       }
-      h = new Histogram(1, 100_000, 2);
-      ratios.put(spec.jobClass(), h);
+      seen = new Seen();
+      ratios.put(spec.jobClass(), seen);
     }
-    h.recordValue(Math.max(1, Math.min(100_000, ran.ms() * 100 / spec.estimate().ms())));
+    seen.add(Math.max(1, Math.min(MAX_RATIO, ran.ms() * 100 / spec.estimate().ms())));
   }
 
   private double correction(JobSpec spec) {
-    Histogram h = ratios.get(spec.jobClass());
-    return h == null || h.getTotalCount() < ENOUGH ? 1.0 : h.getValueAtPercentile(50) / 100.0;
+    Seen seen = ratios.get(spec.jobClass());
+    return seen == null ? 1.0 : seen.median;
   }
 
   /**
--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -5,6 +5,7 @@
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Report;
+import io.saltflow.protocol.Size;
 import io.saltflow.protocol.TaskId;
 import io.saltflow.protocol.Term;
 import io.saltflow.protocol.Time;
@@ -12,7 +13,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
 import org.slf4j.Logger;
@@ -26,6 +26,8 @@
 final class Fencing {
   private static final Logger LOG = LoggerFactory.getLogger(Fencing.class);
 
+  private static final Size BEYOND_ANY_LIMIT = new Size(1e9, 1e9, 1e9);
+
   /** What the rest of the core is told. */
   interface Events {
     void done(Job job, int index, Presence presence, Time now);
@@ -45,8 +47,11 @@
   private final Events events;
   private final Map<MachineId, Machine> machines = new LinkedHashMap<>();
   private final Time tookOver;
+  private final TeamUse use;
 
-  Fencing(Policy policy, Term term, Map<JobId, Job> jobs, Events events, Time tookOver) {
+  Fencing(
+      Policy policy, Term term, Map<JobId, Job> jobs, TeamUse use, Events events, Time tookOver) {
+    this.use = use;
     this.policy = policy;
     this.term = term;
     this.jobs = jobs;
@@ -76,14 +81,15 @@
     return true;
   }
 
-  List<MachineId> unaccounted() {
-    List<MachineId> out = new ArrayList<>();
+  /** All of every machine that might hold tasks of a former leader and has not been heard of. */
+  Size unaccounted() {
+    Size unknown = Size.ZERO;
     for (Machine m : machines.values()) {
       if (m.mightHoldOldTasks) {
-        out.add(m.id);
+        unknown = unknown.plus(m.type == null ? BEYOND_ANY_LIMIT : m.type.size());
       }
     }
-    return out;
+    return unknown;
   }
 
   /**
@@ -240,13 +246,15 @@
   }
 
   private void put(Presence p) {
-    p.machine.presences.put(p.task(), p);
-    p.job.present.put(p.index, p);
+    p.machine.put(p);
+    p.job.put(p);
+    use.present(p.job);
   }
 
   private void remove(Presence p) {
-    p.machine.presences.remove(p.task());
-    p.job.present.remove(p.index, p);
+    p.machine.remove(p);
+    p.job.remove(p);
+    use.gone(p.job);
   }
 
   private void dropAll(Machine m, Predicate<Presence> which, String why, Time now) {
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -1,6 +1,5 @@
 package io.saltflow.coordination;
 
-import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
@@ -15,10 +14,14 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Which machines to rent and which to return. */
+/** Which machines to rent, and which dear ones to let go. */
 final class Fleet {
   private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
   private static final int MOST_PER_REQUEST = 50;
+
+  /** Requests that are asked for and not answered yet, over all kinds. */
+  private static final int MOST_OPEN = 8;
+
   private static final Span FIRST_BACKOFF = Span.seconds(8);
   private static final Span LONGEST_BACKOFF = Span.seconds(60);
 
@@ -57,15 +60,15 @@
   /** What is to be rented for those who wait, beside what is on its way. */
   List<Hire> plan(
       List<Scheduler.Waiting> waiting,
-      Collection<Job> jobs,
+      Backlog backlog,
       Collection<Machine> machines,
       Collection<MachineType> types,
       Time now) {
     List<Hire> out = new ArrayList<>();
-    if (open.size() >= 6) {
+    if (open.size() >= MOST_OPEN) {
       return out;
     }
-    Map<Object, Size> coming = new LinkedHashMap<>();
+    Coming coming = new Coming();
     double fleetCores = 0;
     for (Machine m : machines) {
       if (m.type == null || m.leaving || m.faulty) {
@@ -76,36 +79,29 @@
         fleetCores += m.type.size().cores();
       }
       if (m.booting() && !late) {
-        coming.put(m, m.type.size());
+        coming.add(m.type.size(), 1);
       }
     }
     for (Hire h : open.values()) {
-      for (int i = 0; i < h.count; i++) {
-        coming.put(h.name + "#" + i, h.type.size());
-        fleetCores += h.type.size().cores();
-      }
+      coming.add(h.type.size(), h.count);
+      fleetCores += h.count * h.type.size().cores();
     }
     // Not even for late work may one dear machine cost a good part of what all the others do: a
     // large one would idle around its last long task.
     double dearest = fleetHourly(machines) * policy.dearShare();
-    double stoppable = stoppableCores(jobs);
-    double work = remainingWork(jobs, now);
-    double spare = coresWanted(jobs, types, now) - fleetCores;
+    double stoppable = backlog.stoppable();
+    double spare = backlog.wanted() - fleetCores;
     for (Scheduler.Waiting w : waiting) {
-      int left = w.tasks();
+      Size task = w.job().spec.size();
+      int left = Math.min(w.tasks(), w.job().pendingCount());
       if (w.job().failsEverywhere()) {
         left = Math.min(left, 1);
       }
-      for (Map.Entry<Object, Size> e : coming.entrySet()) {
-        while (left > 0 && w.job().spec.size().fitsIn(e.getValue())) {
-          e.setValue(e.getValue().minus(w.job().spec.size()));
-          left--;
-        }
-      }
+      left = coming.take(task, left);
       if (left == 0) {
         continue;
       }
-      double cores = w.job().spec.size().cores();
+      double cores = task.cores();
       boolean urgent = w.job().spec.daemon();
       if (w.job().spec.priority().compareTo(policy.preemptFrom()) >= 0) {
         // Room that can be had by stopping lower work is there before any machine is up; what was
@@ -116,39 +112,32 @@
       if (!urgent && fleetCores > 0 && cores > 0) {
         left = (int) Math.min(left, Math.ceil(spare / cores));
       }
-      while (left > 0 && out.size() < 4) {
-        double waitS = work / Math.max(1, fleetCores);
+      while (left > 0 && open.size() < MOST_OPEN) {
+        double waitS = backlog.work() / Math.max(1, fleetCores);
         boolean pressing =
             urgent
                 || waitS > policy.ordinaryHorizon().toSeconds()
                 || wouldBeLate(w.job(), waitS, now);
         Option option =
-            choose(w.job(), left, types, pressing, urgent ? Double.MAX_VALUE : dearest, now, out);
+            choose(w.job(), left, types, pressing, urgent ? Double.MAX_VALUE : dearest, now);
         if (option == null) {
           break;
         }
-        int slots = w.job().spec.size().countIn(option.type.size());
+        Size room = option.type.size();
+        int slots = task.countIn(room);
         int count = Math.min(MOST_PER_REQUEST, (left + slots - 1) / slots);
-        Hire hire =
-            new Hire(
-                "r-" + term + "-" + (++hireSequence),
-                option.type,
-                option.zone,
-                option.spot,
-                count,
-                now);
+        String name = "r-" + term + "-" + (++hireSequence);
+        Hire hire = new Hire(name, option.type, option.zone, option.spot, count, now);
         open.put(hire.name, hire);
         out.add(hire);
-        left -= Math.min(left, count * slots);
-        double rented = count * option.type.size().cores();
+        double rented = count * room.cores();
         fleetCores += rented;
         spare -= rented;
-        // What one rented machine has beside this job's tasks serves those behind it.
-        for (int i = 0; i < count; i++) {
-          int taken = Math.min(slots, w.tasks());
-          coming.put(
-              hire.name + "#" + i, option.type.size().minus(w.job().spec.size().times(taken)));
-        }
+        // What the rented machines have beside this job's tasks serves those behind it.
+        coming.add(room, count);
+        int served = Math.min(left, count * slots);
+        coming.take(task, served);
+        left -= served;
       }
     }
     return out;
@@ -158,7 +147,7 @@
    * Dear machines are let go while the others can work the backlog off in time. The bound is well
    * below the one at which they are rented, so that they do not come and go.
    */
-  void retire(Collection<Machine> machines, Collection<Job> jobs, Time now) {
+  void retire(Collection<Machine> machines, Collection<Job> jobs, Backlog backlog, Time now) {
     List<Machine> up = new ArrayList<>();
     for (Machine m : machines) {
       if (m.usable()) {
@@ -172,7 +161,7 @@
         cheapCores += m.type.size().cores();
       }
     }
-    double waitS = remainingWork(jobs, now) / Math.max(1, cheapCores);
+    double waitS = backlog.work() / Math.max(1, cheapCores);
     boolean late = false;
     for (Job job : jobs) {
       late |= job.pendingCount() > 0 && wouldBeLate(job, waitS, now);
@@ -189,40 +178,6 @@
     }
   }
 
-  /**
-   * The cores with which every job would be worked off within the horizon, or sooner where its due
-   * time asks for it. Machines that are rented now are of use only once they are up.
-   */
-  private double coresWanted(Collection<Job> jobs, Collection<MachineType> types, Time now) {
-    double bootS = Double.MAX_VALUE;
-    for (MachineType type : types) {
-      bootS = Math.min(bootS, type.boot().toSeconds());
-    }
-    double horizonS = policy.horizon().toSeconds();
-    double wanted = 0;
-    for (Job job : jobs) {
-      if (job.cancelled || job.finishing) {
-        continue;
-      }
-      double cores = job.spec.size().cores();
-      if (job.spec.daemon()) {
-        wanted += cores * job.spec.tasks();
-        continue;
-      }
-      double runS = estimates.predict(job, 0).toSeconds();
-      double windowS = horizonS;
-      if (job.dueAt != null) {
-        windowS = Math.min(windowS, job.dueAt.since(now).toSeconds() - bootS);
-      }
-      wanted += cores * job.pendingCount() * Math.min(1, runS / Math.max(runS, windowS));
-      for (Presence p : job.present.values()) {
-        double leftS = Math.max(0, estimates.end(p, now).since(now).toSeconds());
-        wanted += cores * Math.min(1, leftS / horizonS);
-      }
-    }
-    return wanted;
-  }
-
   private static double fleetHourly(Collection<Machine> machines) {
     double hourly = 0;
     for (Machine m : machines) {
@@ -231,17 +186,6 @@
     return hourly;
   }
 
-  /** Cores in use by work that urgent work may stop. */
-  private double stoppableCores(Collection<Job> jobs) {
-    double cores = 0;
-    for (Job job : jobs) {
-      if (job.spec.priority().compareTo(policy.preemptFrom()) < 0) {
-        cores += job.spec.size().cores() * job.present.size();
-      }
-    }
-    return cores;
-  }
-
   /** Whether a job would miss its own deadline by waiting so long. */
   private boolean wouldBeLate(Job job, double waitS, Time now) {
     return job.spec.deadline() != null && job.dueAt != null && waitS > spareS(job, now);
@@ -252,34 +196,13 @@
     return job.dueAt.since(now).toSeconds() - estimates.predict(job, 0).toSeconds();
   }
 
-  /** Core-seconds that all accepted work still needs, by prediction. */
-  private double remainingWork(Collection<Job> jobs, Time now) {
-    double work = 0;
-    for (Job job : jobs) {
-      if (job.cancelled || job.finishing) {
-        continue;
-      }
-      double cores = job.spec.size().cores();
-      if (job.spec.daemon()) {
-        work += cores * job.spec.tasks() * policy.horizon().toSeconds();
-        continue;
-      }
-      work += cores * job.pendingCount() * estimates.predict(job, 0).toSeconds();
-      for (Presence p : job.present.values()) {
-        work += cores * Math.max(0, estimates.end(p, now).since(now).toSeconds());
-      }
-    }
-    return work;
-  }
-
   private Option choose(
       Job job,
       int tasks,
       Collection<MachineType> types,
       boolean pressing,
       double dearest,
-      Time now,
-      List<Hire> planned) {
+      Time now) {
     Option best = null;
     double bestCost = Double.MAX_VALUE;
     double cheapestPerTask = Double.MAX_VALUE;
@@ -319,8 +242,9 @@
         }
       }
     }
-    if (best == null || asked(best, planned)) {
-      // The best kind was just asked for: its answer comes before a worse kind is taken.
+    if (best == null || lessAsked(best)) {
+      // The best kind was just asked for all that was wanted: the answer comes first. While what is
+      // wanted goes beyond one request, the next is sent without waiting.
       return null;
     }
     double perTask = best.type.hourly(best.spot) / job.spec.size().countIn(best.type.size());
@@ -330,14 +254,9 @@
     return best;
   }
 
-  private boolean asked(Option option, List<Hire> planned) {
+  private boolean lessAsked(Option option) {
     for (Hire h : open.values()) {
-      if (h.kind().equals(option.kind())) {
-        return true;
-      }
-    }
-    for (Hire h : planned) {
-      if (h.kind().equals(option.kind())) {
+      if (h.count < MOST_PER_REQUEST && h.kind().equals(option.kind())) {
         return true;
       }
     }
@@ -358,85 +277,4 @@
     backoffs.put(hire.kind(), new Backoff(now.plus(length), length));
     LOG.info("the cloud gave {} of {} {}", got, hire.count, hire.kind());
   }
-
-  /** Machines to return: silent, faulty, never up, taken soon and empty, or idle for too long. */
-  List<MachineId> toReturn(Collection<Machine> machines, Time tookOver, Time now) {
-    List<MachineId> out = new ArrayList<>();
-    int heard = 0;
-    int silent = 0;
-    int old = 0;
-    int unheard = 0;
-    for (Machine m : machines) {
-      if (m.up || m.mightHoldOldTasks) {
-        heard++;
-        if (silentFor(m, tookOver, now).longerThan(policy.reportOverdue())) {
-          silent++;
-        }
-        old++;
-        unheard += m.mightHoldOldTasks ? 1 : 0;
-      }
-    }
-    // When many fall silent at once, the cut is more likely to be ours than theirs.
-    boolean cut = silent >= 3 && silent * 2 > heard;
-    // A new leader that has heard nearly all waits less for the rest: they hold everything up.
-    Span patience = policy.silence().times(unheard * 5 <= old ? 0.65 : 1);
-    for (Machine m : machines) {
-      if (m.deleteAsked) {
-        continue;
-      }
-      String why = reason(m, cut, patience, tookOver, now);
-      if (why != null) {
-        LOG.info("machine {} ({}) is returned: {}", m.id, m.kind(), why);
-        m.leaving = true;
-        m.deleteAsked = true;
-        out.add(m.id);
-      }
-    }
-    return out;
-  }
-
-  private static Span silentFor(Machine m, Time tookOver, Time now) {
-    return now.since(Time.later(m.lastHeard, tookOver));
-  }
-
-  private String reason(Machine m, boolean cut, Span patience, Time tookOver, Time now) {
-    Span silence = silentFor(m, tookOver, now);
-    Span most = m.mightHoldOldTasks ? patience : policy.silence();
-    if (m.unlisted) {
-      most = m.mightHoldOldTasks ? policy.report() : policy.reportOverdue();
-    } else if (cut) {
-      most = policy.leaseSurelyOver();
-    }
-    if ((m.up || m.mightHoldOldTasks) && silence.longerThan(most)) {
-      return "it has been silent for " + Math.round(silence.toSeconds()) + " s";
-    }
-    if (m.type == null) {
-      return m.presences.isEmpty() ? "its type is not known" : null;
-    }
-    if (m.faulty) {
-      return "it fails what it is given";
-    }
-    Span age = now.since(m.rentedAt);
-    if (m.booting()) {
-      Span longest = m.type.boot().times(policy.bootPatience()).plus(Span.seconds(10));
-      return age.longerThan(longest) ? "it never came up" : null;
-    }
-    if (!m.presences.isEmpty() || !m.assigned.isEmpty() || m.idleSince == null || !m.accounted) {
-      return null;
-    }
-    if (m.noticeAt != null) {
-      return "it is empty and the cloud is about to take it";
-    }
-    // The first minute is charged whether it is used or not.
-    Span idle = now.since(m.idleSince);
-    if (m.retiring && age.longerThan(policy.minimumCharge())) {
-      return "it is dear and no longer needed";
-    }
-    boolean paid = age.longerThan(policy.minimumCharge());
-    if (paid && idle.longerThan(m.type.boot().times(policy.idleReturnBoots()))) {
-      // Kept for as long as it would take to rent another: longer costs more than it can save.
-      return "it is idle";
-    }
-    return null;
-  }
 }
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/HeadReservation.java
@@ -0,0 +1,151 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The paper's reservation for the job at the head of the queue, and the stops when it is due. */
+final class HeadReservation {
+  private static final Logger LOG = LoggerFactory.getLogger(HeadReservation.class);
+
+  /** How many tasks of the head get a reservation: bounds a round's work. */
+  static final int MOST_RESERVED = 256;
+
+  /** The head's promise, kept over rounds so that it does not slip. */
+  private record Promise(JobId job, Time at) {}
+
+  private record End(Time at, int order, Machine machine, Size size) {}
+
+  private static final Comparator<End> SOONEST =
+      Comparator.comparing(End::at).thenComparingInt(End::order);
+
+  private final Estimates estimates;
+  private Promise promise;
+
+  HeadReservation(Estimates estimates) {
+    this.estimates = estimates;
+  }
+
+  /** Adds the room of running tasks by predicted end until the head's tasks fit. */
+  void reserve(Job head, int tasks, List<Machine> usable, List<Machine> booting, Time now) {
+    List<End> ends = new ArrayList<>();
+    Map<Machine, Size> future = new HashMap<>();
+    for (Machine m : usable) {
+      if (!Placement.allowed(head, m)) {
+        continue;
+      }
+      future.put(m, m.room);
+      for (Presence p : m.presences.values()) {
+        ends.add(new End(estimates.end(p, now), ends.size(), m, p.job.spec.size()));
+      }
+      for (Machine.Assigned a : m.assigned) {
+        Time end =
+            now.plus(estimates.fetch(a.job(), m)).plus(estimates.predict(a.job(), a.index()));
+        Time at = a.job().spec.daemon() ? Time.NEVER : end;
+        ends.add(new End(at, ends.size(), m, a.job().spec.size()));
+      }
+    }
+    for (Machine m : booting) {
+      if (head.spec.allows(m.typeName, m.zone, m.spot)) {
+        future.put(m, Size.ZERO);
+        ends.add(new End(readyAt(m, now), ends.size(), m, m.type.size()));
+      }
+    }
+    Time first = claim(head, Math.min(tasks, MOST_RESERVED), ends, future);
+    if (first == null) {
+      promise = null;
+    } else if (promise == null || !promise.job.equals(head.id()) || first.before(promise.at)) {
+      promise = new Promise(head.id(), first);
+    }
+  }
+
+  /** Goes through the ends by time, as far as the head needs; its first claim's time. */
+  private static Time claim(Job head, int tasks, List<End> ends, Map<Machine, Size> future) {
+    // A heap, for the head mostly fits after few of the thousands of ends.
+    PriorityQueue<End> soonest = new PriorityQueue<>(Math.max(1, ends.size()), SOONEST);
+    soonest.addAll(ends);
+    Time first = null;
+    int left = tasks;
+    while (left > 0 && !soonest.isEmpty()) {
+      End end = soonest.poll();
+      Machine m = end.machine;
+      Size sum = future.get(m).plus(end.size);
+      while (left > 0 && head.spec.size().fitsIn(sum)) {
+        sum = sum.minus(head.spec.size());
+        left--;
+        if (first == null) {
+          first = end.at;
+        }
+        m.reserved = new Reservation(end.at, sum);
+      }
+      future.put(m, sum);
+      if (m.reserved != null) {
+        m.reserved.extra = sum;
+      }
+    }
+    return first;
+  }
+
+  /** A machine's room counts from when it should be ready: our extension for rented machines. */
+  static Time readyAt(Machine m, Time now) {
+    Time due = m.rentedAt.plus(m.type.boot());
+    return due.after(now) ? due : now.plus(now.since(m.rentedAt).times(0.3));
+  }
+
+  /** At the reserve time, backfilled tasks that checkpoint are stopped, largest first. */
+  void stopWhenDue(Job head, List<Machine> usable, Time now) {
+    if (head == null) {
+      promise = null;
+      return;
+    }
+    if (promise == null || !promise.job.equals(head.id()) || now.before(promise.at)) {
+      return;
+    }
+    for (Machine m : usable) {
+      if (!Placement.allowed(head, m)) {
+        continue;
+      }
+      Size sum = m.room;
+      List<Presence> backfilled = new ArrayList<>();
+      for (Presence p : m.presences.values()) {
+        if (p.stopping) {
+          sum = sum.plus(p.job.spec.size());
+        } else if (p.backfilled && p.job.spec.checkpoints() && behind(p.job, head)) {
+          backfilled.add(p);
+        }
+      }
+      if (head.spec.size().fitsIn(sum)) {
+        return;
+      }
+      backfilled.sort(Comparator.comparing((Presence p) -> -p.job.spec.size().cores()));
+      List<Presence> chosen = new ArrayList<>();
+      for (Presence p : backfilled) {
+        if (!head.spec.size().fitsIn(sum)) {
+          sum = sum.plus(p.job.spec.size());
+          chosen.add(p);
+        }
+      }
+      if (!chosen.isEmpty() && head.spec.size().fitsIn(sum)) {
+        for (Presence p : chosen) {
+          LOG.info("{} is stopped: the time reserved for {} has come", p.task(), head.id());
+          p.stop(now, p.job.spec.save().plus(Span.seconds(1)));
+        }
+        return;
+      }
+    }
+  }
+
+  /** Work never preempts work of equal or higher priority, even at the reserve time. */
+  private static boolean behind(Job job, Job head) {
+    return head.spec.priority().above(job.spec.priority());
+  }
+}
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -20,6 +20,10 @@
   final BitSet done;
   final BitSet stopped = new BitSet();
   final TreeMap<Integer, Presence> present = new TreeMap<>();
+
+  /** Tasks that need no machine now: done, on one, or given to one by the last round. */
+  private final BitSet taken;
+
   final TreeMap<Integer, Time> notBefore = new TreeMap<>();
   final TreeMap<Integer, Span> ranBefore = new TreeMap<>();
   final Set<MachineId> errorMachines = new HashSet<>();
@@ -58,6 +62,7 @@
     this.spec = spec;
     this.arrivedWallMs = arrivedWallMs;
     this.done = done;
+    this.taken = (BitSet) done.clone();
     this.recorded = (BitSet) done.clone();
   }
 
@@ -105,24 +110,58 @@
     return errorMachines.size() >= 3 && doneCount() == 0;
   }
 
+  /** Tasks that are neither done nor on a machine. */
   int pendingCount() {
-    return spec.tasks() - done.cardinality() - present.size();
+    return Math.max(0, spec.tasks() - done.cardinality() - present.size());
+  }
+
+  void put(Presence p) {
+    present.put(p.index, p);
+    taken.set(p.index);
+  }
+
+  void remove(Presence p) {
+    if (present.remove(p.index, p)) {
+      freed(p.index);
+    }
+  }
+
+  void isDone(int index) {
+    done.set(index);
+    taken.set(index);
+  }
+
+  /** A round gives the task to a machine, which is told with its next report. */
+  void given(int index) {
+    taken.set(index);
+  }
+
+  /** The task is no longer given to a machine, or is gone from it. */
+  void freed(int index) {
+    taken.set(index, done.get(index) || present.containsKey(index));
   }
 
   /** The next task to start from the given index on, or -1; tasks that wait out an error don't. */
   int nextPending(int from, Time now) {
-    for (int i = from; i < spec.tasks(); i++) {
-      i = done.nextClearBit(i);
-      if (i >= spec.tasks()) {
-        return -1;
-      }
-      if (!present.containsKey(i)) {
-        Time wait = notBefore.get(i);
-        if (wait == null || !now.before(wait)) {
-          return i;
-        }
+    for (int i = taken.nextClearBit(from); i < spec.tasks(); i = taken.nextClearBit(i + 1)) {
+      Time wait = notBefore.isEmpty() ? null : notBefore.get(i);
+      if (wait == null || !now.before(wait)) {
+        return i;
       }
     }
     return -1;
   }
+
+  /** How many tasks could start from the given index on, counted up to a limit. */
+  int countPending(int from, int most, Time now) {
+    if (notBefore.isEmpty()) {
+      int before = from - taken.get(0, from).cardinality();
+      return Math.min(most, spec.tasks() - taken.cardinality() - before);
+    }
+    int n = 0;
+    for (int i = nextPending(from, now); i >= 0 && n < most; i = nextPending(i + 1, now)) {
+      n++;
+    }
+    return n;
+  }
 }
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -8,7 +8,6 @@
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Order;
 import io.saltflow.protocol.Report;
-import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Term;
 import io.saltflow.protocol.Time;
@@ -34,6 +33,12 @@
   private static final Span SAVE_PATIENCE = Span.seconds(5);
   private static final int MOST_REMEMBERED_GONE = 4000;
 
+  /**
+   * A report with so many tasks, each of which may take about 130 bytes, is well below the 64 KiB
+   * that a body may have: a machine that keeps so many results gets no more work.
+   */
+  private static final int MOST_LISTED = 400;
+
   /** A machine that a former leader wrote down before it used it. */
   public record LedgerEntry(MachineId id, String type, String zone, boolean spot) {}
 
@@ -47,9 +52,13 @@
   private final Fencing fencing;
   private final Scheduler scheduler;
   private final Fleet fleet;
+  private final Returns returns;
+  private final TeamUse use;
   private final Usage usage = new Usage();
   private final Set<MachineId> goneForGood = new LinkedHashSet<>();
   private List<Scheduler.Waiting> waiting = List.of();
+  private Backlog backlog = Backlog.NONE;
+  private Span roundPause = new Span(0);
   private boolean accounted;
   private boolean changed = true;
   private Time lastRound = Time.LONG_AGO;
@@ -77,9 +86,11 @@
       this.jobs.put(job.id(), job);
     }
     estimates = new Estimates(policy);
-    fencing = new Fencing(policy, term, this.jobs, new Happenings(), now);
-    scheduler = new Scheduler(policy, estimates);
+    use = new TeamUse(policy.teams());
+    fencing = new Fencing(policy, term, this.jobs, use, new Happenings(), now);
+    scheduler = new Scheduler(policy, estimates, use);
     fleet = new Fleet(policy, term, estimates);
+    returns = new Returns(policy);
     typesKnown(knownTypes);
     for (LedgerEntry e : ledger) {
       Machine m = new Machine(e.id(), types.get(e.type()), e.type(), e.zone(), e.spot(), now);
@@ -98,7 +109,7 @@
   private final class Happenings implements Fencing.Events {
     @Override
     public void done(Job job, int index, Presence p, Time now) {
-      job.done.set(index);
+      job.isDone(index);
       job.stopped.clear(index);
       job.notBefore.remove(index);
       job.ranBefore.remove(index);
@@ -315,21 +326,31 @@
     m.quiet = false;
     changed |= m.accounted && !knownUsable;
     checkAccounted(now);
-    if (changed) {
-      round(now);
-    }
     List<Order> orders = new ArrayList<>();
     clear(r, orders);
+    if (roundDue(now)) {
+      round(now);
+    } else if (m.usable()) {
+      scheduler.fill(m, accounted, now);
+    }
     if (!m.accounted) {
       return orders;
     }
     halt(m, r, orders, now);
     if (mayLaunch && m.usable()) {
-      launch(m, orders, now);
+      launch(m, MOST_LISTED - r.tasks().size(), orders, now);
     }
     return orders;
   }
 
+  /**
+   * Whole rounds look at every machine, so with a large fleet they are run at a bounded rate; in
+   * between a machine that reports is looked at alone.
+   */
+  private boolean roundDue(Time now) {
+    return changed && now.since(lastRound).compareTo(roundPause) >= 0;
+  }
+
   private void clear(Report r, List<Order> orders) {
     for (Report.TaskReport t : r.tasks()) {
       if (t.state() != Report.TaskState.EXITED) {
@@ -364,40 +385,37 @@
     }
   }
 
-  private void launch(Machine m, List<Order> orders, Time now) {
+  private void launch(Machine m, int most, List<Order> orders, Time now) {
     if (m.assigned.isEmpty()) {
       return;
     }
-    Map<String, Size> use = scheduler.mostUse(fencing.machines());
-    Size free = m.free();
-    for (Machine.Assigned a : m.assigned) {
+    List<Machine.Assigned> given = List.copyOf(m.assigned);
+    scheduler.takeBack(m);
+    int left = most;
+    for (Machine.Assigned a : given) {
       Job job = a.job();
       // Checked once more against what is true now: the round may be a second old.
-      if (job.cancelled
+      if (left <= 0
+          || job.cancelled
           || job.finishing
           || !mayStart(job)
           || job.done.get(a.index())
           || job.present.containsKey(a.index())
-          || !job.spec.size().fitsIn(free)
-          || scheduler.overLimit(job, use)) {
-        continue;
-      }
-      job.assignedZones.remove(m.zone);
-      if (!Placement.allowed(job, m)) {
+          || !job.spec.size().fitsIn(m.free())
+          || !use.mayLaunch(job)
+          || !Placement.allowed(job, m)) {
         continue;
       }
       Attempt attempt = Attempt.of(term, ++attemptSequence);
       Presence p = fencing.launch(job, a.index(), attempt, m, a.backfilled(), now);
-      free = free.minus(job.spec.size());
-      use.merge(job.spec.team(), job.spec.size(), Size::plus);
       orders.add(new Order.Launch(p.task(), attempt));
+      left--;
       launches++;
       if (!launchedAny) {
         launchedAny = true;
         LOG.info("first launch of term {}, {} ms after it began", term, now.since(tookOver).ms());
       }
     }
-    m.assigned.clear();
   }
 
   /**
@@ -409,7 +427,11 @@
   }
 
   private void checkAccounted(Time now) {
-    if (!accounted && fencing.allAccounted()) {
+    if (accounted) {
+      return;
+    }
+    use.unknown(fencing.unaccounted());
+    if (fencing.allAccounted()) {
       accounted = true;
       changed = true;
       LOG.info(
@@ -429,7 +451,7 @@
     for (Job job : new ArrayList<>(jobs.values())) {
       forgetIfEmpty(job);
     }
-    if (changed || now.since(lastRound).compareTo(ROUND_EVERY) >= 0) {
+    if (roundDue(now) || now.since(lastRound).compareTo(ROUND_EVERY) >= 0) {
       round(now);
     }
   }
@@ -441,16 +463,27 @@
     }
     for (Presence p : m.presences.values()) {
       if (p.job.spec.checkpoints() && p.state == Presence.State.RUNNING) {
-        p.stop(now, Scheduler.grace(p));
+        p.stop(now, Preemption.grace(p));
       }
     }
   }
 
   private void round(Time now) {
     changed = false;
-    fleet.retire(fencing.machines(), jobs.values(), now);
     lastRound = now;
+    backlog = Backlog.of(jobs.values(), types.values(), policy, estimates, now);
+    fleet.retire(fencing.machines(), jobs.values(), backlog, now);
     waiting = scheduler.round(jobs.values(), fencing.machines(), accounted, now);
+    int items = jobs.size();
+    for (Machine m : fencing.machines()) {
+      items += 1 + m.presences.size();
+    }
+    roundPause = policy.roundPause(items);
+  }
+
+  /** How often machines have been looked at for a task, for tests that bound a round's work. */
+  long looks() {
+    return scheduler.looks();
   }
 
   /** Rentals to ask for. Each stays open until {@link #hired} or {@link #refused}. */
@@ -459,8 +492,7 @@
       return List.of();
     }
     List<Rental> out = new ArrayList<>();
-    for (Fleet.Hire h :
-        fleet.plan(waiting, jobs.values(), fencing.machines(), types.values(), now)) {
+    for (Fleet.Hire h : fleet.plan(waiting, backlog, fencing.machines(), types.values(), now)) {
       LOG.info("renting {} {}", h.count(), h.kind());
       out.add(new Rental(h));
     }
@@ -552,7 +584,7 @@
       // look like one of an unknown type, and be returned with all that runs on it.
       return List.of();
     }
-    return fleet.toReturn(fencing.machines(), tookOver, now);
+    return returns.toReturn(fencing.machines(), tookOver, now);
   }
 
   /** The cloud confirmed: the machines and all on them are gone. */
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -55,6 +55,14 @@
   boolean faulty;
   final Map<TaskId, Presence> presences = new LinkedHashMap<>();
   final List<Assigned> assigned = new ArrayList<>();
+  private Size used = Size.ZERO;
+
+  /** What the last round, and what was given since, leave of the free room. */
+  Size room = Size.ZERO;
+
+  /** The head's claim on it, or null. */
+  Reservation reserved;
+
   final LinkedHashSet<String> images = new LinkedHashSet<>();
 
   Machine(
@@ -90,16 +98,26 @@
     return !up && !leaving && type != null;
   }
 
+  /** What the tasks that are, or might be, on it take. */
   Size used() {
-    Size used = Size.ZERO;
-    for (Presence p : presences.values()) {
-      used = used.plus(p.job.spec.size());
-    }
     return used;
   }
 
   Size free() {
-    return type.size().minus(used());
+    return type.size().minus(used);
+  }
+
+  void put(Presence p) {
+    Presence before = presences.put(p.task(), p);
+    used = (before == null ? used : used.minus(before.job.spec.size())).plus(p.job.spec.size());
+    room = room.minus(p.job.spec.size());
+  }
+
+  void remove(Presence p) {
+    if (presences.remove(p.task(), p)) {
+      used = presences.isEmpty() ? Size.ZERO : used.minus(p.job.spec.size());
+      room = room.plus(p.job.spec.size());
+    }
   }
 
   void remember(String image) {
--- a/src/main/java/io/saltflow/coordination/Placement.java
+++ b/src/main/java/io/saltflow/coordination/Placement.java
@@ -2,30 +2,10 @@
 
 import io.saltflow.protocol.JobSpec;
 import io.saltflow.protocol.Size;
-import io.saltflow.protocol.Time;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.Map;
 
 /** Where a task may go, and where it best goes, machine by machine. */
 final class Placement {
-  /** Room on the machines during one round; tasks given out are taken off. */
-  static final class Room {
-    final Map<Machine, Size> free = new HashMap<>();
-    final Map<Machine, Reservation> reserved = new HashMap<>();
-  }
-
-  /** The head's claim on a machine: from when, and what is left beside it then. */
-  static final class Reservation {
-    final Time at;
-    Size extra;
-
-    Reservation(Time at, Size extra) {
-      this.at = at;
-      this.extra = extra;
-    }
-  }
-
   private Placement() {}
 
   /** Whether the job's other tasks, wherever they might be, allow one more on this machine. */
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -6,6 +6,7 @@
 
 /** What the platform says and what operators may set, as the core needs it. */
 public record Policy(
+    double cpuShare,
     Span report,
     Span lease,
     Span keepAfterSync,
@@ -30,6 +31,17 @@
   /** A team's guarantee and limit; a limit of 0 means none, a guarantee of 0 too. */
   public record Team(String name, double cores, double coresLimit, double gpus, double gpusLimit) {}
 
+  /**
+   * How much of one core a round costs for each job, machine and task that it looks at, in
+   * milliseconds, times what keeps rounds to a small part of the processor.
+   */
+  private static final double ROUND_PAUSE_MS = 0.02;
+
+  /** How long to leave between two whole rounds over so many jobs, machines and tasks. */
+  Span roundPause(int items) {
+    return Span.millis((long) (items * ROUND_PAUSE_MS / cpuShare));
+  }
+
   /** A report that has not come after this is overdue. */
   public Span reportOverdue() {
     return report.times(1.25).plus(Span.seconds(1));
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/Returns.java
@@ -0,0 +1,102 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.MachineId;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Which machines to give back, and why. */
+final class Returns {
+  private static final Logger LOG = LoggerFactory.getLogger(Returns.class);
+
+  private final Policy policy;
+
+  Returns(Policy policy) {
+    this.policy = policy;
+  }
+
+  /** Machines to return: silent, faulty, never up, taken soon and empty, or idle for too long. */
+  List<MachineId> toReturn(Collection<Machine> machines, Time tookOver, Time now) {
+    List<MachineId> out = new ArrayList<>();
+    int heard = 0;
+    int silent = 0;
+    int old = 0;
+    int unheard = 0;
+    for (Machine m : machines) {
+      if (m.up || m.mightHoldOldTasks) {
+        heard++;
+        if (silentFor(m, tookOver, now).longerThan(policy.reportOverdue())) {
+          silent++;
+        }
+        old++;
+        unheard += m.mightHoldOldTasks ? 1 : 0;
+      }
+    }
+    // When many fall silent at once, the cut is more likely to be ours than theirs.
+    boolean cut = silent >= 3 && silent * 2 > heard;
+    // A new leader that has heard nearly all waits less for the rest: they hold everything up.
+    Span patience = policy.silence().times(unheard * 5 <= old ? 0.65 : 1);
+    for (Machine m : machines) {
+      if (m.deleteAsked) {
+        continue;
+      }
+      String why = reason(m, cut, patience, tookOver, now);
+      if (why != null) {
+        LOG.info("machine {} ({}) is returned: {}", m.id, m.kind(), why);
+        m.leaving = true;
+        m.deleteAsked = true;
+        out.add(m.id);
+      }
+    }
+    return out;
+  }
+
+  private static Span silentFor(Machine m, Time tookOver, Time now) {
+    return now.since(Time.later(m.lastHeard, tookOver));
+  }
+
+  private String reason(Machine m, boolean cut, Span patience, Time tookOver, Time now) {
+    Span silence = silentFor(m, tookOver, now);
+    Span most = m.mightHoldOldTasks ? patience : policy.silence();
+    if (m.unlisted) {
+      most = m.mightHoldOldTasks ? policy.report() : policy.reportOverdue();
+    } else if (cut) {
+      most = policy.leaseSurelyOver();
+    }
+    if ((m.up || m.mightHoldOldTasks) && silence.longerThan(most)) {
+      return "it has been silent for " + Math.round(silence.toSeconds()) + " s";
+    }
+    if (m.type == null) {
+      return m.presences.isEmpty() ? "its type is not known" : null;
+    }
+    if (m.faulty) {
+      return "it fails what it is given";
+    }
+    Span age = now.since(m.rentedAt);
+    if (m.booting()) {
+      Span longest = m.type.boot().times(policy.bootPatience()).plus(Span.seconds(10));
+      return age.longerThan(longest) ? "it never came up" : null;
+    }
+    if (!m.presences.isEmpty() || !m.assigned.isEmpty() || m.idleSince == null || !m.accounted) {
+      return null;
+    }
+    if (m.noticeAt != null) {
+      return "it is empty and the cloud is about to take it";
+    }
+    // The first minute is charged whether it is used or not.
+    Span idle = now.since(m.idleSince);
+    if (m.retiring && age.longerThan(policy.minimumCharge())) {
+      return "it is dear and no longer needed";
+    }
+    boolean paid = age.longerThan(policy.minimumCharge());
+    if (paid && idle.longerThan(m.type.boot().times(policy.idleReturnBoots()))) {
+      // Kept for as long as it would take to rent another: longer costs more than it can save.
+      return "it is idle";
+    }
+    return null;
+  }
+}
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -1,546 +1,256 @@
 package io.saltflow.coordination;
 
 import io.saltflow.protocol.JobId;
-import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * The paper's rounds. Jobs start in queue order while they fit; the first misfit, the head, gets a
  * reservation on the machines where its room comes first; later jobs are backfilled when they end
  * before it or fit beside it; backfilled tasks that checkpoint are stopped when its time has come.
+ *
+ * <p>A whole round looks at all machines. Between two of them, {@link #fill} looks at the one
+ * machine that reports, with the queue and the reservation of the last whole round.
  */
 final class Scheduler {
-  private static final Logger LOG = LoggerFactory.getLogger(Scheduler.class);
-
-  /** How many tasks of the head get a reservation: bounds a round's work. */
-  private static final int MOST_RESERVED = 256;
-
-  /** The head's promise, kept over rounds so that it does not slip. */
-  private record Promise(JobId job, Time at) {}
-
-  private record End(Time at, Machine machine, Size size) {}
-
   private final Policy policy;
   private final Estimates estimates;
-  private Promise promise;
+  private final TeamUse use;
+  private final Queue queue;
+  private final HeadReservation reservation;
+  private final Preemption preemption;
+  private List<Machine> usable = List.of();
+  private List<Waiting> waiting = List.of();
+  private Job head;
+  private double cheapest;
+  private Size smallestWaiting;
+
+  /** How often a machine was looked at for a task: what a round's work grows with. */
+  private long looks;
 
-  Scheduler(Policy policy, Estimates estimates) {
+  Scheduler(Policy policy, Estimates estimates, TeamUse use) {
     this.policy = policy;
     this.estimates = estimates;
+    this.use = use;
+    queue = new Queue(policy, estimates);
+    reservation = new HeadReservation(estimates);
+    preemption = new Preemption(policy, estimates, use);
   }
 
-  /** What one round left undone: the queue in order, and how many tasks of each job wait. */
-  record Waiting(Job job, int tasks) {}
+  /**
+   * What a round left undone: the queue in order, and how many tasks of each job wait. One that is
+   * held may not start yet, as its record does not say that it may have.
+   */
+  record Waiting(Job job, int tasks, boolean held) {}
+
+  /** A machine that could take a task of a job, and how well it suits. */
+  private record Candidate(Machine machine, int order, double score) {}
+
+  private static final Comparator<Candidate> BEST =
+      Comparator.comparingDouble(Candidate::score).thenComparingInt(Candidate::order);
+
+  long looks() {
+    return looks;
+  }
 
   /** Gives tasks to machines and marks tasks to stop; returns who still waits, in queue order. */
   List<Waiting> round(
       Collection<Job> jobs, Collection<Machine> machines, boolean accounted, Time now) {
-    Placement.Room room = new Placement.Room();
-    List<Machine> usable = new ArrayList<>();
+    usable = new ArrayList<>();
     List<Machine> booting = new ArrayList<>();
+    double cores = 0;
     for (Machine m : machines) {
-      m.assigned.clear();
+      takeBack(m);
+      m.reserved = null;
       if (m.usable()) {
         usable.add(m);
-        room.free.put(m, m.free());
+        m.room = m.free();
+        cores += m.type.size().cores();
       } else if (m.booting()) {
         booting.add(m);
       }
     }
-    double cores = 0;
-    for (Machine m : usable) {
-      cores += m.type.size().cores();
-    }
     for (Job job : jobs) {
       job.assignedZones.clear();
-      job.pressed = pressed(job, now);
-      job.place = place(job, cores);
     }
-    double cheapest = Placement.cheapestPerCore(usable);
-    Map<String, Size> use = mostUse(machines);
-    Set<JobId> guaranteed = guaranteed(jobs);
-    List<Waiting> waiting = new ArrayList<>();
-    Job head = null;
-    for (Job job : inOrder(jobs, guaranteed)) {
-      if (job.cancelled
-          || job.finishing
-          || job.pendingCount() == 0
-          || (!accounted && job.maybeStartedBefore)) {
-        continue;
+    cheapest = Placement.cheapestPerCore(usable);
+    Set<JobId> guaranteed = queue.guaranteed(jobs);
+    List<Job> order = new ArrayList<>();
+    for (Job job : queue.inOrder(jobs, guaranteed, cores, now)) {
+      if (!job.cancelled
+          && !job.finishing
+          && job.pendingCount() > 0
+          && (accounted || !job.maybeStartedBefore)) {
+        order.add(job);
       }
-      boolean limited = false;
-      int left = 0;
-      int index = job.nextPending(0, now);
-      while (index >= 0) {
-        if (overLimit(job, use)) {
-          limited = true;
-          break;
-        }
-        Machine m = best(job, index, usable, room, now, head != null, cheapest);
-        if (m == null) {
-          left = countPending(job, index, now, use);
-          break;
-        }
-        give(job, index, m, room, use, head != null, now);
-        index = job.nextPending(index + 1, now);
-      }
-      if (left > 0) {
-        waiting.add(new Waiting(job, left));
-        if (head == null && !limited) {
-          head = job;
-          reserve(job, left, usable, booting, room, now);
-        }
-      }
-    }
-    stopWhenDue(head, usable, room, now);
-    preempt(waiting, usable, booting, guaranteed, use, now);
-    return waiting;
-  }
-
-  /**
-   * Arrival, put back by the time that what the job still has to start would keep the whole fleet:
-   * a short job passes a long one that came a little earlier, which it hardly delays. The delay of
-   * the long one is bounded by its own length, so it can't starve. Our extension; a weight of 0 is
-   * the paper's order of arrival.
-   */
-  private double place(Job job, double fleetCores) {
-    double lengthS =
-        job.pendingCount()
-            * job.spec.size().cores()
-            * estimates.predict(job, 0).toSeconds()
-            / Math.max(1, fleetCores);
-    return job.arrivedWallMs + policy.lengthWeight() * lengthS * 1000;
-  }
-
-  /**
-   * Whether a job of low priority has little time to spare before its deadline, or before the time
-   * its class should be finished in. Our extension: without it such work starves while work of
-   * normal priority keeps coming.
-   */
-  private boolean pressed(Job job, Time now) {
-    if (job.dueAt == null) {
-      return false;
     }
-    Span spare = job.dueAt.since(now).minus(estimates.predict(job, 0).times(1.3));
-    return !spare.longerThan(policy.pressedSlack());
-  }
-
-  /** Guarantee first, then priority, then arrival; ids settle what arrived together. */
-  static List<Job> inOrder(Collection<Job> jobs, Set<JobId> guaranteed) {
-    List<Job> order = new ArrayList<>(jobs);
-    order.sort(
-        Comparator.comparing((Job j) -> j.failsEverywhere())
-            .thenComparing(j -> !guaranteed.contains(j.id()))
-            .thenComparing(Job::queuedAs, Comparator.reverseOrder())
-            .thenComparing(j -> j.place)
-            .thenComparing(Job::id));
-    return order;
-  }
-
-  /** Jobs that fit in their team's guarantee together with the team's earlier unfinished jobs. */
-  Set<JobId> guaranteed(Collection<Job> jobs) {
-    Set<JobId> out = new HashSet<>();
-    Map<String, Size> sums = new HashMap<>();
-    List<Job> byArrival = new ArrayList<>(jobs);
-    byArrival.sort(Comparator.comparing((Job j) -> j.arrivedWallMs).thenComparing(Job::id));
-    for (Job job : byArrival) {
-      Policy.Team team = policy.teams().get(job.spec.team());
-      if (team == null || (team.cores() <= 0 && team.gpus() <= 0)) {
+    List<Machine> open = withRoomFor(smallest(order));
+    waiting = new ArrayList<>();
+    head = null;
+    for (Job job : order) {
+      if (!job.startRecorded) {
+        waiting.add(new Waiting(job, job.countPending(0, use.mayStillGive(job), now), true));
         continue;
       }
-      Size whole = job.spec.size().times(job.spec.tasks() - job.done.cardinality());
-      Size sum = sums.getOrDefault(job.spec.team(), Size.ZERO).plus(whole);
-      sums.put(job.spec.team(), sum);
-      if (sum.cores() <= team.cores() && sum.gpus() <= team.gpus()) {
-        out.add(job.id());
-      }
-    }
-    return out;
-  }
-
-  /**
-   * The most that each team's tasks may use: what is known, and all of every machine that might
-   * hold tasks of a former leader and has not been heard of.
-   */
-  Map<String, Size> mostUse(Collection<Machine> machines) {
-    Map<String, Size> use = teamUse(machines);
-    Size unknown = Size.ZERO;
-    for (Machine m : machines) {
-      if (m.mightHoldOldTasks) {
-        unknown = unknown.plus(m.type == null ? new Size(1e9, 1e9, 1e9) : m.type.size());
+      int left = place(job, open, now);
+      if (left > 0 || job.nextPending(0, now) >= 0) {
+        waiting.add(new Waiting(job, left, false));
       }
-    }
-    for (String team : policy.teams().keySet()) {
-      use.merge(team, unknown, Size::plus);
-    }
-    return use;
-  }
-
-  /** What each team's tasks use, wherever they are known to be. */
-  static Map<String, Size> teamUse(Collection<Machine> machines) {
-    Map<String, Size> use = new HashMap<>();
-    for (Machine m : machines) {
-      for (Presence p : m.presences.values()) {
-        use.merge(p.job.spec.team(), p.job.spec.size(), Size::plus);
+      if (left > 0 && head == null) {
+        head = job;
+        reservation.reserve(job, left, usable, booting, now);
       }
     }
-    return use;
-  }
-
-  boolean overLimit(Job job, Map<String, Size> use) {
-    Policy.Team team = policy.teams().get(job.spec.team());
-    if (team == null) {
-      return true;
+    smallestWaiting = null;
+    for (Waiting w : waiting) {
+      Size s = w.job.spec.size();
+      smallestWaiting = smallestWaiting == null ? s : smallestWaiting.least(s);
     }
-    Size after = use.getOrDefault(job.spec.team(), Size.ZERO).plus(job.spec.size());
-    return (team.coresLimit() > 0 && after.cores() > team.coresLimit() + 1e-6)
-        || (team.gpusLimit() > 0 && after.gpus() > team.gpusLimit() + 1e-6);
+    reservation.stopWhenDue(head, usable, now);
+    preemption.preempt(waiting, usable, booting, guaranteed, now);
+    return waiting;
   }
 
-  /** How many tasks wait from this one on, as far as the team's limit would let them run. */
-  private int countPending(Job job, int from, Time now, Map<String, Size> use) {
-    int most = Integer.MAX_VALUE;
-    Policy.Team team = policy.teams().get(job.spec.team());
-    if (team != null && team.coresLimit() > 0 && job.spec.size().cores() > 0) {
-      double used = use.getOrDefault(job.spec.team(), Size.ZERO).cores();
-      most = (int) Math.floor((team.coresLimit() - used + 1e-6) / job.spec.size().cores());
-    }
-    int n = 0;
-    for (int i = from; i >= 0 && n < most; i = job.nextPending(i + 1, now)) {
-      n++;
+  /** The least of each amount that any of these asks for. */
+  private static Size smallest(List<Job> jobs) {
+    Size least = null;
+    for (Job job : jobs) {
+      least = least == null ? job.spec.size() : least.least(job.spec.size());
     }
-    return n;
+    return least;
   }
 
-  private Machine best(
-      Job job,
-      int index,
-      List<Machine> usable,
-      Placement.Room room,
-      Time now,
-      boolean backfilling,
-      double cheapest) {
-    Machine best = null;
-    double bestScore = Double.MAX_VALUE;
-    Span run = estimates.predict(job, index);
-    for (Machine m : usable) {
-      Size free = room.free.get(m);
-      if (!job.spec.size().fitsIn(free) || !Placement.allowed(job, m)) {
-        continue;
-      }
-      if (backfilling && !mayBackfill(job, m, room, run, now)) {
-        continue;
-      }
-      if (job.errorMachines.contains(m.id) && !job.failsEverywhere() && usable.size() > 1) {
-        continue;
-      }
-      if (m.retiring && job.spec.priority().compareTo(policy.preemptFrom()) < 0) {
-        continue;
-      }
-      boolean dear = m.pricePerCore() > cheapest * policy.dearFactor();
-      double score = Placement.score(job, m, free, estimates, dear);
-      if (score < bestScore) {
-        best = m;
-        bestScore = score;
+  private List<Machine> withRoomFor(Size least) {
+    List<Machine> open = new ArrayList<>();
+    if (least != null) {
+      for (Machine m : usable) {
+        if (least.fitsIn(m.room)) {
+          open.add(m);
+        }
       }
     }
-    return best;
+    return open;
   }
 
-  private boolean mayBackfill(Job job, Machine m, Placement.Room room, Span run, Time now) {
-    Placement.Reservation r = room.reserved.get(m);
-    return r == null || endsBefore(job, m, run, now, r) || job.spec.size().fitsIn(r.extra);
-  }
-
-  private boolean endsBefore(Job job, Machine m, Span run, Time now, Placement.Reservation r) {
-    return !job.spec.daemon() && !now.plus(estimates.fetch(job, m)).plus(run).after(r.at);
-  }
-
-  private void give(
-      Job job,
-      int index,
-      Machine m,
-      Placement.Room room,
-      Map<String, Size> use,
-      boolean backfilling,
-      Time now) {
-    room.free.merge(m, job.spec.size(), Size::minus);
-    use.merge(job.spec.team(), job.spec.size(), Size::plus);
-    m.assigned.add(new Machine.Assigned(job, index, backfilling));
-    job.assignedZones.add(m.zone);
-    Placement.Reservation r = room.reserved.get(m);
-    if (r != null && !endsBefore(job, m, estimates.predict(job, index), now, r)) {
-      r.extra = r.extra.minus(job.spec.size());
+  /** What rounds gave to the machine and it has not been told yet is given back. */
+  void takeBack(Machine m) {
+    for (Machine.Assigned a : m.assigned) {
+      a.job().freed(a.index());
+      m.room = m.room.plus(a.job().spec.size());
+      use.takenBack(a.job());
+      a.job().assignedZones.remove(m.zone);
     }
+    m.assigned.clear();
   }
 
-  /** Adds the room of running tasks by predicted end until the head's tasks fit. */
-  private void reserve(
-      Job head,
-      int tasks,
-      List<Machine> usable,
-      List<Machine> booting,
-      Placement.Room room,
-      Time now) {
-    List<End> ends = new ArrayList<>();
-    Map<Machine, Size> future = new HashMap<>();
-    for (Machine m : usable) {
-      if (!Placement.allowed(head, m)) {
-        continue;
-      }
-      future.put(m, room.free.get(m));
-      for (Presence p : m.presences.values()) {
-        ends.add(new End(estimates.end(p, now), m, p.job.spec.size()));
-      }
-      for (Machine.Assigned a : m.assigned) {
-        Time end =
-            now.plus(estimates.fetch(a.job(), m)).plus(estimates.predict(a.job(), a.index()));
-        ends.add(new End(a.job().spec.daemon() ? Time.NEVER : end, m, a.job().spec.size()));
-      }
+  /** Gives the job's tasks to the machines that suit best; how many wait, as far as allowed. */
+  private int place(Job job, List<Machine> open, Time now) {
+    int index = job.nextPending(0, now);
+    if (index < 0) {
+      return 0;
     }
-    for (Machine m : booting) {
-      if (head.spec.allows(m.typeName, m.zone, m.spot)) {
-        future.put(m, Size.ZERO);
-        ends.add(new End(readyAt(m, now), m, m.type.size()));
-      }
+    PriorityQueue<Candidate> candidates = new PriorityQueue<>(BEST);
+    for (int i = 0; i < open.size(); i++) {
+      offer(job, index, open.get(i), i, candidates, now);
     }
-    ends.sort(Comparator.comparing(End::at));
-    Time first = null;
-    int left = Math.min(tasks, MOST_RESERVED);
-    for (End end : ends) {
-      if (left <= 0) {
-        break;
-      }
-      Machine m = end.machine;
-      Size sum = future.get(m).plus(end.size);
-      while (left > 0 && head.spec.size().fitsIn(sum)) {
-        sum = sum.minus(head.spec.size());
-        left--;
-        if (first == null) {
-          first = end.at;
+    while (index >= 0) {
+      if (!use.mayGive(job)) {
+        // Its team's limit stands in its way, not room: no room is made or reserved for it.
+        return 0;
+      }
+      Candidate best = candidates.poll();
+      if (best == null) {
+        return job.countPending(index, use.mayStillGive(job), now);
+      }
+      // Tasks that were stopped before are predicted otherwise than their siblings.
+      if (mayTake(job, index, best.machine, head != null, now)) {
+        give(job, index, best.machine, now);
+        index = job.nextPending(index + 1, now);
+        if (index >= 0) {
+          offer(job, index, best.machine, best.order, candidates, now);
         }
-        room.reserved.put(m, new Placement.Reservation(end.at, sum));
       }
-      future.put(m, sum);
-      Placement.Reservation r = room.reserved.get(m);
-      if (r != null) {
-        r.extra = Size.ZERO.plus(sum);
-      }
-    }
-    if (first == null) {
-      promise = null;
-    } else if (promise == null || !promise.job.equals(head.id()) || first.before(promise.at)) {
-      promise = new Promise(head.id(), first);
     }
+    return 0;
   }
 
-  /** A machine's room counts from when it should be ready: our extension for rented machines. */
-  static Time readyAt(Machine m, Time now) {
-    Time due = m.rentedAt.plus(m.type.boot());
-    return due.after(now) ? due : now.plus(now.since(m.rentedAt).times(0.3));
-  }
-
-  /** At the reserve time, backfilled tasks that checkpoint are stopped, largest first. */
-  private void stopWhenDue(Job head, List<Machine> usable, Placement.Room room, Time now) {
-    if (head == null) {
-      promise = null;
-      return;
-    }
-    if (promise == null || !promise.job.equals(head.id()) || now.before(promise.at)) {
-      return;
-    }
-    for (Machine m : usable) {
-      if (!Placement.allowed(head, m)) {
-        continue;
-      }
-      Size sum = room.free.get(m);
-      List<Presence> backfilled = new ArrayList<>();
-      for (Presence p : m.presences.values()) {
-        if (p.stopping) {
-          sum = sum.plus(p.job.spec.size());
-        } else if (p.backfilled && p.job.spec.checkpoints() && behind(p.job, head)) {
-          backfilled.add(p);
-        }
-      }
-      if (head.spec.size().fitsIn(sum)) {
-        return;
-      }
-      backfilled.sort(Comparator.comparing((Presence p) -> -p.job.spec.size().cores()));
-      List<Presence> chosen = new ArrayList<>();
-      for (Presence p : backfilled) {
-        if (!head.spec.size().fitsIn(sum)) {
-          sum = sum.plus(p.job.spec.size());
-          chosen.add(p);
-        }
-      }
-      if (!chosen.isEmpty() && head.spec.size().fitsIn(sum)) {
-        for (Presence p : chosen) {
-          LOG.info("{} is stopped: the time reserved for {} has come", p.task(), head.id());
-          p.stop(now, p.job.spec.save().plus(Span.seconds(1)));
-        }
-        return;
-      }
+  private void offer(
+      Job job, int index, Machine m, int order, PriorityQueue<Candidate> candidates, Time now) {
+    if (mayTake(job, index, m, head != null, now)) {
+      boolean dear = m.pricePerCore() > cheapest * policy.dearFactor();
+      double score = Placement.score(job, m, m.room, estimates, dear);
+      candidates.add(new Candidate(m, order, score));
     }
   }
 
-  /** Work never preempts work of equal or higher priority, even at the reserve time. */
-  private static boolean behind(Job job, Job head) {
-    return head.spec.priority().above(job.spec.priority());
+  private boolean mayTake(Job job, int index, Machine m, boolean backfilling, Time now) {
+    looks++;
+    return job.spec.size().fitsIn(m.room)
+        && Placement.allowed(job, m)
+        && (!backfilling || mayBackfill(job, m, estimates.predict(job, index), now))
+        && (job.errorMachines.isEmpty()
+            || !job.errorMachines.contains(m.id)
+            || job.failsEverywhere()
+            || usable.size() <= 1)
+        && (!m.retiring || job.spec.priority().compareTo(policy.preemptFrom()) >= 0);
   }
 
   /**
-   * Makes room for jobs of higher priority, and for guarantees. Room that comes by itself within
-   * the patience counts first, so that nothing is stopped for room that is on its way.
+   * A machine with free room reports between two whole rounds: it gets what comes first in the last
+   * round's queue and may go there, at once and without a look at any other machine.
    */
-  private void preempt(
-      List<Waiting> waiting,
-      List<Machine> usable,
-      List<Machine> booting,
-      Set<JobId> guaranteed,
-      Map<String, Size> use,
-      Time now) {
-    Map<Machine, Size> soon = null;
-    Time limit = now.plus(policy.patience());
-    for (Waiting w : waiting) {
-      boolean urgent = w.job.spec.priority().compareTo(policy.preemptFrom()) >= 0;
-      if (!urgent && !guaranteed.contains(w.job.id())) {
-        continue;
-      }
-      if (w.job.failsEverywhere()) {
-        continue;
-      }
-      if (soon == null) {
-        soon = roomSoon(usable, booting, now, limit);
-      }
-      int left = Math.min(w.tasks, MOST_RESERVED);
-      for (Map.Entry<Machine, Size> e : soon.entrySet()) {
-        while (left > 0
-            && Placement.allowed(w.job, e.getKey())
-            && w.job.spec.size().fitsIn(e.getValue())) {
-          e.setValue(e.getValue().minus(w.job.spec.size()));
-          left--;
-        }
-      }
-      while (left > 0 && stopFor(w.job, usable, soon, guaranteed, use, now, limit)) {
-        left--;
-      }
-    }
-  }
-
-  private Map<Machine, Size> roomSoon(
-      List<Machine> usable, List<Machine> booting, Time now, Time limit) {
-    Map<Machine, Size> soon = new LinkedHashMap<>();
-    for (Machine m : usable) {
-      Size sum = m.free();
-      for (Machine.Assigned a : m.assigned) {
-        sum = sum.minus(a.job().spec.size());
-      }
-      for (Presence p : m.presences.values()) {
-        if (p.stopping || !estimates.end(p, now).after(limit)) {
-          sum = sum.plus(p.job.spec.size());
-        }
-      }
-      soon.put(m, sum);
-    }
-    for (Machine m : booting) {
-      if (!readyAt(m, now).after(limit)) {
-        soon.put(m, m.type.size());
-      }
+  void fill(Machine m, boolean accounted, Time now) {
+    if (smallestWaiting == null || !smallestWaiting.fitsIn(m.room)) {
+      return;
     }
-    return soon;
-  }
-
-  private boolean stopFor(
-      Job job,
-      List<Machine> usable,
-      Map<Machine, Size> soon,
-      Set<JobId> guaranteed,
-      Map<String, Size> use,
-      Time now,
-      Time limit) {
-    List<Presence> best = null;
-    double bestCost = Double.MAX_VALUE;
-    for (Machine m : usable) {
-      if (!Placement.allowed(job, m)) {
-        continue;
-      }
-      List<Presence> victims = new ArrayList<>();
-      for (Presence p : m.presences.values()) {
-        if (!p.stopping && estimates.end(p, now).after(limit) && mayStop(p, job, guaranteed, use)) {
-          victims.add(p);
+    boolean backfilling = false;
+    for (Waiting w : waiting) {
+      Job job = w.job;
+      if (!job.cancelled
+          && !job.finishing
+          && job.startRecorded
+          && (accounted || !job.maybeStartedBefore)) {
+        int index = job.nextPending(0, now);
+        while (index >= 0 && use.mayGive(job) && mayTake(job, index, m, backfilling, now)) {
+          give(job, index, m, now);
+          index = job.nextPending(index + 1, now);
         }
-      }
-      victims.sort(Comparator.comparingDouble((Presence p) -> cost(p, now)));
-      Size sum = soon.get(m);
-      List<Presence> chosen = new ArrayList<>();
-      double cost = estimates.fetch(job, m).toSeconds();
-      for (Presence p : victims) {
-        if (job.spec.size().fitsIn(sum)) {
-          break;
+        if (!smallestWaiting.fitsIn(m.room)) {
+          return;
         }
-        sum = sum.plus(p.job.spec.size());
-        cost += cost(p, now);
-        chosen.add(p);
       }
-      if (!chosen.isEmpty() && job.spec.size().fitsIn(sum) && cost < bestCost) {
-        best = chosen;
-        bestCost = cost;
-      }
-    }
-    if (best == null) {
-      return false;
+      backfilling |= job == head;
     }
-    Machine m = best.get(0).machine;
-    Size sum = soon.get(m);
-    for (Presence p : best) {
-      LOG.info("{} on {} is stopped to make room for {}", p.task(), m.id, job.id());
-      p.stop(now, grace(p));
-      sum = sum.plus(p.job.spec.size());
-      use.merge(p.job.spec.team(), p.job.spec.size(), Size::minus);
-    }
-    soon.put(m, sum.minus(job.spec.size()));
-    return true;
   }
 
-  static Span grace(Presence p) {
-    return p.job.spec.checkpoints() ? p.job.spec.save().plus(Span.seconds(1)) : new Span(0);
+  private boolean mayBackfill(Job job, Machine m, Span run, Time now) {
+    Reservation r = m.reserved;
+    return r == null || endsBefore(job, m, run, now, r) || job.spec.size().fitsIn(r.extra);
   }
 
-  /** Core-seconds that a stop would lose; a task that saves loses little. */
-  private static double cost(Presence p, Time now) {
-    double ranS = p.runningSince == null ? 0 : now.since(p.runningSince).toSeconds();
-    double lost = p.job.spec.checkpoints() ? p.job.spec.save().toSeconds() + 1 : ranS + 1;
-    return lost * Math.max(0.1, p.job.spec.size().cores());
+  private boolean endsBefore(Job job, Machine m, Span run, Time now, Reservation r) {
+    return !job.spec.daemon() && !now.plus(estimates.fetch(job, m)).plus(run).after(r.at);
   }
 
-  private boolean mayStop(Presence p, Job forJob, Set<JobId> guaranteed, Map<String, Size> use) {
-    Priority mine = forJob.spec.priority();
-    boolean victimGuaranteed = guaranteed.contains(p.job.id());
-    if (mine.above(p.job.spec.priority())
-        && mine.compareTo(policy.preemptFrom()) >= 0
-        && (!victimGuaranteed || guaranteed.contains(forJob.id()))) {
-      return true;
+  private void give(Job job, int index, Machine m, Time now) {
+    boolean backfilling = head != null && head != job;
+    m.room = m.room.minus(job.spec.size());
+    use.given(job);
+    job.given(index);
+    m.assigned.add(new Machine.Assigned(job, index, backfilling));
+    if (job.spec.oneZone() || job.spec.spread()) {
+      job.assignedZones.add(m.zone);
     }
-    if (!guaranteed.contains(forJob.id())
-        || victimGuaranteed
-        || p.job.spec.team().equals(forJob.spec.team())) {
-      return false;
+    Reservation r = m.reserved;
+    if (r != null && !endsBefore(job, m, estimates.predict(job, index), now, r)) {
+      r.extra = r.extra.minus(job.spec.size());
     }
-    Policy.Team team = policy.teams().get(p.job.spec.team());
-    Size used = use.getOrDefault(p.job.spec.team(), Size.ZERO);
-    return team != null && (used.cores() > team.cores() || used.gpus() > team.gpus());
   }
 }
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/TeamUse.java
@@ -0,0 +1,105 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.Size;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * What each team's tasks use, kept up to date as tasks come and go: summed over the fleet at each
+ * launch it would cost the more the larger the fleet is.
+ */
+final class TeamUse {
+  /** So many tasks of so much in all; none at all is exactly nothing, whatever was rounded. */
+  private record Sum(int tasks, Size size) {
+    static final Sum NONE = new Sum(0, Size.ZERO);
+
+    Sum with(Size more) {
+      return new Sum(tasks + 1, size.plus(more));
+    }
+
+    Sum without(Size less) {
+      return tasks <= 1 ? NONE : new Sum(tasks - 1, size.minus(less));
+    }
+  }
+
+  private final Map<String, Policy.Team> teams;
+  private final Map<String, Sum> present = new HashMap<>();
+  private final Map<String, Sum> given = new HashMap<>();
+  private Size unknown = Size.ZERO;
+
+  TeamUse(Map<String, Policy.Team> teams) {
+    this.teams = teams;
+  }
+
+  private static void add(Map<String, Sum> sums, Job job) {
+    String team = job.spec.team();
+    sums.put(team, sums.getOrDefault(team, Sum.NONE).with(job.spec.size()));
+  }
+
+  private static void take(Map<String, Sum> sums, Job job) {
+    String team = job.spec.team();
+    sums.put(team, sums.getOrDefault(team, Sum.NONE).without(job.spec.size()));
+  }
+
+  /** A task of the job is, or might be, on a machine. */
+  void present(Job job) {
+    add(present, job);
+  }
+
+  void gone(Job job) {
+    take(present, job);
+  }
+
+  /** A round gave a task of the job to a machine that has not been told yet. */
+  void given(Job job) {
+    add(given, job);
+  }
+
+  void takenBack(Job job) {
+    take(given, job);
+  }
+
+  /** All of every machine that might hold tasks of a former leader counts against every team. */
+  void unknown(Size most) {
+    unknown = most;
+  }
+
+  /** The most that the team may be using, with what has been given out. */
+  Size most(String team) {
+    return launched(team).plus(given.getOrDefault(team, Sum.NONE).size);
+  }
+
+  private Size launched(String team) {
+    return present.getOrDefault(team, Sum.NONE).size.plus(unknown);
+  }
+
+  /** Whether one more task may be given out. */
+  boolean mayGive(Job job) {
+    return within(job, most(job.spec.team()));
+  }
+
+  /** Whether one more task may be launched, whatever else has been given out. */
+  boolean mayLaunch(Job job) {
+    return within(job, launched(job.spec.team()));
+  }
+
+  private boolean within(Job job, Size used) {
+    Policy.Team team = teams.get(job.spec.team());
+    if (team == null) {
+      return false;
+    }
+    Size after = used.plus(job.spec.size());
+    return (team.coresLimit() <= 0 || after.cores() <= team.coresLimit() + 1e-6)
+        && (team.gpusLimit() <= 0 || after.gpus() <= team.gpusLimit() + 1e-6);
+  }
+
+  /** How many more of the job's tasks the team's limit lets run. */
+  int mayStillGive(Job job) {
+    Policy.Team team = teams.get(job.spec.team());
+    if (team == null || team.coresLimit() <= 0 || job.spec.size().cores() <= 0) {
+      return Integer.MAX_VALUE;
+    }
+    double left = team.coresLimit() - most(job.spec.team()).cores() + 1e-6;
+    return (int) Math.max(0, Math.floor(left / job.spec.size().cores()));
+  }
+}
--- a/src/main/java/io/saltflow/protocol/Size.java
+++ b/src/main/java/io/saltflow/protocol/Size.java
@@ -23,6 +23,12 @@
         && memoryGb <= room.memoryGb + SLACK;
   }
 
+  /** The lesser of each amount. */
+  public Size least(Size o) {
+    return new Size(
+        Math.min(cores, o.cores), Math.min(gpus, o.gpus), Math.min(memoryGb, o.memoryGb));
+  }
+
   /** How many of this size fit in a room. */
   public int countIn(Size room) {
     double n = Integer.MAX_VALUE;
--- a/src/test/java/io/saltflow/coordination/Policies.java
+++ b/src/test/java/io/saltflow/coordination/Policies.java
@@ -15,6 +15,7 @@
       byName.put(team.name(), team);
     }
     return new Policy(
+        1,
         Span.seconds(3),
         lease,
         keepAfterSync,
