Ledger and progress in pages, and what launches wait for goes first

Cause: at 25 changes a second, one key a machine (1,000), one more write a job before its first launch and one each 2.5 s for every live job with progress stood in one queue with admissions. Machines that were up waited for their ledger entry.

Many entries now share a key: about 130 machines or 60 jobs a page. A page's write is guarded by the page's own version besides the leader's key, so an older version whose answer was lost can't come after a newer one. Done tasks are a count and bits instead of ranges, about 210 characters for 1,200 tasks in any order. What is recorded is what was written, also where a long set lost its end. Requests that wait for the budget go by rank: leadership, what a launch waits for, users, books; none of a lower rank is written while a higher one waits.

Also: an entry of the ledger that can't be read is waited out like an unheard machine, a job record that can't be read is not taken for a cancelled job, an end that can't be read is answered 503.

--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -50,6 +50,7 @@
   private final Consumer<Span> onDeaf;
   private final BooleanSupplier outageForAll;
   private Leader leader;
+  private LeaderBooks.Inherited former;
   private boolean listing;
   private boolean deleting;
 
@@ -61,6 +62,7 @@
       StateClient state,
       JobStore jobs,
       int txnOps,
+      double valueKb,
       CloudClient cloud,
       Span listLag,
       Supplier<Collection<MachineType>> types,
@@ -73,7 +75,7 @@
     this.authority = authority;
     this.state = state;
     this.jobs = jobs;
-    this.books = new LeaderBooks(this, state, jobs, authority, txnOps);
+    this.books = new LeaderBooks(this, state, jobs, authority, txnOps, valueKb);
     this.cloud = cloud;
     this.listLag = listLag;
     this.types = types;
@@ -88,20 +90,20 @@
   }
 
   void start() {
-    books.readLedger(
-        ledger -> {
+    books.inherit(
+        inherited -> {
           if (cancelled()) {
             return;
           }
-          if (ledger == null) {
+          if (inherited == null) {
             loop.after(AGAIN, this, this::start);
           } else {
-            readJobs(ledger);
+            readJobs(inherited);
           }
         });
   }
 
-  private void readJobs(List<Leader.LedgerEntry> ledger) {
+  private void readJobs(LeaderBooks.Inherited inherited) {
     Time sent = loop.now();
     jobs.listLive(
         listed -> {
@@ -109,30 +111,42 @@
             return;
           }
           if (listed == null) {
-            loop.after(AGAIN, this, () -> readJobs(ledger));
+            loop.after(AGAIN, this, () -> readJobs(inherited));
             return;
           }
           List<Job> found = new ArrayList<>();
           for (StateClient.Entry e : listed.entries()) {
             JobStore.Recorded r = decode(e.key(), e.value());
             if (r != null) {
-              found.add(new Job(r.spec(), r.arrivedWallMs(), r.done(), r.maybeStarted()));
+              found.add(inherited.job(r));
             }
           }
+          former = inherited;
           leader =
               new Leader(
                   policy,
                   authority.term(),
                   found,
-                  ledger,
+                  inherited.machines(),
+                  inherited.ledgerWhole(),
                   types.get(),
                   loop.now(),
                   System.currentTimeMillis());
+          books.serve(leader);
+          books.adopt(inherited);
           authority.synced(sent);
           begin(listed.revision());
         });
   }
 
+  /** A job that was not known; one that a former leader marked may be on a machine already. */
+  private void seen(JobStore.Recorded r) {
+    JobId id = r.spec().id();
+    if (leader.job(id) == null) {
+      leader.jobSeen(r.spec(), r.arrivedWallMs(), former.maybeStarted(id));
+    }
+  }
+
   private static JobStore.Recorded decode(String key, Body value) {
     try {
       return JobStore.decode(value);
@@ -147,10 +161,9 @@
     list();
     refreshTypes();
     loop.every(Span.millis(200), this, this::tick);
-    loop.every(Span.millis(2500), this, () -> books.record(leader));
+    loop.every(Span.seconds(2), this, books::record);
     loop.every(Span.millis(200), this, this::rent);
     loop.every(Span.millis(500), this, this::giveBack);
-    loop.every(Span.seconds(3), this, books::strike);
     loop.every(new Span(Math.max(2000, listLag.ms())), this, this::list);
     loop.every(Span.seconds(20), this, this::refreshTypes);
     loop.every(Span.seconds(10), this, () -> LOG.info("{}", leader.summary()));
@@ -158,9 +171,9 @@
 
   private void tick() {
     leader.tick(loop.now());
-    books.finish(leader);
-    books.mark(leader);
-    books.ledger(leader);
+    books.finish();
+    books.mark();
+    books.ledger();
     if (leader.deaf(loop.now())) {
       onDeaf.accept(Span.seconds(10));
     }
@@ -184,7 +197,7 @@
               for (Body event : a.body().maps(Wire.EVENTS)) {
                 take(event);
               }
-              books.mark(leader);
+              books.mark();
               authority.synced(sent);
               long next = Math.max(after, a.revision());
               loop.after(WATCH_PAUSE, this, () -> watch(next));
@@ -209,7 +222,7 @@
     if (id != null && leader.job(id) == null) {
       JobStore.Recorded r = decode(put, event.map(Wire.VALUE));
       if (r != null) {
-        leader.jobSeen(r.spec(), r.arrivedWallMs(), r.maybeStarted());
+        seen(r);
       }
     }
   }
@@ -228,10 +241,11 @@
           }
           Set<JobId> live = new HashSet<>();
           for (StateClient.Entry e : listed.entries()) {
+            // One that can't be read is there all the same.
+            live.add(JobStore.idOfLive(e.key()));
             JobStore.Recorded r = decode(e.key(), e.value());
             if (r != null) {
-              live.add(r.spec().id());
-              leader.jobSeen(r.spec(), r.arrivedWallMs(), r.maybeStarted());
+              seen(r);
             }
           }
           for (Job job : new ArrayList<>(leader.jobs())) {
@@ -296,7 +310,7 @@
           }
           if (hosts != null) {
             leader.hired(r, hosts, loop.now());
-            books.ledger(leader);
+            books.ledger();
           } else if (status == CloudClient.NO_CAPACITY || status == 400) {
             leader.refused(r, loop.now());
           } else {
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -124,6 +124,7 @@
               state,
               jobs,
               config.txnOps(),
+              config.valueKb(),
               cloud,
               config.listLag(),
               types::values,
--- a/src/main/java/io/saltflow/app/Rehearsal.java
+++ b/src/main/java/io/saltflow/app/Rehearsal.java
@@ -114,6 +114,7 @@
             term,
             List.of(new Job(job(1), 0, new BitSet(), true)),
             List.of(new Leader.LedgerEntry(new MachineId("vm-0"), "m", "z", false)),
+            true,
             List.of(type),
             now,
             1000);
@@ -127,7 +128,7 @@
       for (Leader.Rental r : leader.toRent(now)) {
         leader.hired(r, List.of(new MachineId("vm-" + step)), now);
       }
-      leader.ledgered(leader.toLedger(), true);
+      leader.ledgered(leader.toLedger());
       Report report =
           new Report(new MachineId("vm-0"), "", "m", "z", false, 1, step, term, null, List.of());
       MsgPack.encode(WorkerCodec.encodeOrders(term, leader.onReport(report, true, now)));
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -11,22 +11,23 @@
 import io.saltflow.protocol.Time;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
-import java.util.BitSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The job records: {@code live/ID} while a job is not over, {@code over/ID} for good once it is. A
  * job's end moves it from one to the other in one transaction, guarded by there being no end yet.
  */
 public final class JobStore extends Routine {
+  private static final Logger LOG = LoggerFactory.getLogger(JobStore.class);
   private static final int REMEMBERED = 4000;
   private static final String SPEC = "spec";
   private static final String ARRIVED = "at";
-  private static final String DONE_SET = "done";
   private static final String DONE_COUNT = "n";
-  private static final String STARTED = "started";
   private static final String PHASE = "phase";
   private static final Span TRY = Span.millis(1500);
   private static final Span PAUSE = Span.millis(100);
@@ -57,7 +58,7 @@
   }
 
   /** A live job as it was recorded. */
-  public record Recorded(JobSpec spec, long arrivedWallMs, BitSet done, boolean maybeStarted) {}
+  public record Recorded(JobSpec spec, long arrivedWallMs) {}
 
   private final Loop loop;
   private final StateClient state;
@@ -79,7 +80,7 @@
 
   /** Writes a new job down, or finds that it is known. */
   public void admit(JobSpec spec, long wallMs, Consumer<Outcome> then) {
-    Body record = encode(spec, wallMs, "", 0, false);
+    Body record = encode(spec, wallMs);
     if (MsgPack.encode(record).length * 5 / 4 > valueBytes) {
       then.accept(new Outcome.TooLarge());
       return;
@@ -152,14 +153,28 @@
           } else if (e.value() == null) {
             then.accept(new Outcome.Absent());
           } else {
-            boolean done = Phase.DONE.name().equals(e.value().get(PHASE));
-            Known k = new Known(id, done ? Phase.DONE : Phase.CANCELLED, count(e.value()));
-            over.put(id, k);
-            then.accept(new Outcome.Found(k));
+            Known k = ended(id, e.value());
+            if (k == null) {
+              LOG.error("record {} can't be read", Keys.over(id));
+              then.accept(new Outcome.Unknown());
+            } else {
+              over.put(id, k);
+              then.accept(new Outcome.Found(k));
+            }
           }
         });
   }
 
+  /** How a job ended; null when the record does not say so clearly. */
+  private static Known ended(JobId id, Body record) {
+    for (Phase phase : List.of(Phase.DONE, Phase.CANCELLED)) {
+      if (phase.name().equals(record.get(PHASE))) {
+        return new Known(id, phase, count(record));
+      }
+    }
+    return null;
+  }
+
   private static int count(Body record) {
     return record.get(DONE_COUNT) instanceof Long n ? n.intValue() : 0;
   }
@@ -212,31 +227,12 @@
     over.put(id, new Known(id, Phase.DONE, tasks));
   }
 
-  void progress(Txn txn, JobSpec spec, long arrivedWallMs, BitSet done) {
-    int room = valueBytes * 3 / 4 - MsgPack.encode(encode(spec, arrivedWallMs, "", 0, true)).length;
-    Body record =
-        encode(
-            spec, arrivedWallMs, Ranges.encode(done, Math.max(0, room)), done.cardinality(), true);
-    // Without an end, so that a late progress record can't bring a cancelled job back.
-    txn.guard(Keys.over(spec.id()), Stamp.ABSENT).put(Keys.live(spec.id()), record);
-  }
-
-  private static Body encode(JobSpec spec, long wallMs, String done, int count, boolean started) {
-    return Body.of()
-        .with(SPEC, JobCodec.encode(spec))
-        .with(ARRIVED, wallMs)
-        .with(DONE_SET, done)
-        .with(DONE_COUNT, count)
-        .with(STARTED, started);
+  private static Body encode(JobSpec spec, long wallMs) {
+    return Body.of().with(SPEC, JobCodec.encode(spec)).with(ARRIVED, wallMs);
   }
 
   public static Recorded decode(Body record) throws BadMessage {
-    JobSpec spec = JobCodec.decode(record.map(SPEC));
-    return new Recorded(
-        spec,
-        record.integer(ARRIVED),
-        Ranges.decode(record.textOr(DONE_SET, ""), spec.tasks()),
-        record.flagOr(STARTED, true));
+    return new Recorded(JobCodec.decode(record.map(SPEC)), record.integer(ARRIVED));
   }
 
   /** Every job that is not over, and the revision from which to watch. */
--- a/src/main/java/io/saltflow/bookkeeping/Keys.java
+++ b/src/main/java/io/saltflow/bookkeeping/Keys.java
@@ -1,7 +1,6 @@
 package io.saltflow.bookkeeping;
 
 import io.saltflow.protocol.JobId;
-import io.saltflow.protocol.MachineId;
 
 /** Where things are kept in the state service. */
 final class Keys {
@@ -11,6 +10,7 @@
   static final String LIVE = "live/";
   static final String OVER = "over/";
   static final String FLEET = "fleet/";
+  static final String PROGRESS = "progress/";
 
   private Keys() {}
 
@@ -21,8 +21,4 @@
   static String over(JobId id) {
     return OVER + id.text();
   }
-
-  static String machine(MachineId id) {
-    return FLEET + id.text();
-  }
 }
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -4,15 +4,18 @@
 import io.saltflow.coordination.Job;
 import io.saltflow.coordination.Leader;
 import io.saltflow.protocol.BadMessage;
-import io.saltflow.protocol.Body;
 import io.saltflow.protocol.CloudCodec;
+import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Span;
 import io.saltflow.transport.Routine;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -21,30 +24,108 @@
 public final class LeaderBooks extends Routine {
   private static final Logger LOG = LoggerFactory.getLogger(LeaderBooks.class);
   private static final Span TRY = Span.millis(1500);
-  private static final String TYPE = "type";
-  private static final String ZONE = "zone";
-  private static final String SPOT = "spot";
 
   private final StateClient state;
   private final JobStore jobs;
   private final Authority authority;
   private final int txnOps;
-  private final List<MachineId> gone = new ArrayList<>();
+  private final int valueBytes;
+  private final Pages<Leader.LedgerEntry> ledger;
+  private final Pages<Job> progress;
+  private Leader leader;
   private int underWay;
 
   public LeaderBooks(
-      Routine parent, StateClient state, JobStore jobs, Authority authority, int txnOps) {
+      Routine parent,
+      StateClient state,
+      JobStore jobs,
+      Authority authority,
+      int txnOps,
+      double valueKb) {
     super(parent);
     this.state = state;
     this.jobs = jobs;
     this.authority = authority;
     this.txnOps = Math.max(2, txnOps);
+    // A quarter is left for what the text form of a value takes beyond what is counted here.
+    this.valueBytes = (int) (valueKb * 1024 * 3 / 4);
+    ledger = new Pages<>(this, state, this::guarded, Keys.FLEET, valueBytes, new LedgerForm());
+    progress =
+        new Pages<>(this, state, this::guarded, Keys.PROGRESS, valueBytes, new ProgressForm());
   }
 
   private Txn guarded() {
     return new Txn().guard(Keys.LEADER, authority.stamp());
   }
 
+  /** A machine in the ledger. */
+  private final class LedgerForm implements Pages.Form<Leader.LedgerEntry> {
+    @Override
+    public String name(Leader.LedgerEntry e) {
+      return e.id().text();
+    }
+
+    @Override
+    public Object encode(Leader.LedgerEntry e) {
+      return Arrays.asList(e.type(), e.zone(), e.spot());
+    }
+
+    @Override
+    public int longest(Leader.LedgerEntry e) {
+      return e.id().text().length() + e.type().length() + e.zone().length() + 16;
+    }
+
+    @Override
+    public void written(List<Leader.LedgerEntry> items, List<Object> values, boolean ok) {
+      if (ok) {
+        leader.ledgered(items);
+      }
+    }
+  }
+
+  /** A job that may have been started, with its done tasks. */
+  private final class ProgressForm implements Pages.Form<Job> {
+    private int mostText(Job job) {
+      return Math.min(DoneTasks.longest(job.spec().tasks()), valueBytes / 2);
+    }
+
+    @Override
+    public String name(Job job) {
+      return job.id().text();
+    }
+
+    @Override
+    public Object encode(Job job) {
+      return DoneTasks.encode(job.doneTasks(), mostText(job));
+    }
+
+    @Override
+    public int longest(Job job) {
+      return job.id().text().length() + mostText(job) + 6;
+    }
+
+    @Override
+    public void written(List<Job> items, List<Object> values, boolean ok) {
+      if (!ok) {
+        return;
+      }
+      for (int i = 0; i < items.size(); i++) {
+        Job job = items.get(i);
+        try {
+          // What was written, not what is done: a long set may have lost its end.
+          leader.recorded(job, DoneTasks.decode((String) values.get(i), job.spec().tasks()));
+        } catch (BadMessage e) {
+          throw new IllegalStateException("what was just written can't be read", e);
+        }
+      }
+    }
+  }
+
+  /** Whose decisions are written from now on. */
+  public void serve(Leader core) {
+    leader = core;
+  }
+
   /** Room for another flush: writes that are not answered yet hold the next ones back. */
   public boolean busy() {
     return underWay >= 3;
@@ -65,7 +146,7 @@
   }
 
   /** Jobs that are over: one transaction for as many as it holds. */
-  public void finish(Leader leader) {
+  public void finish() {
     List<Job> all = leader.toFinish();
     int each = txnOps / 2;
     for (int i = 0; i < all.size() && !busy(); i += each) {
@@ -84,7 +165,7 @@
                 jobs.remember(job.id(), job.spec().tasks());
                 leader.finished(job);
               } else {
-                checkEnd(leader, job);
+                checkEnd(job);
               }
             }
           });
@@ -92,7 +173,7 @@
   }
 
   /** The end was not confirmed: another end, a cancel, may have come first. */
-  private void checkEnd(Leader leader, Job job) {
+  private void checkEnd(Job job) {
     state.get(
         StateClient.Rank.BOOKS,
         Keys.over(job.id()),
@@ -110,119 +191,143 @@
   }
 
   /** Jobs may be launched once their record says so: a successor then knows to look for them. */
-  public void mark(Leader leader) {
-    List<Job> all = leader.toMark();
-    for (int i = 0; i < all.size(); i += txnOps) {
-      List<Job> some = all.subList(i, Math.min(all.size(), i + txnOps));
-      Txn txn = guarded();
-      for (Job job : some) {
-        jobs.progress(txn, job.spec(), job.arrivedWallMs(), job.doneTasks());
-      }
-      commit(
-          StateClient.Rank.USER,
-          txn,
-          ok -> {
-            for (Job job : some) {
-              leader.marked(job, ok);
-            }
-          });
+  public void mark() {
+    for (Job job : leader.toMark()) {
+      progress.changed(job, true);
     }
+    progress.flush(false);
   }
 
-  /** Progress of live jobs. */
-  public void record(Leader leader) {
-    List<Job> all = leader.toRecord();
-    for (int i = 0; i < all.size() && !busy(); i += txnOps) {
-      List<Job> some = all.subList(i, Math.min(all.size(), i + txnOps));
-      List<BitSet> sets = new ArrayList<>();
-      Txn txn = guarded();
-      for (Job job : some) {
-        leader.recording(job);
-        BitSet set = (BitSet) job.doneTasks().clone();
-        sets.add(set);
-        jobs.progress(txn, job.spec(), job.arrivedWallMs(), set);
-      }
-      commit(
-          StateClient.Rank.BOOKS,
-          txn,
-          ok -> {
-            for (int k = 0; k < some.size(); k++) {
-              if (ok) {
-                leader.recorded(some.get(k), sets.get(k));
-              } else {
-                leader.notRecorded(some.get(k));
-              }
-            }
-          });
+  /** Progress of live jobs, and machines that have left: there is time for both. */
+  public void record() {
+    progress.keepOnly(job -> leader.job(job.id()) == job);
+    for (Job job : leader.toRecord()) {
+      leader.recording(job);
+      progress.changed(job, false);
     }
+    progress.flush(true);
+    ledger.flush(true);
   }
 
   /** Machines are written down before they are used. */
-  public void ledger(Leader leader) {
-    List<Leader.LedgerEntry> all = leader.toLedger();
-    for (int i = 0; i < all.size(); i += txnOps) {
-      List<Leader.LedgerEntry> some = all.subList(i, Math.min(all.size(), i + txnOps));
-      Txn txn = guarded();
-      for (Leader.LedgerEntry e : some) {
-        Body value = Body.of().with(TYPE, e.type()).with(ZONE, e.zone()).with(SPOT, e.spot());
-        txn.put(Keys.machine(e.id()), value);
-      }
-      commit(StateClient.Rank.USER, txn, ok -> leader.ledgered(some, ok));
+  public void ledger() {
+    for (Leader.LedgerEntry e : leader.toLedger()) {
+      ledger.changed(e, true);
     }
+    ledger.flush(false);
   }
 
   /** Machines that are gone leave the ledger when there is time. */
   public void gone(List<MachineId> ids) {
-    gone.addAll(ids);
+    for (MachineId id : ids) {
+      ledger.gone(id.text(), true);
+    }
   }
 
-  public void strike() {
-    if (gone.isEmpty() || busy()) {
-      return;
+  /** What former leaders wrote down; what can't be read of it is never taken for absence. */
+  public static final class Inherited {
+    private final List<Leader.LedgerEntry> machines = new ArrayList<>();
+    private final Map<JobId, String> started = new HashMap<>();
+    private final Map<JobId, String> pageOf = new HashMap<>();
+    private boolean ledgerWhole = true;
+    private boolean progressWhole = true;
+
+    public List<Leader.LedgerEntry> machines() {
+      return machines;
     }
-    List<MachineId> some = new ArrayList<>(gone.subList(0, Math.min(gone.size(), txnOps)));
-    gone.subList(0, some.size()).clear();
-    Txn txn = guarded();
-    for (MachineId id : some) {
-      txn.delete(Keys.machine(id));
+
+    /** Whether every machine of the ledger could be read. */
+    public boolean ledgerWhole() {
+      return ledgerWhole;
+    }
+
+    /** Whether a former leader may have launched some of it. */
+    public boolean maybeStarted(JobId id) {
+      return !progressWhole || started.containsKey(id);
+    }
+
+    public Job job(JobStore.Recorded r) {
+      JobId id = r.spec().id();
+      BitSet done = new BitSet();
+      String text = started.get(id);
+      if (text != null) {
+        try {
+          done = DoneTasks.decode(text, r.spec().tasks());
+        } catch (BadMessage e) {
+          LOG.error("progress of {}: {}; its tasks are asked for again", id, e.getMessage());
+        }
+      }
+      return new Job(r.spec(), r.arrivedWallMs(), done, maybeStarted(id));
     }
-    commit(
-        StateClient.Rank.BOOKS,
-        txn,
-        ok -> {
-          if (!ok) {
-            gone.addAll(some);
-          }
-        });
   }
 
-  /** Every machine that a former leader may have used; null when it can't be read. */
-  public void readLedger(Consumer<List<Leader.LedgerEntry>> then) {
+  /** Reads what former leaders wrote down; null when the state service does not answer. */
+  public void inherit(Consumer<Inherited> then) {
+    Inherited in = new Inherited();
     state.list(
         StateClient.Rank.LEADERSHIP,
         Keys.FLEET,
-        listing -> {
-          if (listing == null) {
+        machines -> {
+          if (cancelled() || machines == null) {
             then.accept(null);
             return;
           }
-          List<Leader.LedgerEntry> out = new ArrayList<>();
-          for (StateClient.Entry e : listing.entries()) {
-            try {
-              out.add(
-                  new Leader.LedgerEntry(
-                      new MachineId(e.key().substring(Keys.FLEET.length())),
-                      e.value().text(TYPE),
-                      e.value().text(ZONE),
-                      e.value().flag(SPOT)));
-            } catch (BadMessage bad) {
-              LOG.error("ledger entry {}: {}", e.key(), bad.getMessage());
-            }
-          }
-          then.accept(out);
+          machines.entries().forEach(e -> readMachines(in, e));
+          state.list(
+              StateClient.Rank.LEADERSHIP,
+              Keys.PROGRESS,
+              pages -> {
+                if (cancelled() || pages == null) {
+                  then.accept(null);
+                  return;
+                }
+                pages.entries().forEach(e -> readProgress(in, e));
+                then.accept(in);
+              });
         });
   }
 
+  private void readMachines(Inherited in, StateClient.Entry page) {
+    ledger.found(page.key(), page.version());
+    for (Map.Entry<String, Object> e : page.value().fields().entrySet()) {
+      if (e.getValue() instanceof List<?> l
+          && l.size() == 3
+          && l.get(0) instanceof String type
+          && l.get(1) instanceof String zone
+          && l.get(2) instanceof Boolean spot) {
+        Leader.LedgerEntry m = new Leader.LedgerEntry(new MachineId(e.getKey()), type, zone, spot);
+        in.machines.add(m);
+        ledger.loaded(page.key(), m);
+      } else {
+        LOG.error("ledger {}: machine {} can't be read", page.key(), e.getKey());
+        in.ledgerWhole = false;
+      }
+    }
+  }
+
+  private void readProgress(Inherited in, StateClient.Entry page) {
+    progress.found(page.key(), page.version());
+    for (Map.Entry<String, Object> e : page.value().fields().entrySet()) {
+      if (JobId.valid(e.getKey()) && e.getValue() instanceof String text) {
+        in.started.put(new JobId(e.getKey()), text);
+        in.pageOf.put(new JobId(e.getKey()), page.key());
+      } else {
+        LOG.error("{}: the entry {} can't be read", page.key(), e.getKey());
+        in.progressWhole = false;
+      }
+    }
+  }
+
+  /** Jobs that are still live stay on the pages on which they were found. */
+  public void adopt(Inherited in) {
+    for (Job job : leader.jobs()) {
+      String page = in.pageOf.get(job.id());
+      if (page != null) {
+        progress.loaded(page, job);
+      }
+    }
+  }
+
   public void writeTypes(List<MachineType> types) {
     commit(
         StateClient.Rank.BOOKS,
--- a/src/main/java/io/saltflow/bookkeeping/StateClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -10,8 +10,12 @@
 import io.saltflow.transport.HttpClient;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,10 +27,13 @@
 public final class StateClient extends Routine {
   private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
   private static final byte[] NOTHING = new byte[0];
+  private static final Span PUMP = Span.millis(20);
 
   /** What goes first. */
   public enum Rank {
     LEADERSHIP,
+    /** What a launch waits for: the ledger, and the jobs that may have been started. */
+    SAFETY,
     USER,
     BOOKS
   }
@@ -50,6 +57,8 @@
   private final HttpClient watches;
   private final Budget requests;
   private final Budget writes;
+  private final Map<Rank, ArrayDeque<Pending>> queues = new EnumMap<>(Rank.class);
+  private boolean pumping;
   private Time lastGood;
   private Time firstBad = Time.NEVER;
 
@@ -62,6 +71,9 @@
     this.requests = new Budget(rps, loop.now());
     this.writes = new Budget(wps, loop.now());
     this.lastGood = loop.now();
+    for (Rank rank : Rank.values()) {
+      queues.put(rank, new ArrayDeque<>());
+    }
   }
 
   /** How long ago the service last answered a request of ours. */
@@ -74,58 +86,99 @@
     return firstBad == Time.NEVER ? new Span(0) : loop.now().since(firstBad);
   }
 
-  public void call(
+  /** A request that waits for the budget. */
+  private record Pending(
       Rank rank,
       String method,
       String target,
       Body body,
       int writeCount,
+      Time deadline,
       Span timeout,
-      Consumer<Answer> then) {
-    attempt(rank, method, target, body, writeCount, loop.now().plus(timeout), timeout, then);
-  }
+      Consumer<Answer> then) {}
 
-  private void attempt(
+  public void call(
       Rank rank,
       String method,
       String target,
       Body body,
       int writeCount,
-      Time deadline,
       Span timeout,
       Consumer<Answer> then) {
     Time now = loop.now();
+    Pending p =
+        new Pending(rank, method, target, body, writeCount, now.plus(timeout), timeout, then);
     if (rank == Rank.LEADERSHIP) {
       requests.takeAnyway(1, now);
       writes.takeAnyway(writeCount, now);
-    } else if (!mayGo(rank, writeCount, now)) {
-      if (now.after(deadline)) {
-        then.accept(new Answer(429, null, now));
-        return;
+      send(p);
+      return;
+    }
+    queues.get(rank).add(p);
+    pump();
+  }
+
+  /**
+   * Sends what the budget allows, by rank and in order. Nothing of a lower rank is written while
+   * something of a higher one waits for the budget of writes, or a transaction of many writes would
+   * be starved by many of one.
+   */
+  private void pump() {
+    Time now = loop.now();
+    List<Pending> ready = new ArrayList<>();
+    List<Pending> late = new ArrayList<>();
+    boolean writesBlocked = false;
+    boolean left = false;
+    for (ArrayDeque<Pending> queue : queues.values()) {
+      for (Iterator<Pending> it = queue.iterator(); it.hasNext(); ) {
+        Pending p = it.next();
+        if (now.after(p.deadline)) {
+          it.remove();
+          late.add(p);
+        } else if (mayGo(p, writesBlocked, now)) {
+          it.remove();
+          ready.add(p);
+        } else {
+          writesBlocked |= p.writeCount > 0;
+          left = true;
+        }
       }
+    }
+    if (left && !pumping) {
+      pumping = true;
       loop.after(
-          Span.millis(40),
+          PUMP,
           this,
-          () -> attempt(rank, method, target, body, writeCount, deadline, timeout, then));
-      return;
+          () -> {
+            pumping = false;
+            pump();
+          });
     }
-    client.call(
-        method,
-        target,
-        body == null ? NOTHING : MsgPack.encode(body),
-        timeout,
-        a -> answered(a, then));
+    ready.forEach(this::send);
+    late.forEach(p -> p.then.accept(new Answer(429, null, now)));
   }
 
-  private boolean mayGo(Rank rank, int writeCount, Time now) {
-    if (rank == Rank.BOOKS && !writes.has(writeCount * 2, now)) {
+  private boolean mayGo(Pending p, boolean writesBlocked, Time now) {
+    if (p.writeCount > 0) {
       // Books that can wait leave room for what users and tasks wait for.
-      return false;
+      int wanted = p.rank == Rank.BOOKS ? p.writeCount * 2 : p.writeCount;
+      if (writesBlocked || !writes.has(wanted, now)) {
+        return false;
+      }
     }
     if (!requests.take(1, now)) {
       return false;
     }
-    return writeCount == 0 || writes.take(writeCount, now);
+    return p.writeCount == 0 || writes.take(p.writeCount, now);
+  }
+
+  private void send(Pending p) {
+    client.call(
+        p.method,
+        p.target,
+        p.body == null ? NOTHING : MsgPack.encode(p.body),
+        p.timeout,
+        a -> answered(a, p.then));
   }
 
   private void answered(HttpClient.Answer a, Consumer<Answer> then) {
--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -48,6 +48,7 @@
   private final Map<MachineId, Machine> machines = new LinkedHashMap<>();
   private final Time tookOver;
   private final TeamUse use;
+  private boolean missing;
 
   Fencing(
       Policy policy, Term term, Map<JobId, Job> jobs, TeamUse use, Events events, Time tookOver) {
@@ -71,8 +72,16 @@
     machines.putIfAbsent(m.id, m);
   }
 
+  /** Part of the ledger could not be read: there may be machines that are not known. */
+  void missesMachines() {
+    missing = true;
+  }
+
   /** Whether every machine that a former leader may have used is accounted for. */
   boolean allAccounted() {
+    if (missing) {
+      return false;
+    }
     for (Machine m : machines.values()) {
       if (m.mightHoldOldTasks) {
         return false;
@@ -83,7 +92,7 @@
 
   /** All of every machine that might hold tasks of a former leader and has not been heard of. */
   Size unaccounted() {
-    Size unknown = Size.ZERO;
+    Size unknown = missing ? BEYOND_ANY_LIMIT : Size.ZERO;
     for (Machine m : machines.values()) {
       if (m.mightHoldOldTasks) {
         unknown = unknown.plus(m.type == null ? BEYOND_ANY_LIMIT : m.type.size());
@@ -278,8 +287,13 @@
 
   /** Ends what a lease that is certainly over has ended. */
   void tick(Time now) {
+    Time formerAnswers = tookOver.plus(policy.keepAfterSync());
+    if (missing && !now.before(formerAnswers.plus(policy.leaseSurelyOver()))) {
+      LOG.info("whatever the ledger lacks, its lease is over by now");
+      missing = false;
+    }
     for (Machine m : machines.values()) {
-      Time last = Time.later(m.lastHeard, tookOver.plus(policy.keepAfterSync()));
+      Time last = Time.later(m.lastHeard, formerAnswers);
       if (m.accounted) {
         last = m.lastHeard;
       }
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -73,6 +73,7 @@
       Term term,
       Collection<Job> jobs,
       Collection<LedgerEntry> ledger,
+      boolean ledgerWhole,
       Collection<MachineType> knownTypes,
       Time now,
       long wallMs) {
@@ -92,6 +93,9 @@
     fleet = new Fleet(policy, term, estimates);
     returns = new Returns(policy);
     typesKnown(knownTypes);
+    if (!ledgerWhole) {
+      fencing.missesMachines();
+    }
     for (LedgerEntry e : ledger) {
       Machine m = new Machine(e.id(), types.get(e.type()), e.type(), e.zone(), e.spot(), now);
       m.mightHoldOldTasks = true;
@@ -299,18 +303,11 @@
     return out;
   }
 
-  public void marked(Job job, boolean written) {
-    job.startRecorded |= written;
-    job.startAsked = written;
-    changed = true;
-  }
-
+  /** The state service holds these done tasks, and that the job may have been started. */
   public void recorded(Job job, BitSet done) {
     job.recorded = done;
-  }
-
-  public void notRecorded(Job job) {
-    job.dirty = true;
+    changed |= !job.startRecorded;
+    job.startRecorded = true;
   }
 
   /** A worker's report; the orders that answer it, or null when it must not be obeyed. */
@@ -566,12 +563,11 @@
     return out;
   }
 
-  public void ledgered(List<LedgerEntry> entries, boolean written) {
+  public void ledgered(List<LedgerEntry> entries) {
     for (LedgerEntry e : entries) {
       Machine m = fencing.find(e.id());
-      if (m != null) {
-        m.ledgered |= written;
-        m.ledgerAsked = written;
+      if (m != null && !m.ledgered) {
+        m.ledgered = true;
         changed = true;
       }
     }
--- a/src/test/java/io/saltflow/coordination/FencingTest.java
+++ b/src/test/java/io/saltflow/coordination/FencingTest.java
@@ -161,6 +161,7 @@
             Floor.TERM,
             List.of(),
             List.of(new Leader.LedgerEntry(new MachineId("vm-1"), "box", "a", false)),
+            true,
             List.of(),
             new Time(1000),
             1000);
--- a/src/test/java/io/saltflow/coordination/Floor.java
+++ b/src/test/java/io/saltflow/coordination/Floor.java
@@ -34,7 +34,7 @@
     for (String m : oldMachines) {
       ledger.add(new Leader.LedgerEntry(new MachineId(m), "box", "a", false));
     }
-    leader = new Leader(policy, TERM, jobs, ledger, List.of(TYPE), time(), now);
+    leader = new Leader(policy, TERM, jobs, ledger, true, List.of(TYPE), time(), now);
   }
 
   static Job job(JobSpec spec, boolean maybeStarted) {
@@ -65,7 +65,7 @@
   void arrive(JobSpec spec) {
     leader.jobSeen(spec, now, false);
     for (Job j : leader.toMark()) {
-      leader.marked(j, true);
+      leader.recorded(j, new java.util.BitSet());
     }
     say(
         spec.id()
@@ -112,7 +112,7 @@
   List<Order> checkIn(String machine) {
     Report r = report(machine, TERM);
     List<Order> orders = leader.onReport(r, true, time());
-    leader.ledgered(leader.toLedger(), true);
+    leader.ledgered(leader.toLedger());
     obey(machine, orders);
     return orders;
   }
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -340,7 +340,9 @@
     Authority authority = new Authority(Span.millis(LEADER_LEASE), policy.keepAfterSync());
     authority.won(term, Stamp.ABSENT, time());
     List<Leader.LedgerEntry> known = forgetLedger ? List.of() : new ArrayList<>(ledger);
-    lead = new Lead(new Leader(policy, term, jobs, known, List.of(TYPE), time(), now), authority);
+    lead =
+        new Lead(
+            new Leader(policy, term, jobs, known, true, List.of(TYPE), time(), now), authority);
     say("term " + term + " begins");
   }
 
@@ -420,7 +422,7 @@
     }
     for (Job j : core.toMark()) {
       records.get(j.id()).started = true;
-      core.marked(j, true);
+      core.recorded(j, (BitSet) records.get(j.id()).done.clone());
     }
     core.tick(time());
     for (Job j : core.toFinish()) {
@@ -435,7 +437,7 @@
     }
     List<Leader.LedgerEntry> entries = core.toLedger();
     ledger.addAll(entries);
-    core.ledgered(entries, true);
+    core.ledgered(entries);
     if (now < cloudDownUntil) {
       return;
     }
