--- a/src/main/java/io/saltflow/bookkeeping/Budget.java
+++ b/src/main/java/io/saltflow/bookkeeping/Budget.java
@@ -2,15 +2,17 @@
 
 import io.saltflow.protocol.Time;
 
-/** A rate that is kept by waiting: so many a second, with a burst of one second's worth. */
+/** A rate that is kept by waiting: so many a second, with a burst of so many at once. */
 public final class Budget {
   private final double perSecond;
+  private final double burst;
   private double tokens;
   private Time last;
 
-  public Budget(double perSecond, Time now) {
+  public Budget(double perSecond, double burst, Time now) {
     this.perSecond = Math.max(0.1, perSecond);
-    this.tokens = this.perSecond;
+    this.burst = Math.max(this.perSecond, burst);
+    this.tokens = this.burst;
     this.last = now;
   }
 
@@ -35,7 +37,7 @@
   }
 
   private void refill(Time now) {
-    tokens = Math.min(perSecond, tokens + now.since(last).toSeconds() * perSecond);
+    tokens = Math.min(burst, tokens + now.since(last).toSeconds() * perSecond);
     last = now;
   }
 }
--- a/src/main/java/io/saltflow/bookkeeping/CloudClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/CloudClient.java
@@ -38,7 +38,8 @@
     super(parent);
     this.loop = loop;
     this.client = client;
-    this.budget = new Budget(rps, loop.now());
+    // The cloud allows bursts worth two seconds.
+    this.budget = new Budget(rps, 2 * rps, loop.now());
   }
 
   /** Whether a request may be made now. */
--- a/src/main/java/io/saltflow/bookkeeping/StateClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -68,8 +68,8 @@
     this.loop = loop;
     this.client = client;
     this.watches = watches;
-    this.requests = new Budget(rps, loop.now());
-    this.writes = new Budget(wps, loop.now());
+    this.requests = new Budget(rps, rps, loop.now());
+    this.writes = new Budget(wps, wps, loop.now());
     this.lastGood = loop.now();
     for (Rank rank : Rank.values()) {
       queues.put(rank, new ArrayDeque<>());
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -64,10 +64,11 @@
       Collection<Machine> machines,
       Collection<MachineType> types,
       Time now) {
-    List<Hire> out = new ArrayList<>();
     if (open.size() >= MOST_OPEN) {
-      return out;
+      return List.of();
     }
+    // What all jobs want of a kind is asked for together: the cloud takes few requests a second.
+    Map<Option, Integer> wanted = new LinkedHashMap<>();
     Coming coming = new Coming();
     double fleetCores = 0;
     for (Machine m : machines) {
@@ -112,32 +113,44 @@
       if (!urgent && fleetCores > 0 && cores > 0) {
         left = (int) Math.min(left, Math.ceil(spare / cores));
       }
-      while (left > 0 && open.size() < MOST_OPEN) {
-        double waitS = backlog.work() / Math.max(1, fleetCores);
-        boolean pressing =
-            urgent
-                || waitS > policy.ordinaryHorizon().toSeconds()
-                || wouldBeLate(w.job(), waitS, now);
-        Option option =
-            choose(w.job(), left, types, pressing, urgent ? Double.MAX_VALUE : dearest, now);
-        if (option == null) {
-          break;
-        }
-        Size room = option.type.size();
-        int slots = task.countIn(room);
-        int count = Math.min(MOST_PER_REQUEST, (left + slots - 1) / slots);
+      if (left <= 0) {
+        continue;
+      }
+      double waitS = backlog.work() / Math.max(1, fleetCores);
+      boolean pressing =
+          urgent
+              || waitS > policy.ordinaryHorizon().toSeconds()
+              || wouldBeLate(w.job(), waitS, now);
+      Option option =
+          choose(w.job(), left, types, pressing, urgent ? Double.MAX_VALUE : dearest, now);
+      if (option == null) {
+        continue;
+      }
+      Size room = option.type.size();
+      int slots = task.countIn(room);
+      int count = (left + slots - 1) / slots;
+      wanted.merge(option, count, Integer::sum);
+      double rented = count * room.cores();
+      fleetCores += rented;
+      spare -= rented;
+      // What the rented machines have beside this job's tasks serves those behind it.
+      coming.add(room, count);
+      coming.take(task, left);
+    }
+    return requests(wanted, now);
+  }
+
+  private List<Hire> requests(Map<Option, Integer> wanted, Time now) {
+    List<Hire> out = new ArrayList<>();
+    for (Map.Entry<Option, Integer> e : wanted.entrySet()) {
+      Option option = e.getKey();
+      for (int left = e.getValue(); left > 0 && open.size() < MOST_OPEN; ) {
+        int count = Math.min(MOST_PER_REQUEST, left);
+        left -= count;
         String name = "r-" + term + "-" + (++hireSequence);
         Hire hire = new Hire(name, option.type, option.zone, option.spot, count, now);
         open.put(hire.name, hire);
         out.add(hire);
-        double rented = count * room.cores();
-        fleetCores += rented;
-        spare -= rented;
-        // What the rented machines have beside this job's tasks serves those behind it.
-        coming.add(room, count);
-        int served = Math.min(left, count * slots);
-        coming.take(task, served);
-        left -= served;
       }
     }
     return out;
