--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -35,6 +35,10 @@
   private static final Span AGAIN = Span.millis(300);
   private static final Span HOLD = Span.seconds(1);
   private static final Span WATCH_PAUSE = Span.millis(120);
+
+  /** Well below the half second after which a machine that came up reports again. */
+  private static final Span LEDGER_EVERY = Span.millis(100);
+
   private static final int MOST_DELETES = 100;
 
   private final Loop loop;
@@ -61,8 +65,7 @@
       Authority authority,
       StateClient state,
       JobStore jobs,
-      int txnOps,
-      double valueKb,
+      LeaderBooks.Limits limits,
       CloudClient cloud,
       Span listLag,
       Supplier<Collection<MachineType>> types,
@@ -75,7 +78,7 @@
     this.authority = authority;
     this.state = state;
     this.jobs = jobs;
-    this.books = new LeaderBooks(this, state, jobs, authority, txnOps, valueKb);
+    this.books = new LeaderBooks(this, state, jobs, authority, limits, loop::now);
     this.cloud = cloud;
     this.listLag = listLag;
     this.types = types;
@@ -161,6 +164,7 @@
     list();
     refreshTypes();
     loop.every(Span.millis(200), this, this::tick);
+    loop.every(LEDGER_EVERY, this, books::ledger);
     loop.every(Span.seconds(2), this, books::record);
     loop.every(Span.millis(200), this, this::rent);
     loop.every(Span.millis(500), this, this::giveBack);
@@ -173,7 +177,6 @@
     leader.tick(loop.now());
     books.finish();
     books.mark();
-    books.ledger();
     if (leader.deaf(loop.now())) {
       onDeaf.accept(Span.seconds(10));
     }
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -113,7 +113,9 @@
   /** A request that got no clear answer is tried again at once, or given up on at once. */
   private void again(StateClient.Answer a, Time deadline, Runnable retry, Consumer<Outcome> then) {
     boolean worthIt = a.status() == 0 || a.status() == 429 || a.status() == 409;
-    if (worthIt && loop.now().plus(PAUSE).plus(TRY).before(deadline)) {
+    // What was refused for its rate was not executed, and the next try is answered quickly.
+    Span next = a.status() == 429 ? PAUSE : TRY;
+    if (worthIt && loop.now().plus(PAUSE).plus(next).before(deadline)) {
       loop.after(PAUSE, this, retry);
     } else {
       then.accept(new Outcome.Unknown());
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -9,6 +9,7 @@
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
 import io.saltflow.transport.Routine;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -17,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -25,6 +27,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(LeaderBooks.class);
   private static final Span TRY = Span.millis(1500);
 
+  /** The part of all writes that one page may take when something new comes all the time. */
+  private static final double PART_FOR_A_PAGE = 0.1;
+
+  /** What the state service takes. */
+  public record Limits(int txnOps, double valueKb, double writesPerS) {}
+
   private final StateClient state;
   private final JobStore jobs;
   private final Authority authority;
@@ -40,18 +48,22 @@
       StateClient state,
       JobStore jobs,
       Authority authority,
-      int txnOps,
-      double valueKb) {
+      Limits limits,
+      Supplier<Time> now) {
     super(parent);
     this.state = state;
     this.jobs = jobs;
     this.authority = authority;
-    this.txnOps = Math.max(2, txnOps);
+    this.txnOps = Math.max(2, limits.txnOps());
     // A quarter is left for what the text form of a value takes beyond what is counted here.
-    this.valueBytes = (int) (valueKb * 1024 * 3 / 4);
-    ledger = new Pages<>(this, state, this::guarded, Keys.FLEET, valueBytes, new LedgerForm());
+    this.valueBytes = (int) (limits.valueKb() * 1024 * 3 / 4);
+    Span pause = Span.seconds(1 / (limits.writesPerS() * PART_FOR_A_PAGE));
+    ledger =
+        new Pages<>(
+            this, state, this::guarded, Keys.FLEET, valueBytes, pause, now, new LedgerForm());
     progress =
-        new Pages<>(this, state, this::guarded, Keys.PROGRESS, valueBytes, new ProgressForm());
+        new Pages<>(
+            this, state, this::guarded, Keys.PROGRESS, valueBytes, pause, now, new ProgressForm());
   }
 
   private Txn guarded() {
--- a/src/main/java/io/saltflow/bookkeeping/Pages.java
+++ b/src/main/java/io/saltflow/bookkeeping/Pages.java
@@ -3,6 +3,7 @@
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Time;
 import io.saltflow.transport.Routine;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -40,6 +41,7 @@
     boolean dirty;
     boolean urgent;
     boolean underWay;
+    Time lastWrite = Time.LONG_AGO;
     boolean versionUnknown;
 
     Page(String key) {
@@ -51,6 +53,8 @@
   private final Supplier<Txn> guarded;
   private final String prefix;
   private final int pageBytes;
+  private final Span pause;
+  private final Supplier<Time> now;
   private final Form<T> form;
   private final Map<String, Page<T>> pages = new LinkedHashMap<>();
   private final Map<String, Page<T>> byName = new LinkedHashMap<>();
@@ -61,8 +65,12 @@
       Supplier<Txn> guarded,
       String prefix,
       int pageBytes,
+      Span pause,
+      Supplier<Time> now,
       Form<T> form) {
     super(parent);
+    this.pause = pause;
+    this.now = now;
     this.state = state;
     this.guarded = guarded;
     this.prefix = prefix;
@@ -135,8 +143,11 @@
   /** Writes pages that have changed: those that are waited for, or all. */
   void flush(boolean all) {
     for (Page<T> page : pages.values()) {
-      if ((page.urgent || (all && page.dirty)) && !page.underWay) {
+      boolean wanted = page.urgent || (all && page.dirty);
+      // What comes in quick succession is written together, or pages would use up the rate.
+      if (wanted && !page.underWay && now.get().since(page.lastWrite).compareTo(pause) >= 0) {
         page.underWay = true;
+        page.lastWrite = now.get();
         StateClient.Rank rank = page.urgent ? StateClient.Rank.SAFETY : StateClient.Rank.BOOKS;
         if (page.versionUnknown) {
           learnVersion(rank, page);
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -207,6 +207,11 @@
    * round's queue and may go there, at once and without a look at any other machine.
    */
   void fill(Machine m, boolean accounted, Time now) {
+    // It may have come up since the last round: what that left of its room says nothing then.
+    m.room = m.free();
+    for (Machine.Assigned a : m.assigned) {
+      m.room = m.room.minus(a.job().spec.size());
+    }
     if (smallestWaiting == null || !smallestWaiting.fitsIn(m.room)) {
       return;
     }
