--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -91,8 +91,7 @@
     // large one would idle around its last long task.
     double dearest = fleetHourly(machines) * policy.dearShare();
     double stoppable = backlog.stoppable();
-    double missing = backlog.missing(fleetCores, Backlog.soonestBootS(types));
-    double spare = Math.max(backlog.wanted() - fleetCores, missing);
+    double spare = backlog.wanted() - fleetCores;
     for (Scheduler.Waiting w : waiting) {
       Size task = w.job().spec.size();
       int left = Math.min(w.tasks(), w.job().pendingCount());
