Rent so that what must start soon need not wait for what runs

A running task counted as a core only for its part of the 75 s horizon, and the window of waiting work left out its own run: by that sum the fleet was large enough.

Now the window ends when the last task must start, and running tasks count in full when they run longer than the tightest window.

--- a/src/main/java/io/saltflow/coordination/Backlog.java
+++ b/src/main/java/io/saltflow/coordination/Backlog.java
@@ -23,6 +23,12 @@
       Time now) {
     double bootS = soonestBootS(types);
     double horizonS = policy.horizon().toSeconds();
+    double tightestS = horizonS;
+    for (Job job : jobs) {
+      if (!over(job) && job.pendingCount() > 0) {
+        tightestS = Math.min(tightestS, windowS(job, bootS, policy, estimates, now));
+      }
+    }
     double work = 0;
     double wanted = 0;
     double stoppable = 0;
@@ -31,7 +37,7 @@
       if (job.spec.priority().compareTo(policy.preemptFrom()) < 0) {
         stoppable += cores * job.present.size();
       }
-      if (job.cancelled || job.finishing) {
+      if (over(job)) {
         continue;
       }
       if (job.spec.daemon()) {
@@ -42,21 +48,37 @@
       double runS = estimates.predict(job, 0).toSeconds();
       double pending = cores * job.pendingCount();
       work += pending * runS;
-      // Machines that are rented now are of use only once they are up.
-      double windowS = horizonS;
-      if (job.dueAt != null) {
-        windowS = Math.min(windowS, job.dueAt.since(now).toSeconds() - bootS);
-      }
-      wanted += pending * Math.min(1, runS / Math.max(runS, windowS));
+      wanted += pending * Math.min(1, runS / windowS(job, bootS, policy, estimates, now));
       for (Presence p : job.present.values()) {
         double leftS = Math.max(0, estimates.end(p, now).since(now).toSeconds());
         work += cores * leftS;
-        wanted += cores * Math.min(1, leftS / horizonS);
+        // What runs stands in the way of what must start soon, for as long as it runs.
+        wanted += cores * Math.min(1, leftS / tightestS);
       }
     }
     return new Backlog(work, wanted, stoppable);
   }
 
+  private static boolean over(Job job) {
+    return job.cancelled || job.finishing;
+  }
+
+  /**
+   * In what time the job's tasks are to be worked off: the horizon, or sooner where its due time
+   * asks for it, so that its last task starts in time on a machine that is rented now; no sooner
+   * than one run, within which all of them start at once.
+   */
+  private static double windowS(
+      Job job, double bootS, Policy policy, Estimates estimates, Time now) {
+    double horizonS = policy.horizon().toSeconds();
+    if (job.spec.daemon() || job.dueAt == null) {
+      return horizonS;
+    }
+    double runS = estimates.predict(job, 0).toSeconds();
+    double startS = job.dueAt.since(now).toSeconds() - bootS - runS;
+    return Math.min(horizonS, Math.max(runS, startS));
+  }
+
   private static double soonestBootS(Collection<MachineType> types) {
     double bootS = Double.MAX_VALUE;
     for (MachineType type : types) {
