--- a/src/main/java/io/saltflow/coordination/Usage.java
+++ b/src/main/java/io/saltflow/coordination/Usage.java
@@ -7,6 +7,7 @@
 final class Usage {
   private double booting;
   private double idle;
+  private double empty;
   private double fetching;
   private double running;
   private double saving;
@@ -36,6 +37,7 @@
         }
       }
       idle += Math.max(0, rest);
+      empty += m.presences.isEmpty() ? cores : 0;
     }
   }
 
@@ -46,13 +48,14 @@
   String summary() {
     double all = Math.max(1e-9, booting + idle + fetching + running + saving);
     return String.format(
-        "of rented cores %.0f%% ran (%.0f%% in vain), %.0f%% fetched, %.0f%% saved, %.0f%% idled,"
-            + " %.0f%% booted",
+        "of rented cores %.0f%% ran (%.0f%% in vain), %.0f%% fetched, %.0f%% saved, %.0f%% idled"
+            + " (%.0f%% on empty machines), %.0f%% booted",
         100 * running / all,
         100 * lostRun / all,
         100 * fetching / all,
         100 * saving / all,
         100 * idle / all,
+        100 * empty / all,
         100 * booting / all);
   }
 }
