Failed try: machines filled by the part that is full; reverted

Tasks of one job differ by a third in length; a machine with four of them waits a quarter of its time for the last, whatever the order in which it was filled.

--- a/src/main/java/io/saltflow/coordination/Placement.java
+++ b/src/main/java/io/saltflow/coordination/Placement.java
@@ -39,23 +39,14 @@
     return !spec.spread() || here + 1 <= spec.spreadLimit();
   }
 
-  /** What an empty machine costs beside a full one, in seconds of fetching. */
-  private static final double EMPTY = 8;
-
-  private static final double DEAR = 8;
-  private static final double FAILING = 10;
-
   /**
-   * Lower is better: no fetch, a cheap kind, a machine that is nearly full. What is nearly empty is
-   * left to run empty, so that it can be returned when there is less to do.
+   * Lower is better: no fetch, then a cheap kind, then the least room left. Room is counted in
+   * cores, not in parts, so that small machines fill first: one long task would keep a large one.
    */
   static double score(Job job, Machine m, Size free, Estimates estimates, boolean dear) {
     double fetchS = estimates.fetch(job, m).toSeconds();
     double left = free.cores() - job.spec.size().cores();
-    return fetchS
-        + (dear ? DEAR : 0)
-        + EMPTY * left / Math.max(1, m.type.size().cores())
-        + m.errorsInARow * FAILING;
+    return fetchS + (dear ? 8 : 0) + Math.min(10, left * 0.25) + m.errorsInARow * 10;
   }
 
   static double cheapestPerCore(Collection<Machine> machines) {
