--- a/src/main/java/io/saltflow/coordination/Queue.java
+++ b/src/main/java/io/saltflow/coordination/Queue.java
@@ -25,13 +25,9 @@
 
   /** Guarantee first, then priority, then arrival; ids settle what arrived together. */
   List<Job> inOrder(Collection<Job> jobs, Set<JobId> guaranteed, double fleetCores, Time now) {
-    int sharing = 0;
-    for (Job job : jobs) {
-      sharing += job.pendingCount() > 0 ? 1 : 0;
-    }
     for (Job job : jobs) {
       job.pressed = pressed(job, now);
-      job.place = place(job, fleetCores / Math.max(1, sharing));
+      job.place = place(job, fleetCores);
     }
     List<Job> order = new ArrayList<>(jobs);
     order.sort(
@@ -44,17 +40,17 @@
   }
 
   /**
-   * Arrival, put back by the time that what the job still has to start would take with an even
-   * share of the fleet: a short job passes a long one that came a little earlier, which it hardly
-   * delays. The delay of the long one is bounded by its own length, so it can't starve. Our
-   * extension; a weight of 0 is the paper's order of arrival.
+   * Arrival, put back by the time that what the job still has to start would keep the whole fleet:
+   * a short job passes a long one that came a little earlier, which it hardly delays. The delay of
+   * the long one is bounded by its own length, so it can't starve. Our extension; a weight of 0 is
+   * the paper's order of arrival.
    */
-  private double place(Job job, double shareCores) {
+  private double place(Job job, double fleetCores) {
     double lengthS =
         job.pendingCount()
             * job.spec.size().cores()
             * estimates.predict(job, 0).toSeconds()
-            / Math.max(1, shareCores);
+            / Math.max(1, fleetCores);
     return job.arrivedWallMs + policy.lengthWeight() * lengthS * 1000;
   }
 
