--- /dev/null
+++ b/src/test/java/io/saltflow/bookkeeping/DoneTasksTest.java
@@ -0,0 +1,55 @@
+package io.saltflow.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.protocol.BadMessage;
+import java.util.BitSet;
+import org.apache.commons.rng.core.source64.SplitMix64;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Done tasks in a few characters, in whatever order they end. */
+class DoneTasksTest {
+  private static BitSet random(int tasks, double part) {
+    SplitMix64 random = new SplitMix64(5);
+    BitSet set = new BitSet();
+    for (int i = 0; i < tasks; i++) {
+      set.set(i, random.nextDouble() < part);
+    }
+    return set;
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 63, 64, 600, 1200})
+  void whatIsWrittenIsRead(int tasks) throws BadMessage {
+    for (double part : new double[] {0, 0.1, 0.9, 1}) {
+      BitSet done = random(tasks, part);
+      String text = DoneTasks.encode(done, DoneTasks.longest(tasks));
+      assertEquals(done, DoneTasks.decode(text, tasks));
+      assertTrue(text.length() <= DoneTasks.longest(tasks), text);
+    }
+    assertTrue(DoneTasks.longest(1200) < 220);
+  }
+
+  /** A set that is too long loses its end: those tasks count as not recorded, never as done. */
+  @Test
+  void longSetLosesItsEnd() throws BadMessage {
+    BitSet done = random(100_000, 0.5);
+    String text = DoneTasks.encode(done, 3000);
+    assertTrue(text.length() <= 3000, "length " + text.length());
+    BitSet read = DoneTasks.decode(text, 100_000);
+    BitSet more = (BitSet) read.clone();
+    more.andNot(done);
+    assertTrue(more.isEmpty());
+    assertTrue(read.cardinality() > 8000, "kept " + read.cardinality());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "7", "x+", "-1+", "3+/w", "9+", "0+!"})
+  void whatCannotBeReadIsNotGuessed(String text) {
+    assertThrows(BadMessage.class, () -> DoneTasks.decode(text, 8));
+  }
+}
--- a/src/test/java/io/saltflow/coordination/FencingTest.java
+++ b/src/test/java/io/saltflow/coordination/FencingTest.java
@@ -168,4 +168,31 @@
     leader.tick(new Time(1200));
     assertTrue(leader.toDelete(new Time(1200)).isEmpty());
   }
+
+  /** An entry of the ledger that can't be read may be a machine with tasks: absence is no proof. */
+  @Test
+  void whatTheLedgerLacksIsWaitedOut() {
+    Job job = Floor.job(Jobs.job(1).build(), true);
+    Leader leader =
+        new Leader(
+            POLICY,
+            Floor.TERM,
+            List.of(job),
+            List.of(),
+            false,
+            List.of(World.TYPE),
+            new Time(0),
+            0);
+    long bound = POLICY.keepAfterSync().plus(POLICY.leaseSurelyOver()).ms();
+    for (long now = 1000; now < bound + 2000; now += 1000) {
+      Report r =
+          new Report(
+              new MachineId("vm-1"), "", "box", "a", false, 1, now, Floor.TERM, null, List.of());
+      List<Order> orders = leader.onReport(r, true, new Time(now));
+      leader.ledgered(leader.toLedger());
+      leader.tick(new Time(now));
+      assertTrue(now > bound || orders.isEmpty(), "launched at " + now);
+    }
+    assertEquals(1, job.present.size());
+  }
 }
--- a/src/test/java/io/saltflow/coordination/Policies.java
+++ b/src/test/java/io/saltflow/coordination/Policies.java
@@ -37,4 +37,30 @@
         3,
         2);
   }
+
+  /** The same settings on a machine with a part of a core: whole rounds keep some way apart. */
+  static Policy onPartOfACore(Policy p, double share) {
+    return new Policy(
+        share,
+        p.report(),
+        p.lease(),
+        p.keepAfterSync(),
+        p.teams(),
+        p.dueByClass(),
+        p.scaleDown(),
+        p.scaleThreshold(),
+        p.preemptFrom(),
+        p.patience(),
+        p.pressedSlack(),
+        p.lengthWeight(),
+        p.dearFactor(),
+        p.dearShare(),
+        p.horizon(),
+        p.ordinaryHorizon(),
+        p.idleReturnBoots(),
+        p.minimumCharge(),
+        p.silence(),
+        p.bootPatience(),
+        p.faultyAfter());
+  }
 }
