--- a/src/main/java/io/saltflow/coordination/Estimates.java
+++ b/src/main/java/io/saltflow/coordination/Estimates.java
@@ -76,20 +76,6 @@
     return base.longerThan(SHORTEST) ? base : SHORTEST;
   }
 
-  /**
-   * How long the longest of the job's tasks that wait will run, by what its class was seen to take:
-   * a job is done with its last task, and of many tasks some run far longer than the median.
-   */
-  Span predictLongest(Job job) {
-    Seen seen = ratios.get(job.spec.jobClass());
-    int n = job.pendingCount();
-    if (seen == null || seen.histogram.getTotalCount() < ENOUGH || n < 2) {
-      return predict(job, 0);
-    }
-    double ratio = seen.histogram.getValueAtPercentile(100.0 * n / (n + 1)) / 100.0;
-    return job.spec.estimate().times(Math.max(ratio, seen.median));
-  }
-
   Span fetch(Job job, Machine m) {
     if (m.images.contains(job.spec.image())) {
       return new Span(0);
--- a/src/main/java/io/saltflow/coordination/Queue.java
+++ b/src/main/java/io/saltflow/coordination/Queue.java
@@ -61,7 +61,7 @@
    * full fleet makes every job a little late.
    */
   private double putBack(Job job, Time now) {
-    if (job.dueAt == null || !now.plus(estimates.predictLongest(job)).after(job.dueAt)) {
+    if (job.dueAt == null || !now.plus(estimates.predict(job, 0)).after(job.dueAt)) {
       return 0;
     }
     return LATE_PART * job.dueIn.ms();
