Failed tries: jobs that can't be in time queue behind those that can; reverted

Perth's deadlines leave a job little more than its longest task's time. The order does not decide it: room at the moment of arrival does.

--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -43,9 +43,6 @@
   /** When it should be complete, by its deadline or its class's aim; null: no such time. */
   Time dueAt;
 
-  /** How long that is from its arrival. */
-  Span dueIn;
-
   /** Its place among jobs of the same priority, in milliseconds of arrival. */
   double place;
 
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -215,7 +215,6 @@
       due = policy.dueByClass().get(job.spec.jobClass());
     }
     if (due != null && !job.spec.daemon()) {
-      job.dueIn = due;
       job.dueAt = new Time(job.arrivedWallMs - wallMinusClockMs).plus(due);
     }
   }
--- a/src/main/java/io/saltflow/coordination/Queue.java
+++ b/src/main/java/io/saltflow/coordination/Queue.java
@@ -27,7 +27,7 @@
   List<Job> inOrder(Collection<Job> jobs, Set<JobId> guaranteed, double fleetCores, Time now) {
     for (Job job : jobs) {
       job.pressed = pressed(job, now);
-      job.place = place(job, fleetCores) + putBack(job, now);
+      job.place = place(job, fleetCores);
     }
     List<Job> order = new ArrayList<>(jobs);
     order.sort(
@@ -54,21 +54,6 @@
     return job.arrivedWallMs + policy.lengthWeight() * lengthS * 1000;
   }
 
-  /**
-   * A job that can't be done by its due time any more, even if all of it started now, lets those
-   * pass that can: it queues as if it had come half of its time later. That is a bounded delay, and
-   * serves those that are late by half of their time at most. Our extension: in arrival order, a
-   * full fleet makes every job a little late.
-   */
-  private double putBack(Job job, Time now) {
-    if (job.dueAt == null || !now.plus(estimates.predict(job, 0)).after(job.dueAt)) {
-      return 0;
-    }
-    return LATE_PART * job.dueIn.ms();
-  }
-
-  private static final double LATE_PART = 0.5;
-
   /**
    * Whether a job of low priority has little time to spare before its deadline, or before the time
    * its class should be finished in. Our extension: without it such work starves while work of
