--- a/src/main/java/io/saltflow/coordination/Preemption.java
+++ b/src/main/java/io/saltflow/coordination/Preemption.java
@@ -64,8 +64,7 @@
       boolean urgent = w.job().spec.priority().compareTo(policy.preemptFrom()) >= 0;
       if ((!urgent && !guaranteed.contains(w.job().id()))
           || w.job().failsEverywhere()
-          || w.held()
-          || mayWait(w.job(), now)) {
+          || w.held()) {
         continue;
       }
       if (places == null) {
@@ -78,22 +77,6 @@
     }
   }
 
-  /**
-   * A job with a deadline of its own stops nothing while it can still wait for room that comes by
-   * itself: it is first in the queue and has the reservation. What it would stop has a deadline
-   * too, and loses all that it did.
-   */
-  private boolean mayWait(Job job, Time now) {
-    if (job.spec.deadline() == null || job.dueAt == null) {
-      return false;
-    }
-    Span run = estimates.predict(job, 0).times(LAST_TASK);
-    return now.plus(run).plus(policy.patience().times(2)).before(job.dueAt);
-  }
-
-  /** A job is done with its last task, which runs about so much longer than the median. */
-  private static final double LAST_TASK = 1.5;
-
   private List<Place> places(List<Machine> usable, List<Machine> booting, Time now) {
     Time limit = now.plus(policy.patience());
     List<Place> out = new ArrayList<>();
