An inherited machine is as old as the cloud says, so takeovers keep no empty ones

A machine from the ledger counted as rented at the takeover, and none is returned within the minute that is charged anyway. The cloud's list tells its age.

--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -22,7 +22,12 @@
   final String typeName;
   final String zone;
   final boolean spot;
-  final Time rentedAt;
+
+  /**
+   * As far as is known; a machine of a former leader's is older than it seems until it is listed.
+   */
+  Time rentedAt;
+
   MachineType type;
   boolean up;
 
--- a/src/test/java/io/saltflow/coordination/FleetTest.java
+++ b/src/test/java/io/saltflow/coordination/FleetTest.java
@@ -93,15 +93,33 @@
     assertEquals(List.of(new MachineId("vm-1")), f.leader.toDelete(f.time()));
     assertEquals(List.of(), f.leader.toDelete(f.time()), "asked for once");
     f.leader.deleted(List.of(new MachineId("vm-1")), f.time());
-    f.leader.listed(
-        List.of(
-            new CloudCodec.Listed(
-                new MachineId("vm-1"), "", "box", "a", false, false, false, Span.seconds(70))),
-        f.time());
+    f.leader.listed(List.of(listed("vm-1", 70)), f.time());
     f.pass(30);
     assertEquals(List.of(), f.leader.toDelete(f.time()), "it is gone, whatever an old list says");
   }
 
+  /**
+   * A machine's first minute is paid whether it is used or not, but a takeover does not begin it
+   * anew: on a day of four takeovers 500 empty machines were kept for a minute after each.
+   */
+  @Test
+  void inheritedMachineIsAsOldAsTheCloudSays() {
+    Floor f = new Floor(POLICY, List.of(), "vm-1", "vm-2");
+    f.checkIn("vm-1");
+    f.checkIn("vm-2");
+    f.leader.listed(List.of(listed("vm-1", 300), listed("vm-2", 10)), f.time());
+    for (int i = 0; i < 10; i++) {
+      f.work("vm-1", 2);
+      f.checkIn("vm-2");
+    }
+    assertEquals(List.of(new MachineId("vm-1")), f.leader.toDelete(f.time()));
+  }
+
+  private static CloudCodec.Listed listed(String name, double ageS) {
+    return new CloudCodec.Listed(
+        new MachineId(name), "", "box", "a", false, false, false, Span.seconds(ageS));
+  }
+
   /** When most fall silent at once, the cut is more likely the leader's own. */
   @Test
   void aCutOffLeaderDoesNotReturnTheFleet() {
