--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -60,6 +60,7 @@
   private Backlog backlog = Backlog.NONE;
   private Span roundPause = new Span(0);
   private boolean accounted;
+  private Time accountedAt;
   private boolean changed = true;
   private Time lastRound = Time.LONG_AGO;
   private Time lastReport;
@@ -430,6 +431,7 @@
     use.unknown(fencing.unaccounted());
     if (fencing.allAccounted()) {
       accounted = true;
+      accountedAt = now;
       changed = true;
       LOG.info(
           "every machine is accounted for, {} ms into term {}", now.since(tookOver).ms(), term);
@@ -580,7 +582,7 @@
       // look like one of an unknown type, and be returned with all that runs on it.
       return List.of();
     }
-    return returns.toReturn(fencing.machines(), tookOver, now);
+    return returns.toReturn(fencing.machines(), tookOver, accountedAt, now);
   }
 
   /** The cloud confirmed: the machines and all on them are gone. */
--- a/src/main/java/io/saltflow/coordination/Returns.java
+++ b/src/main/java/io/saltflow/coordination/Returns.java
@@ -20,7 +20,8 @@
   }
 
   /** Machines to return: silent, faulty, never up, taken soon and empty, or idle for too long. */
-  List<MachineId> toReturn(Collection<Machine> machines, Time tookOver, Time now) {
+  List<MachineId> toReturn(
+      Collection<Machine> machines, Time tookOver, Time accountedAt, Time now) {
     List<MachineId> out = new ArrayList<>();
     int heard = 0;
     int silent = 0;
@@ -44,7 +45,7 @@
       if (m.deleteAsked) {
         continue;
       }
-      String why = reason(m, cut, patience, tookOver, now);
+      String why = reason(m, cut, patience, tookOver, accountedAt, now);
       if (why != null) {
         LOG.info("machine {} ({}) is returned: {}", m.id, m.kind(), why);
         m.leaving = true;
@@ -59,7 +60,8 @@
     return now.since(Time.later(m.lastHeard, tookOver));
   }
 
-  private String reason(Machine m, boolean cut, Span patience, Time tookOver, Time now) {
+  private String reason(
+      Machine m, boolean cut, Span patience, Time tookOver, Time accountedAt, Time now) {
     Span silence = silentFor(m, tookOver, now);
     Span most = m.mightHoldOldTasks ? patience : policy.silence();
     if (m.unlisted) {
@@ -87,8 +89,12 @@
     if (m.noticeAt != null) {
       return "it is empty and the cloud is about to take it";
     }
+    if (accountedAt == null) {
+      // Until all is accounted for most tasks may not be launched: machines are empty for that.
+      return null;
+    }
+    Span idle = now.since(Time.later(m.idleSince, accountedAt));
     // The first minute is charged whether it is used or not.
-    Span idle = now.since(m.idleSince);
     if (m.retiring && age.longerThan(policy.minimumCharge())) {
       return "it is dear and no longer needed";
     }
--- a/src/test/java/io/saltflow/coordination/FleetTest.java
+++ b/src/test/java/io/saltflow/coordination/FleetTest.java
@@ -115,6 +115,22 @@
     assertEquals(List.of(new MachineId("vm-1")), f.leader.toDelete(f.time()));
   }
 
+  /** Machines that are empty because nothing may be launched yet are not idle. */
+  @Test
+  void nothingIsReturnedForBeingEmptyUntilAllIsAccountedFor() {
+    Floor f =
+        new Floor(POLICY, List.of(Floor.job(Jobs.job(1).cores(10).build(), true)), "vm-1", "vm-2");
+    f.leader.listed(List.of(listed("vm-1", 300), listed("vm-2", 300)), f.time());
+    for (int i = 0; i < 4; i++) {
+      // The other machine has not been heard of: it may hold the task.
+      f.pass(2);
+      f.checkIn("vm-1");
+      assertEquals(List.of(), f.leader.toDelete(f.time()));
+    }
+    f.checkIn("vm-2");
+    assertEquals(List.of(), f.leader.toDelete(f.time()));
+  }
+
   private static CloudCodec.Listed listed(String name, double ageS) {
     return new CloudCodec.Listed(
         new MachineId(name), "", "box", "a", false, false, false, Span.seconds(ageS));
