--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -616,7 +616,7 @@
       } else {
         m.unlisted = false;
         m.faulty |= l.failed();
-        m.rentedAt = Time.earlier(m.rentedAt, new Time(now.ms() - l.age().ms()));
+        m.paidFrom = Time.earlier(m.paidFrom, new Time(now.ms() - l.age().ms()));
       }
     }
   }
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -78,6 +78,7 @@
     this.zone = zone;
     this.spot = spot;
     this.rentedAt = rentedAt;
+    this.paidFrom = rentedAt;
     this.idleSince = rentedAt;
     this.lastHeard = Time.LONG_AGO;
   }
--- a/src/main/java/io/saltflow/coordination/Returns.java
+++ b/src/main/java/io/saltflow/coordination/Returns.java
@@ -95,10 +95,10 @@
     }
     Span idle = now.since(Time.later(m.idleSince, accountedAt));
     // The first minute is charged whether it is used or not.
-    if (m.retiring && age.longerThan(policy.minimumCharge())) {
+    boolean paid = now.since(m.paidFrom).longerThan(policy.minimumCharge());
+    if (m.retiring && paid) {
       return "it is dear and no longer needed";
     }
-    boolean paid = age.longerThan(policy.minimumCharge());
     if (paid && idle.longerThan(m.type.boot().times(policy.idleReturnBoots()))) {
       // Kept for as long as it would take to rent another: longer costs more than it can save.
       return "it is idle";
--- a/src/test/java/io/saltflow/coordination/FleetTest.java
+++ b/src/test/java/io/saltflow/coordination/FleetTest.java
@@ -105,9 +105,13 @@
   @Test
   void inheritedMachineIsAsOldAsTheCloudSays() {
     Floor f = new Floor(POLICY, List.of(), "vm-1", "vm-2");
+    f.leader.listed(List.of(listed("vm-1", 300), listed("vm-2", 10)), f.time());
+    f.pass(1);
+    // It is old and has not reported to this leader yet: it is not one that never came up. Taking
+    // it for one returned 500 machines with all that ran on them.
+    assertEquals(List.of(), f.leader.toDelete(f.time()));
     f.checkIn("vm-1");
     f.checkIn("vm-2");
-    f.leader.listed(List.of(listed("vm-1", 300), listed("vm-2", 10)), f.time());
     for (int i = 0; i < 10; i++) {
       f.work("vm-1", 2);
       f.checkIn("vm-2");
