--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -23,10 +23,11 @@
   final String zone;
   final boolean spot;
 
-  /**
-   * As far as is known; a machine of a former leader's is older than it seems until it is listed.
-   */
-  Time rentedAt;
+  /** For a machine of a former leader's: when this leader came to know of it. */
+  final Time rentedAt;
+
+  /** Since when it is paid for: earlier than that once the cloud's list tells its age. */
+  Time paidFrom;
 
   MachineType type;
   boolean up;
