--- a/src/test/java/io/saltflow/bookkeeping/PagesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/PagesTest.java
@@ -62,6 +62,10 @@
 
   private void serve(String method, String target, byte[] body, Consumer<HttpReply> answer) {
     try {
+      if (target.startsWith("/kv?")) {
+        answer.accept(HttpReply.of(200, MsgPack.encode(listing(target))));
+        return;
+      }
       if (method.equals("GET")) {
         Value v = keys.get(target.substring(4));
         Body found = Body.of().with("epoch", epoch);
@@ -84,6 +88,20 @@
     }
   }
 
+  /** Two keys a page, and a change between two pages. */
+  private Body listing(String target) {
+    String after = target.contains("after=") ? target.replaceAll(".*after=([^&]*).*", "$1") : "";
+    List<Object> pairs = new ArrayList<>();
+    for (Map.Entry<String, Value> e : keys.entrySet()) {
+      if (e.getKey().compareTo(after) > 0 && pairs.size() < 2) {
+        Value v = e.getValue();
+        pairs.add(Body.of().with("path", e.getKey()).with("data", v.data).with("stamp", v.stamp));
+      }
+    }
+    boolean more = pairs.size() == 2;
+    return Body.of().with("pairs", pairs).with("truncated", more).with("epoch", epoch++);
+  }
+
   private int apply(Body txn) throws BadMessage {
     for (Body guard : txn.maps("guards")) {
       Value v = keys.get(guard.text("path"));
@@ -175,6 +193,21 @@
     assertEquals(Set.of("f"), keys.get("p/00000").data.fields().keySet());
   }
 
+  /** A listing goes over pages, and what changed since its first page is watched for. */
+  @Test
+  void listingGoesOverPages() throws IOException {
+    for (int i = 0; i < 7; i++) {
+      keys.put("live/" + i, new Value(Body.of().with("n", (long) i), i + 1));
+    }
+    epoch = 100;
+    List<StateClient.Listing> got = new ArrayList<>();
+    state.list(StateClient.Rank.LEADERSHIP, "live/", got::add);
+    runUntil(() -> !got.isEmpty(), () -> {});
+    assertEquals(7, got.get(0).entries().size());
+    assertEquals(100, got.get(0).revision());
+    assertEquals(104, epoch);
+  }
+
   /** What a launch waits for goes before users, and books go last, whoever asked first. */
   @Test
   void budgetGoesByRank() throws IOException {
