--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -146,7 +146,7 @@
   private void seen(JobStore.Recorded r) {
     JobId id = r.spec().id();
     if (leader.job(id) == null) {
-      leader.jobSeen(r.spec(), r.arrivedWallMs(), former.maybeStarted(id));
+      leader.jobSeen(r.spec(), r.arrivedWallMs(), former.maybeStarted(r));
     }
   }
 
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -28,6 +28,7 @@
   private static final String SPEC = "spec";
   private static final String ARRIVED = "at";
   private static final String DONE_COUNT = "n";
+  private static final String STARTED = "started";
   private static final String PHASE = "phase";
   private static final Span TRY = Span.millis(1500);
   private static final Span PAUSE = Span.millis(100);
@@ -58,7 +59,7 @@
   }
 
   /** A live job as it was recorded. */
-  public record Recorded(JobSpec spec, long arrivedWallMs) {}
+  public record Recorded(JobSpec spec, long arrivedWallMs, boolean marked) {}
 
   private final Loop loop;
   private final StateClient state;
@@ -234,7 +235,9 @@
   }
 
   public static Recorded decode(Body record) throws BadMessage {
-    return new Recorded(JobCodec.decode(record.map(SPEC)), record.integer(ARRIVED));
+    // Records of earlier versions say in themselves that a job may have been started.
+    return new Recorded(
+        JobCodec.decode(record.map(SPEC)), record.integer(ARRIVED), record.flagOr(STARTED, false));
   }
 
   /** Every job that is not over, and the revision from which to watch. */
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -254,8 +254,8 @@
     }
 
     /** Whether a former leader may have launched some of it. */
-    public boolean maybeStarted(JobId id) {
-      return !progressWhole || started.containsKey(id);
+    public boolean maybeStarted(JobStore.Recorded r) {
+      return !progressWhole || r.marked() || started.containsKey(r.spec().id());
     }
 
     public Job job(JobStore.Recorded r) {
@@ -269,7 +269,7 @@
           LOG.error("progress of {}: {}; its tasks are asked for again", id, e.getMessage());
         }
       }
-      return new Job(r.spec(), r.arrivedWallMs(), done, maybeStarted(id));
+      return new Job(r.spec(), r.arrivedWallMs(), done, maybeStarted(r));
     }
   }
 
--- a/src/test/java/io/saltflow/bookkeeping/PagesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/PagesTest.java
@@ -1,6 +1,7 @@
 package io.saltflow.bookkeeping;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.saltflow.protocol.BadMessage;
@@ -193,6 +194,41 @@
     assertEquals(Set.of("f"), keys.get("p/00000").data.fields().keySet());
   }
 
+  /**
+   * Earlier versions marked a job in its own record. Taken for one that nobody launched, it would
+   * be started while a machine of theirs still runs it.
+   */
+  @Test
+  void recordOfAnEarlierVersionMayHaveBeenStarted() throws BadMessage {
+    Body spec =
+        Body.of()
+            .with("id", "req-000001")
+            .with("lane", "c")
+            .with("crew", "red")
+            .with("shape", "array")
+            .with("urgency", "normal")
+            .with("shards", 2L)
+            .with("cores", 1.0)
+            .with("gpus", 0.0)
+            .with("ramGb", 1.0)
+            .with("bundle", "i")
+            .with("sizeGb", 1.0)
+            .with("together", false)
+            .with("apart", false)
+            .with("loaners", true)
+            .with("expectS", 10.0)
+            .with("snapshotS", 0.0)
+            .with("flushS", 0.0);
+    Body record = Body.of().with("spec", spec).with("at", 5L);
+    LeaderBooks.Inherited nothing = new LeaderBooks.Inherited();
+    assertFalse(nothing.maybeStarted(JobStore.decode(sent(record))));
+    assertTrue(nothing.maybeStarted(JobStore.decode(sent(record.with("started", true)))));
+  }
+
+  private static Body sent(Body body) throws BadMessage {
+    return MsgPack.decode(MsgPack.encode(body));
+  }
+
   /** A listing goes over pages, and what changed since its first page is watched for. */
   @Test
   void listingGoesOverPages() throws IOException {
