--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -1,6 +1,5 @@
 package io.saltflow.coordination;
 
-import io.saltflow.protocol.Attempt;
 import io.saltflow.protocol.CloudCodec;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
@@ -30,7 +29,6 @@
   private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
   private static final Span ROUND_EVERY = Span.seconds(1);
   private static final int MANY = 6;
-  private static final Span SAVE_PATIENCE = Span.seconds(5);
   private static final int MOST_REMEMBERED_GONE = 4000;
 
   /**
@@ -49,7 +47,9 @@
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private final Estimates estimates;
+  private final TaskOutcomes outcomes;
   private final Fencing fencing;
+  private final Answers answers;
   private final Scheduler scheduler;
   private final Fleet fleet;
   private final Returns returns;
@@ -64,9 +64,6 @@
   private boolean changed = true;
   private Time lastRound = Time.LONG_AGO;
   private Time lastReport;
-  private long attemptSequence;
-  private long launches;
-  private boolean launchedAny;
   private boolean heardAny;
 
   public Leader(
@@ -89,8 +86,10 @@
     }
     estimates = new Estimates(policy);
     use = new TeamUse(policy.teams());
-    fencing = new Fencing(policy, term, this.jobs, use, new Happenings(), now);
+    outcomes = new TaskOutcomes(policy, estimates, usage);
+    fencing = new Fencing(policy, term, this.jobs, use, outcomes, now);
     scheduler = new Scheduler(policy, estimates, use);
+    answers = new Answers(policy, term, tookOver, this.jobs, fencing, scheduler, use);
     fleet = new Fleet(policy, term, estimates);
     returns = new Returns(policy);
     typesKnown(knownTypes);
@@ -110,80 +109,6 @@
         ledger.size());
   }
 
-  /** What befalls tasks, as the fencing proves it. */
-  private final class Happenings implements Fencing.Events {
-    @Override
-    public void done(Job job, int index, Presence p, Time now) {
-      job.isDone(index);
-      job.stopped.clear(index);
-      job.notBefore.remove(index);
-      job.ranBefore.remove(index);
-      job.dirty = true;
-      changed = true;
-      if (p != null) {
-        p.machine.errorsInARow = 0;
-        if (p.runningSince != null && !p.stopping) {
-          Span ran = now.since(p.runningSince);
-          estimates.observed(job.spec, job.ranBefore.containsKey(index) ? new Span(0) : ran);
-        }
-      }
-    }
-
-    @Override
-    public void failed(Job job, int index, Machine m, Time now) {
-      job.errors++;
-      job.errorMachines.add(m.id);
-      changed = true;
-      // The task waits longer each time, so that a job that can't succeed does not loop hot.
-      double waitS = job.failsEverywhere() ? Math.min(60, 2 * job.errors) : 0.5;
-      job.notBefore.put(index, now.plus(Span.seconds(waitS)));
-      if (job.failsEverywhere()) {
-        LOG.info("{} fails wherever it is started ({} errors)", job.id(), job.errors);
-      } else if (++m.errorsInARow >= policy.faultyAfter() && !m.faulty) {
-        m.faulty = true;
-        LOG.info("machine {} failed {} tasks in a row", m.id, m.errorsInARow);
-      }
-    }
-
-    @Override
-    public void stopped(Presence p, boolean saved, Time now) {
-      changed = true;
-      if (!saved && p.runningSince != null) {
-        usage.lost(p, now.since(p.runningSince).toSeconds());
-      }
-      p.job.stopped.set(p.index);
-      if (saved && p.runningSince != null) {
-        Span before = p.job.ranBefore.getOrDefault(p.index, new Span(0));
-        p.job.ranBefore.put(p.index, before.plus(now.since(p.runningSince)));
-      }
-    }
-
-    @Override
-    public void refused(Presence p, Report.ExitCause cause, Time now) {
-      changed = true;
-      LOG.info("{} was refused by {}: {}", p.task(), p.machine.id, cause);
-      p.job.notBefore.put(p.index, now.plus(Span.seconds(2)));
-    }
-
-    @Override
-    public void lost(Presence p, String why, Time now) {
-      changed = true;
-      if (p.state != Presence.State.SENT) {
-        LOG.info("{} on {} is lost: {}", p.task(), p.machine.id, why);
-      }
-      p.job.stopped.set(p.index);
-      if (!p.job.spec.checkpoints() && p.runningSince != null) {
-        usage.lost(p, now.since(p.runningSince).toSeconds());
-      }
-      if (p.job.spec.checkpoints() && p.runningSince != null) {
-        long interval = p.job.spec.checkpoint().ms();
-        long kept = now.since(p.runningSince).ms() / interval * interval;
-        Span before = p.job.ranBefore.getOrDefault(p.index, new Span(0));
-        p.job.ranBefore.put(p.index, before.plus(new Span(kept)));
-      }
-    }
-  }
-
   public Term term() {
     return term;
   }
@@ -325,7 +250,7 @@
     changed |= m.accounted && !knownUsable;
     checkAccounted(now);
     List<Order> orders = new ArrayList<>();
-    clear(r, orders);
+    answers.clear(r, orders);
     if (roundDue(now)) {
       round(now);
     } else if (m.usable()) {
@@ -334,9 +259,9 @@
     if (!m.accounted) {
       return orders;
     }
-    halt(m, r, orders, now);
+    answers.halt(m, r, orders, now);
     if (mayLaunch && m.usable()) {
-      launch(m, MOST_LISTED - r.tasks().size(), orders, now);
+      answers.launch(m, MOST_LISTED - r.tasks().size(), accounted, orders, now);
     }
     return orders;
   }
@@ -346,82 +271,7 @@
    * between a machine that reports is looked at alone.
    */
   private boolean roundDue(Time now) {
-    return changed && now.since(lastRound).compareTo(roundPause) >= 0;
-  }
-
-  private void clear(Report r, List<Order> orders) {
-    for (Report.TaskReport t : r.tasks()) {
-      if (t.state() != Report.TaskState.EXITED) {
-        continue;
-      }
-      Job job = jobs.get(t.task().job());
-      boolean resultHeld = job == null || job.recorded.get(t.task().index());
-      // A result stays listed until the state service holds it, so that a new leader finds it.
-      if (t.cause() != Report.ExitCause.DONE || resultHeld) {
-        orders.add(new Order.Clear(t.task(), t.attempt()));
-      }
-    }
-  }
-
-  private void halt(Machine m, Report r, List<Order> orders, Time now) {
-    for (Report.TaskReport t : r.tasks()) {
-      if (t.state() == Report.TaskState.EXITED) {
-        continue;
-      }
-      Presence p = m.presences.get(t.task());
-      if (p == null || !p.attempt.equals(t.attempt()) || p.job.done.get(p.index)) {
-        orders.add(new Order.Halt(t.task(), t.attempt(), new Span(0)));
-      } else if (p.job.cancelled) {
-        p.stop(now, new Span(0));
-        orders.add(new Order.Halt(t.task(), t.attempt(), new Span(0)));
-      } else if (p.stopping && p.state != Presence.State.SAVING) {
-        orders.add(new Order.Halt(t.task(), t.attempt(), p.grace));
-      } else if (p.stopping
-          && now.after(p.stopAt.plus(p.grace.times(2)).plus(SAVE_PATIENCE).plus(policy.report()))) {
-        orders.add(new Order.Halt(t.task(), t.attempt(), new Span(0)));
-      }
-    }
-  }
-
-  private void launch(Machine m, int most, List<Order> orders, Time now) {
-    if (m.assigned.isEmpty()) {
-      return;
-    }
-    List<Machine.Assigned> given = List.copyOf(m.assigned);
-    scheduler.takeBack(m);
-    int left = most;
-    for (Machine.Assigned a : given) {
-      Job job = a.job();
-      // Checked once more against what is true now: the round may be a second old.
-      if (left <= 0
-          || job.cancelled
-          || job.finishing
-          || !mayStart(job)
-          || job.done.get(a.index())
-          || job.present.containsKey(a.index())
-          || !job.spec.size().fitsIn(m.free())
-          || !use.mayLaunch(job)
-          || !Placement.allowed(job, m)) {
-        continue;
-      }
-      Attempt attempt = Attempt.of(term, ++attemptSequence);
-      Presence p = fencing.launch(job, a.index(), attempt, m, a.backfilled(), now);
-      orders.add(new Order.Launch(p.task(), attempt));
-      left--;
-      launches++;
-      if (!launchedAny) {
-        launchedAny = true;
-        LOG.info("first launch of term {}, {} ms after it began", term, now.since(tookOver).ms());
-      }
-    }
-  }
-
-  /**
-   * Until every machine is accounted for, only jobs that no former leader can have launched may
-   * start: any other task might be on a machine that has not been heard of.
-   */
-  private boolean mayStart(Job job) {
-    return job.startRecorded && (accounted || !job.maybeStartedBefore);
+    return (changed || outcomes.changed()) && now.since(lastRound).compareTo(roundPause) >= 0;
   }
 
   private void checkAccounted(Time now) {
@@ -469,6 +319,7 @@
 
   private void round(Time now) {
     changed = false;
+    outcomes.taken();
     lastRound = now;
     backlog = Backlog.of(jobs.values(), types.values(), policy, estimates, now);
     fleet.retire(fencing.machines(), jobs.values(), backlog, now);
@@ -660,6 +511,6 @@
     return String.format(
         "%d jobs, %d tasks wait, %d on machines, %.0f of %.0f cores in use, %d machines up, %d"
             + " booting, %d launches; %s",
-        jobs.size(), queued, tasks, used, cores, up, booting, launches, usage.summary());
+        jobs.size(), queued, tasks, used, cores, up, booting, answers.launches(), usage.summary());
   }
 }
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/TaskOutcomes.java
@@ -0,0 +1,110 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.Report;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What befalls tasks, as the fencing proves it, and what follows from it for their jobs. */
+final class TaskOutcomes implements Fencing.Events {
+  private static final Logger LOG = LoggerFactory.getLogger(TaskOutcomes.class);
+
+  private final Policy policy;
+  private final Estimates estimates;
+  private final Usage usage;
+  private boolean changed;
+
+  TaskOutcomes(Policy policy, Estimates estimates, Usage usage) {
+    this.policy = policy;
+    this.estimates = estimates;
+    this.usage = usage;
+  }
+
+  /** Whether something happened since the last round that a round should look at. */
+  boolean changed() {
+    return changed;
+  }
+
+  /** A round looks at it now. */
+  void taken() {
+    changed = false;
+  }
+
+  @Override
+  public void done(Job job, int index, Presence p, Time now) {
+    job.isDone(index);
+    job.stopped.clear(index);
+    job.notBefore.remove(index);
+    job.ranBefore.remove(index);
+    job.dirty = true;
+    changed = true;
+    if (p != null) {
+      p.machine.errorsInARow = 0;
+      if (p.runningSince != null && !p.stopping) {
+        Span ran = now.since(p.runningSince);
+        estimates.observed(job.spec, job.ranBefore.containsKey(index) ? new Span(0) : ran);
+      }
+    }
+  }
+
+  @Override
+  public void failed(Job job, int index, Machine m, Time now) {
+    job.errors++;
+    job.errorMachines.add(m.id);
+    changed = true;
+    // The task waits longer each time, so that a job that can't succeed does not loop hot.
+    double waitS = job.failsEverywhere() ? Math.min(60, 2 * job.errors) : 0.5;
+    job.notBefore.put(index, now.plus(Span.seconds(waitS)));
+    if (job.failsEverywhere()) {
+      LOG.info("{} fails wherever it is started ({} errors)", job.id(), job.errors);
+    } else if (++m.errorsInARow >= policy.faultyAfter() && !m.faulty) {
+      m.faulty = true;
+      LOG.info("machine {} failed {} tasks in a row", m.id, m.errorsInARow);
+    }
+  }
+
+  @Override
+  public void stopped(Presence p, boolean saved, Time now) {
+    changed = true;
+    if (!saved && p.runningSince != null) {
+      usage.lost(p, now.since(p.runningSince).toSeconds());
+    }
+    p.job.stopped.set(p.index);
+    if (saved && p.runningSince != null) {
+      keep(p, now.since(p.runningSince));
+    }
+  }
+
+  @Override
+  public void refused(Presence p, Report.ExitCause cause, Time now) {
+    changed = true;
+    LOG.info("{} was refused by {}: {}", p.task(), p.machine.id, cause);
+    p.job.notBefore.put(p.index, now.plus(Span.seconds(2)));
+  }
+
+  @Override
+  public void lost(Presence p, String why, Time now) {
+    changed = true;
+    if (p.state != Presence.State.SENT) {
+      LOG.info("{} on {} is lost: {}", p.task(), p.machine.id, why);
+    }
+    p.job.stopped.set(p.index);
+    if (p.runningSince == null) {
+      return;
+    }
+    Span ran = now.since(p.runningSince);
+    if (p.job.spec.checkpoints()) {
+      long interval = p.job.spec.checkpoint().ms();
+      keep(p, new Span(ran.ms() / interval * interval));
+    } else {
+      usage.lost(p, ran.toSeconds());
+    }
+  }
+
+  /** Progress that was saved: the task goes on from there. */
+  private static void keep(Presence p, Span ran) {
+    Span before = p.job.ranBefore.getOrDefault(p.index, new Span(0));
+    p.job.ranBefore.put(p.index, before.plus(ran));
+  }
+}
