A plain account of the night: one line an event and its count, troubles begin and end

The leader's log had a line for every machine and task: a takeover of 585 machines alone wrote 150. Account gathers what happens to many within 5 s into one line with its count; Watchman tells when machines are silent or late, jobs past their deadline, and work within a guarantee waiting longer than the aim, and when each is over with how long and how bad it was. Names are for LOG_LEVEL=debug. The aim's time for guarantees is read from the platform's file (guaranteeWithin).

--- a/src/main/java/io/saltflow/app/Config.java
+++ b/src/main/java/io/saltflow/app/Config.java
@@ -29,6 +29,7 @@
     int size,
     Map<String, Policy.Team> teams,
     Map<String, Span> dueByClass,
+    Span guaranteeWithin,
     Span report,
     Span lease,
     Span cancel,
@@ -87,6 +88,7 @@
         (int) positive(c, "settings.size", 1.0 + siblings.size()),
         teams,
         dueByClass(c),
+        guaranteeWithin(c),
         Span.seconds(positive(c, "settings.workers.report_s", null)),
         Span.seconds(positive(c, "settings.workers.lease_s", null)),
         Span.seconds(positive(c, "settings.workers.cancel_s", null)),
@@ -112,6 +114,18 @@
     return due;
   }
 
+  /** How soon work within a guarantee should start, where an aim says so; else null. */
+  private static Span guaranteeWithin(UnmodifiableConfig c) throws ConfigError {
+    Span tightest = null;
+    for (UnmodifiableConfig o : tables(c, "settings.objectives")) {
+      if ("guarantee".equals(o.get("kind"))) {
+        Span within = Span.seconds(amount(o, "within_s", 0.0));
+        tightest = tightest == null || tightest.longerThan(within) ? within : tightest;
+      }
+    }
+    return tightest;
+  }
+
   private static List<UnmodifiableConfig> tables(UnmodifiableConfig c, String name)
       throws ConfigError {
     Object value = c.get(name);
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -36,6 +36,7 @@
   private final StateClient state;
   private final JobStore jobs;
   private final Authority authority;
+  private final Supplier<Time> now;
   private final int txnOps;
   private final int valueBytes;
   private final Pages<Leader.LedgerEntry> ledger;
@@ -54,6 +55,7 @@
     this.state = state;
     this.jobs = jobs;
     this.authority = authority;
+    this.now = now;
     this.txnOps = Math.max(2, limits.txnOps());
     // A quarter is left for what the text form of a value takes beyond what is counted here.
     this.valueBytes = (int) (limits.valueKb() * 1024 * 3 / 4);
@@ -175,7 +177,7 @@
             for (Job job : some) {
               if (ok) {
                 jobs.remember(job.id(), job.spec().tasks());
-                leader.finished(job);
+                leader.finished(job, now.get());
               } else {
                 checkEnd(job);
               }
@@ -195,7 +197,7 @@
             return;
           }
           if (e != null && e.value() != null) {
-            leader.finished(job);
+            leader.finished(job, now.get());
           } else {
             leader.finishing(job, false);
           }
--- /dev/null
+++ b/src/main/java/io/saltflow/coordination/Account.java
@@ -0,0 +1,132 @@
+package io.saltflow.coordination;
+
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The account of the night that people read in the morning. What happens to many machines or tasks
+ * is one line with its count, not one a machine; a trouble that lasts is told when it begins and
+ * when it is over, with how long and how bad it was. Single names are for the debug level.
+ */
+final class Account {
+  private static final Logger LOG = LoggerFactory.getLogger(Account.class);
+
+  /** What happens within this is told together. */
+  private static final Span GATHER = Span.seconds(5);
+
+  /** A trouble that is back within this was never over. */
+  private static final Span QUIET = Span.seconds(10);
+
+  private static final int NAMED = 3;
+
+  /** What may last; the texts follow a count. */
+  enum Trouble {
+    SILENT("machines have fallen silent"),
+    LATE_BOOT("machines are late to come up"),
+    LATE_JOBS("jobs are past their deadline"),
+    GUARANTEE("jobs within their team's guarantee wait for room");
+
+    private final String text;
+
+    Trouble(String text) {
+      this.text = text;
+    }
+  }
+
+  private static final class Tally {
+    int count;
+    int told;
+    final List<String> names = new ArrayList<>();
+  }
+
+  private static final class Lasting {
+    final Time since;
+    Time last;
+    int most;
+    int told;
+
+    Lasting(Time since) {
+      this.since = since;
+    }
+  }
+
+  private final Consumer<String> out;
+  private final Map<String, Tally> tallies = new LinkedHashMap<>();
+  private final Map<Trouble, Lasting> lasting = new EnumMap<>(Trouble.class);
+  private Time gatheringSince = Time.LONG_AGO;
+
+  Account() {
+    this(LOG::info);
+  }
+
+  Account(Consumer<String> out) {
+    this.out = out;
+  }
+
+  /** Something that happens to one of many: told with its count. */
+  void happened(String what, Object which) {
+    happened(what, 1, which);
+  }
+
+  /** The same for several at once. */
+  void happened(String what, int count, Object which) {
+    LOG.debug("{}: {}", what, which);
+    Tally t = tallies.computeIfAbsent(what, w -> new Tally());
+    t.count += count;
+    t.told++;
+    if (t.names.size() < NAMED) {
+      t.names.add(which.toString());
+    }
+  }
+
+  /** How bad a trouble is now; 0: it is over, if it stays so. The note says what it means. */
+  void level(Trouble trouble, int count, String note, Time now) {
+    Lasting l = lasting.get(trouble);
+    if (count == 0) {
+      if (l != null && now.since(l.last).longerThan(QUIET)) {
+        lasting.remove(trouble);
+        String seconds = seconds(l.last.since(l.since));
+        out.accept("over: " + trouble.text + "; it lasted " + seconds + " s, at most " + l.most);
+      }
+      return;
+    }
+    if (l == null) {
+      l = new Lasting(now);
+      lasting.put(trouble, l);
+    }
+    l.last = now;
+    l.most = Math.max(l.most, count);
+    // Told when it begins, and again only when it is twice as bad.
+    if (count >= 2 * l.told) {
+      l.told = count;
+      out.accept(count + " " + trouble.text + (note.isEmpty() ? "" : ", " + note));
+    }
+  }
+
+  /** Tells what was gathered. */
+  void tell(Time now) {
+    if (now.since(gatheringSince).compareTo(GATHER) < 0) {
+      return;
+    }
+    gatheringSince = now;
+    tallies.forEach(
+        (what, t) -> {
+          String more = t.told > t.names.size() ? ", ..." : "";
+          out.accept(t.count + " " + what + " (" + String.join(", ", t.names) + more + ")");
+        });
+    tallies.clear();
+  }
+
+  private static String seconds(Span s) {
+    return String.format(Locale.ROOT, "%.0f", s.toSeconds());
+  }
+}
--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -48,11 +48,19 @@
   private final Map<MachineId, Machine> machines = new LinkedHashMap<>();
   private final Time tookOver;
   private final TeamUse use;
+  private final Account account;
   private boolean missing;
 
   Fencing(
-      Policy policy, Term term, Map<JobId, Job> jobs, TeamUse use, Events events, Time tookOver) {
+      Policy policy,
+      Term term,
+      Map<JobId, Job> jobs,
+      TeamUse use,
+      Events events,
+      Account account,
+      Time tookOver) {
     this.use = use;
+    this.account = account;
     this.policy = policy;
     this.term = term;
     this.jobs = jobs;
@@ -110,7 +118,7 @@
     if (m == null) {
       m = new Machine(r.machine(), types.get(r.type()), r.type(), r.zone(), r.spot(), now);
       machines.put(m.id, m);
-      LOG.info("machine {} ({}) reports and was not expected", m.id, m.kind());
+      account.happened("machines report that this leader did not know", m.id);
     }
     if (!r.newerThan(m.session, m.sequence)) {
       return null;
@@ -119,13 +127,16 @@
     m.session = r.session();
     m.sequence = r.sequence();
     m.lastHeard = now;
-    m.up = true;
+    if (!m.up) {
+      m.up = true;
+      LOG.debug("machine {} is up, {} s after renting", m.id, now.since(m.rentedAt).toSeconds());
+    }
     if (m.type == null) {
       m.type = types.get(r.type());
     }
     if (r.notice() != null) {
       if (m.noticeAt == null) {
-        LOG.info("machine {} will be taken by the cloud in {} s", m.id, r.notice().toSeconds());
+        account.happened("machines will be taken back by the cloud", m.id);
       }
       m.noticeAt = now.plus(r.notice());
     } else {
@@ -187,7 +198,7 @@
       if (other != null) {
         // A report that was held back until its machine's lease was over; the next one is a new
         // session's. The task stays where it was launched since.
-        LOG.info("an old report of {} lists {}, which is on {}", m.id, t.task(), other.machine.id);
+        account.happened("tasks in reports too old to count", t.task() + " of " + m.id);
         return;
       }
       p =
@@ -303,7 +314,7 @@
         continue;
       }
       if (m.mightHoldOldTasks) {
-        LOG.info("machine {} stayed silent; its lease is over and so are its tasks", m.id);
+        account.happened("machines stayed silent until their lease and tasks were over", m.id);
         m.mightHoldOldTasks = false;
       }
       if (!m.presences.isEmpty()) {
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -11,12 +11,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Which machines to rent, and which dear ones to let go. */
 final class Fleet {
-  private static final Logger LOG = LoggerFactory.getLogger(Fleet.class);
   private static final int MOST_PER_REQUEST = 50;
 
   /** Requests that are asked for and not answered yet, over all kinds. */
@@ -43,14 +40,16 @@
   private final Policy policy;
   private final Term term;
   private final Estimates estimates;
+  private final Account account;
   private final Map<String, Hire> open = new LinkedHashMap<>();
   private final Map<String, Backoff> backoffs = new HashMap<>();
   private long hireSequence;
 
-  Fleet(Policy policy, Term term, Estimates estimates) {
+  Fleet(Policy policy, Term term, Estimates estimates, Account account) {
     this.policy = policy;
     this.term = term;
     this.estimates = estimates;
+    this.account = account;
   }
 
   Collection<Hire> open() {
@@ -75,7 +74,7 @@
       if (m.type == null || m.leaving || m.faulty) {
         continue;
       }
-      boolean late = m.booting() && now.after(m.rentedAt.plus(m.type.boot().times(1.6)));
+      boolean late = m.late(now);
       if (!late && m.noticeAt == null) {
         fleetCores += m.type.size().cores();
       }
@@ -288,6 +287,9 @@
       length = LONGEST_BACKOFF;
     }
     backoffs.put(hire.kind(), new Backoff(now.plus(length), length));
-    LOG.info("the cloud gave {} of {} {}", got, hire.count, hire.kind());
+    account.happened(
+        "machines were asked for and the cloud did not give them",
+        hire.count - got,
+        got + " of " + hire.count + " " + hire.kind());
   }
 }
--- a/src/main/java/io/saltflow/coordination/HeadReservation.java
+++ b/src/main/java/io/saltflow/coordination/HeadReservation.java
@@ -10,13 +10,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** The paper's reservation for the job at the head of the queue, and the stops when it is due. */
 final class HeadReservation {
-  private static final Logger LOG = LoggerFactory.getLogger(HeadReservation.class);
-
   /** How many tasks of the head get a reservation: bounds a round's work. */
   static final int MOST_RESERVED = 256;
 
@@ -29,9 +25,11 @@
       Comparator.comparing(End::at).thenComparingInt(End::order);
 
   private final Estimates estimates;
+  private final Account account;
   private Promise promise;
 
-  HeadReservation(Estimates estimates) {
+  HeadReservation(Estimates estimates, Account account) {
+    this.account = account;
     this.estimates = estimates;
   }
 
@@ -136,7 +134,9 @@
       }
       if (!chosen.isEmpty() && head.spec.size().fitsIn(sum)) {
         for (Presence p : chosen) {
-          LOG.info("{} is stopped: the time reserved for {} has come", p.task(), head.id());
+          account.happened(
+              "backfilled tasks are stopped: the time reserved for the head job has come",
+              p.task() + " for " + head.id());
           p.stop(now, p.job.spec.save().plus(Span.seconds(1)));
         }
         return;
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -40,6 +40,9 @@
   boolean startAsked;
   int errors;
 
+  /** By this leader's clock; what another node wrote down may be off by the skew of both. */
+  Time arrivedAt;
+
   /** When it should be complete, by its deadline or its class's aim; null: no such time. */
   Time dueAt;
 
@@ -100,6 +103,12 @@
     return !spec.daemon() && done.cardinality() == spec.tasks();
   }
 
+  /** How long it is past its own deadline; 0: it is not, or has none. */
+  double lateS(Time now) {
+    boolean has = spec.deadline() != null && dueAt != null;
+    return has ? Math.max(0, now.since(dueAt).toSeconds()) : 0;
+  }
+
   /** The priority that it queues by: work of low priority rises when its time is running out. */
   Priority queuedAs() {
     return pressed && spec.priority() == Priority.LOW ? Priority.NORMAL : spec.priority();
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -47,12 +47,14 @@
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private final Estimates estimates;
+  private final Account account;
   private final TaskOutcomes outcomes;
   private final Fencing fencing;
   private final Answers answers;
   private final Scheduler scheduler;
   private final Fleet fleet;
   private final Returns returns;
+  private final Watchman watchman;
   private final TeamUse use;
   private final Usage usage = new Usage();
   private final Set<MachineId> goneForGood = new LinkedHashSet<>();
@@ -81,17 +83,19 @@
     this.lastReport = now;
     this.wallMinusClockMs = wallMs - now.ms();
     for (Job job : jobs) {
-      setDue(job);
+      setTimes(job);
       this.jobs.put(job.id(), job);
     }
     estimates = new Estimates(policy);
+    account = new Account();
     use = new TeamUse(policy.teams());
-    outcomes = new TaskOutcomes(policy, estimates, usage);
-    fencing = new Fencing(policy, term, this.jobs, use, outcomes, now);
-    scheduler = new Scheduler(policy, estimates, use);
+    outcomes = new TaskOutcomes(policy, estimates, usage, account);
+    fencing = new Fencing(policy, term, this.jobs, use, outcomes, account, now);
+    scheduler = new Scheduler(policy, estimates, use, account);
     answers = new Answers(policy, term, tookOver, this.jobs, fencing, scheduler, use);
-    fleet = new Fleet(policy, term, estimates);
-    returns = new Returns(policy);
+    fleet = new Fleet(policy, term, estimates, account);
+    returns = new Returns(policy, account);
+    watchman = new Watchman(policy, account);
     typesKnown(knownTypes);
     if (!ledgerWhole) {
       fencing.missesMachines();
@@ -135,20 +139,21 @@
     changed = true;
   }
 
-  private void setDue(Job job) {
+  private void setTimes(Job job) {
+    job.arrivedAt = new Time(job.arrivedWallMs - wallMinusClockMs);
     Span due = job.spec.deadline();
     if (due == null) {
       due = policy.dueByClass().get(job.spec.jobClass());
     }
     if (due != null && !job.spec.daemon()) {
-      job.dueAt = new Time(job.arrivedWallMs - wallMinusClockMs).plus(due);
+      job.dueAt = job.arrivedAt.plus(due);
     }
   }
 
   public void jobSeen(JobSpec spec, long arrivedWallMs, boolean maybeStarted) {
     if (!jobs.containsKey(spec.id())) {
       Job job = new Job(spec, arrivedWallMs, new BitSet(), maybeStarted);
-      setDue(job);
+      setTimes(job);
       jobs.put(spec.id(), job);
       changed = true;
       LOG.info(
@@ -197,9 +202,10 @@
     job.finishing = underWay;
   }
 
-  public void finished(Job job) {
+  public void finished(Job job, Time now) {
     jobs.remove(job.id());
-    LOG.info("{} is done", job.id());
+    double lateS = job.lateS(now);
+    LOG.info("{} is done{}", job.id(), lateS > 0 ? ", " + Math.round(lateS) + " s late" : "");
   }
 
   /** Jobs with progress that the state service does not hold yet. */
@@ -303,6 +309,7 @@
     if (roundDue(now) || now.since(lastRound).compareTo(ROUND_EVERY) >= 0) {
       round(now);
     }
+    watchman.look(fencing.machines(), jobs.values(), waiting, scheduler, now);
   }
 
   /** On a machine that the cloud will take, tasks that can save do so; the others may yet end. */
@@ -343,7 +350,7 @@
     }
     List<Rental> out = new ArrayList<>();
     for (Fleet.Hire h : fleet.plan(waiting, backlog, fencing.machines(), types.values(), now)) {
-      LOG.info("renting {} {}", h.count(), h.kind());
+      account.happened("machines are asked for", h.count(), h.count() + " " + h.kind());
       out.add(new Rental(h));
     }
     return out;
@@ -462,7 +469,7 @@
         }
         Time rented = new Time(now.ms() - l.age().ms());
         fencing.add(new Machine(l.id(), types.get(l.type()), l.type(), l.zone(), l.spot(), rented));
-        LOG.info("machine {} ({}) is listed and was not expected", l.id(), l.type());
+        account.happened("machines are listed that this leader did not know", l.id());
         changed = true;
       } else {
         m.unlisted = false;
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -15,6 +15,9 @@
 public final class Machine {
   private static final int REMEMBERED_IMAGES = 6;
 
+  /** Boots take 0.6 to 1.5 times what the cloud says, by the protocol. */
+  private static final double USUALLY_UP = 1.6;
+
   /** A task that the last round gave to this machine; it leaves with the next answered report. */
   record Assigned(Job job, int index, boolean backfilled) {}
 
@@ -105,6 +108,11 @@
     return !up && !leaving && type != null;
   }
 
+  /** Longer on its way up than nearly all machines take. */
+  boolean late(Time now) {
+    return booting() && now.after(rentedAt.plus(type.boot().times(USUALLY_UP)));
+  }
+
   /** What the tasks that are, or might be, on it take. */
   Size used() {
     return used;
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -12,6 +12,7 @@
     Span keepAfterSync,
     Map<String, Team> teams,
     Map<String, Span> dueByClass,
+    Span guaranteeWithin,
     double scaleDown,
     Span scaleThreshold,
     Priority preemptFrom,
--- a/src/main/java/io/saltflow/coordination/Preemption.java
+++ b/src/main/java/io/saltflow/coordination/Preemption.java
@@ -12,24 +12,22 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Makes room for jobs of higher priority, and for guarantees. Room that comes by itself within the
  * patience counts first, so that nothing is stopped for room that is on its way.
  */
 final class Preemption {
-  private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
-
   private final Policy policy;
   private final Estimates estimates;
   private final TeamUse use;
+  private final Account account;
 
-  Preemption(Policy policy, Estimates estimates, TeamUse use) {
+  Preemption(Policy policy, Estimates estimates, TeamUse use, Account account) {
     this.policy = policy;
     this.estimates = estimates;
     this.use = use;
+    this.account = account;
   }
 
   /** A machine with the room that it will have soon, and what runs there beyond that. */
@@ -136,7 +134,11 @@
         if (!mayStop(p, job, guaranteed, stopped)) {
           continue;
         }
-        LOG.info("{} on {} is stopped to make room for {}", p.task(), place.machine.id, job.id());
+        account.happened(
+            guaranteed.contains(job.id())
+                ? "tasks are stopped for work within its team's guarantee"
+                : "tasks are stopped for work of higher priority",
+            p.task() + " for " + job.id());
         p.stop(now, grace(p));
         place.soon = place.soon.plus(p.job.spec.size());
         place.lasting.remove(p);
--- a/src/main/java/io/saltflow/coordination/Returns.java
+++ b/src/main/java/io/saltflow/coordination/Returns.java
@@ -6,17 +6,15 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Which machines to give back, and why. */
 final class Returns {
-  private static final Logger LOG = LoggerFactory.getLogger(Returns.class);
-
   private final Policy policy;
+  private final Account account;
 
-  Returns(Policy policy) {
+  Returns(Policy policy, Account account) {
     this.policy = policy;
+    this.account = account;
   }
 
   /** Machines to return: silent, faulty, never up, taken soon and empty, or idle for too long. */
@@ -47,7 +45,7 @@
       }
       String why = reason(m, cut, patience, tookOver, accountedAt, now);
       if (why != null) {
-        LOG.info("machine {} ({}) is returned: {}", m.id, m.kind(), why);
+        account.happened("machines are returned: " + why, m.id + " " + m.kind());
         m.leaving = true;
         m.deleteAsked = true;
         out.add(m.id);
@@ -70,24 +68,24 @@
       most = policy.leaseSurelyOver();
     }
     if ((m.up || m.mightHoldOldTasks) && silence.longerThan(most)) {
-      return "it has been silent for " + Math.round(silence.toSeconds()) + " s";
+      return "they have been silent for too long";
     }
     if (m.type == null) {
-      return m.presences.isEmpty() ? "its type is not known" : null;
+      return m.presences.isEmpty() ? "their type is not known" : null;
     }
     if (m.faulty) {
-      return "it fails what it is given";
+      return "they fail what they are given";
     }
     Span age = now.since(m.rentedAt);
     if (m.booting()) {
       Span longest = m.type.boot().times(policy.bootPatience()).plus(Span.seconds(10));
-      return age.longerThan(longest) ? "it never came up" : null;
+      return age.longerThan(longest) ? "they never came up" : null;
     }
     if (!m.presences.isEmpty() || !m.assigned.isEmpty() || m.idleSince == null || !m.accounted) {
       return null;
     }
     if (m.noticeAt != null) {
-      return "it is empty and the cloud is about to take it";
+      return "they are empty and the cloud is about to take them";
     }
     if (accountedAt == null) {
       // Until all is accounted for most tasks may not be launched: machines are empty for that.
@@ -97,11 +95,11 @@
     // The first minute is charged whether it is used or not.
     boolean paid = now.since(m.paidFrom).longerThan(policy.minimumCharge());
     if (m.retiring && paid) {
-      return "it is dear and no longer needed";
+      return "they are dear and no longer needed";
     }
     if (paid && idle.longerThan(m.type.boot().times(policy.idleReturnBoots()))) {
       // Kept for as long as it would take to rent another: longer costs more than it can save.
-      return "it is idle";
+      return "they are idle";
     }
     return null;
   }
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -31,17 +31,18 @@
   private Job head;
   private double cheapest;
   private Size smallestWaiting;
+  private Set<JobId> guaranteed = Set.of();
 
   /** How often a machine was looked at for a task: what a round's work grows with. */
   private long looks;
 
-  Scheduler(Policy policy, Estimates estimates, TeamUse use) {
+  Scheduler(Policy policy, Estimates estimates, TeamUse use, Account account) {
     this.policy = policy;
     this.estimates = estimates;
     this.use = use;
     queue = new Queue(policy, estimates);
-    reservation = new HeadReservation(estimates);
-    preemption = new Preemption(policy, estimates, use);
+    reservation = new HeadReservation(estimates, account);
+    preemption = new Preemption(policy, estimates, use, account);
   }
 
   /**
@@ -56,6 +57,11 @@
   private static final Comparator<Candidate> BEST =
       Comparator.comparingDouble(Candidate::score).thenComparingInt(Candidate::order);
 
+  /** The jobs that lay within their team's guarantee at the last round. */
+  Set<JobId> guaranteed() {
+    return guaranteed;
+  }
+
   long looks() {
     return looks;
   }
@@ -81,7 +87,7 @@
       job.assignedZones.clear();
     }
     cheapest = Placement.cheapestPerCore(usable);
-    Set<JobId> guaranteed = queue.guaranteed(jobs);
+    guaranteed = queue.guaranteed(jobs);
     List<Job> order = new ArrayList<>();
     for (Job job : queue.inOrder(jobs, guaranteed, cores, now)) {
       if (!job.cancelled
--- a/src/main/java/io/saltflow/coordination/TaskOutcomes.java
+++ b/src/main/java/io/saltflow/coordination/TaskOutcomes.java
@@ -13,12 +13,14 @@
   private final Policy policy;
   private final Estimates estimates;
   private final Usage usage;
+  private final Account account;
   private boolean changed;
 
-  TaskOutcomes(Policy policy, Estimates estimates, Usage usage) {
+  TaskOutcomes(Policy policy, Estimates estimates, Usage usage, Account account) {
     this.policy = policy;
     this.estimates = estimates;
     this.usage = usage;
+    this.account = account;
   }
 
   /** Whether something happened since the last round that a round should look at. */
@@ -60,7 +62,7 @@
       LOG.info("{} fails wherever it is started ({} errors)", job.id(), job.errors);
     } else if (++m.errorsInARow >= policy.faultyAfter() && !m.faulty) {
       m.faulty = true;
-      LOG.info("machine {} failed {} tasks in a row", m.id, m.errorsInARow);
+      account.happened("machines fail what they are given", m.id);
     }
   }
 
@@ -79,7 +81,7 @@
   @Override
   public void refused(Presence p, Report.ExitCause cause, Time now) {
     changed = true;
-    LOG.info("{} was refused by {}: {}", p.task(), p.machine.id, cause);
+    account.happened("launches were refused by their machines: " + cause, on(p));
     p.job.notBefore.put(p.index, now.plus(Span.seconds(2)));
   }
 
@@ -87,7 +89,7 @@
   public void lost(Presence p, String why, Time now) {
     changed = true;
     if (p.state != Presence.State.SENT) {
-      LOG.info("{} on {} is lost: {}", p.task(), p.machine.id, why);
+      account.happened("tasks are lost and start again: " + why, on(p));
     }
     p.job.stopped.set(p.index);
     if (p.runningSince == null) {
@@ -102,6 +104,10 @@
     }
   }
 
+  private static String on(Presence p) {
+    return p.task() + " on " + p.machine.id;
+  }
+
   /** Progress that was saved: the task goes on from there. */
   private static void keep(Presence p, Span ran) {
     Span before = p.job.ranBefore.getOrDefault(p.index, new Span(0));
--- a/src/test/java/io/saltflow/coordination/GrownTest.java
+++ b/src/test/java/io/saltflow/coordination/GrownTest.java
@@ -146,7 +146,8 @@
           leader.recording(job);
           leader.recorded(job, (BitSet) job.doneTasks().clone());
         }
-        leader.toFinish().forEach(leader::finished);
+        Time at = new Time(lastTick + 200);
+        leader.toFinish().forEach(j -> leader.finished(j, at));
       }
       due.add(new Due(checkIn(next.machine, now), next.machine));
     }
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -430,7 +430,7 @@
     core.tick(time());
     for (Job j : core.toFinish()) {
       records.get(j.id()).over = true;
-      core.finished(j);
+      core.finished(j, time());
       say(j.id() + " is done");
     }
     for (Job j : core.toRecord()) {
