Work of low priority rises in time for its class's aim to start, too

Cause: 'pressed' knew a class's time to finish only. Clips with 180 s to start in rose when 60 s were left of 400 s to finish, long after; thumbnails likewise. The platform's file gives both ('wait' and 'finished').

Test: workThatShouldHaveStartedRises fails without it.

--- a/src/main/java/io/saltflow/app/Config.java
+++ b/src/main/java/io/saltflow/app/Config.java
@@ -29,6 +29,7 @@
     int size,
     Map<String, Policy.Team> teams,
     Map<String, Span> dueByClass,
+    Map<String, Span> startByClass,
     Span guaranteeWithin,
     Span report,
     Span lease,
@@ -87,7 +88,8 @@
         address(c, "endpoints.state", "endpoints.state"),
         (int) positive(c, "settings.size", 1.0 + siblings.size()),
         teams,
-        dueByClass(c),
+        tightestByClass(c, "finished"),
+        tightestByClass(c, "wait"),
         guaranteeWithin(c),
         Span.seconds(positive(c, "settings.workers.report_s", null)),
         Span.seconds(positive(c, "settings.workers.lease_s", null)),
@@ -102,11 +104,12 @@
         Math.min(1, positive(c, "settings.resources.cpu", 1.0)));
   }
 
-  /** The tightest time in which each class should be finished, where an aim gives one. */
-  private static Map<String, Span> dueByClass(UnmodifiableConfig c) throws ConfigError {
+  /** The tightest time that the aims of a kind give each class. */
+  private static Map<String, Span> tightestByClass(UnmodifiableConfig c, String kind)
+      throws ConfigError {
     Map<String, Span> due = new LinkedHashMap<>();
     for (UnmodifiableConfig o : tables(c, "settings.objectives")) {
-      if ("finished".equals(o.get("kind")) && o.get("class") instanceof String name) {
+      if (kind.equals(o.get("kind")) && o.get("class") instanceof String name) {
         Span within = Span.seconds(amount(o, "within_s", 0.0));
         due.merge(name, within, (a, b) -> a.longerThan(b) ? b : a);
       }
--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -93,6 +93,7 @@
         Authority.keepBound(c.lease(), c.cancel()),
         c.teams(),
         c.dueByClass(),
+        c.startByClass(),
         c.guaranteeWithin() == null ? Span.seconds(patienceS) : c.guaranteeWithin(),
         scaleDown,
         Span.seconds(scaleThresholdS),
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -46,6 +46,9 @@
   /** When it should be complete, by its deadline or its class's aim; null: no such time. */
   Time dueAt;
 
+  /** When its tasks should have started, by its class's aim; null: no such time. */
+  Time startBy;
+
   /** Its place among jobs of the same priority, in milliseconds of arrival. */
   double place;
 
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -141,6 +141,8 @@
 
   private void setTimes(Job job) {
     job.arrivedAt = new Time(job.arrivedWallMs - wallMinusClockMs);
+    Span wait = policy.startByClass().get(job.spec.jobClass());
+    job.startBy = wait == null ? null : job.arrivedAt.plus(wait);
     Span due = job.spec.deadline();
     if (due == null) {
       due = policy.dueByClass().get(job.spec.jobClass());
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -12,6 +12,7 @@
     Span keepAfterSync,
     Map<String, Team> teams,
     Map<String, Span> dueByClass,
+    Map<String, Span> startByClass,
     Span guaranteeWithin,
     double scaleDown,
     Span scaleThreshold,
--- a/src/main/java/io/saltflow/coordination/Queue.java
+++ b/src/main/java/io/saltflow/coordination/Queue.java
@@ -56,15 +56,16 @@
 
   /**
    * Whether a job of low priority has little time to spare before its deadline, or before the time
-   * its class should be finished in. Our extension: without it such work starves while work of
-   * normal priority keeps coming.
+   * its class should be started or finished in. Our extension: without it such work starves while
+   * work of normal priority keeps coming.
    */
   private boolean pressed(Job job, Time now) {
-    if (job.dueAt == null) {
-      return false;
+    Span slack = policy.pressedSlack();
+    if (job.startBy != null && !job.startBy.since(now).longerThan(slack)) {
+      return true;
     }
-    Span spare = job.dueAt.since(now).minus(estimates.predict(job, 0).times(1.3));
-    return !spare.longerThan(policy.pressedSlack());
+    return job.dueAt != null
+        && !job.dueAt.since(now).minus(estimates.predict(job, 0).times(1.3)).longerThan(slack);
   }
 
   /** Jobs that fit in their team's guarantee together with the team's earlier unfinished jobs. */
--- a/src/test/java/io/saltflow/coordination/Policies.java
+++ b/src/test/java/io/saltflow/coordination/Policies.java
@@ -10,6 +10,16 @@
   private Policies() {}
 
   static Policy of(Span lease, Span keepAfterSync, double thresholdS, Policy.Team... teams) {
+    return of(Map.of(), lease, keepAfterSync, thresholdS, teams);
+  }
+
+  /** With times in which tasks of some classes should have started. */
+  static Policy of(
+      Map<String, Span> startByClass,
+      Span lease,
+      Span keepAfterSync,
+      double thresholdS,
+      Policy.Team... teams) {
     Map<String, Policy.Team> byName = new LinkedHashMap<>();
     for (Policy.Team team : teams) {
       byName.put(team.name(), team);
@@ -21,6 +31,7 @@
         keepAfterSync,
         byName,
         Map.of(),
+        startByClass,
         Span.seconds(5),
         0.2,
         Span.seconds(thresholdS),
@@ -48,6 +59,7 @@
         p.keepAfterSync(),
         p.teams(),
         p.dueByClass(),
+        p.startByClass(),
         p.guaranteeWithin(),
         p.scaleDown(),
         p.scaleThreshold(),
--- a/src/test/java/io/saltflow/coordination/RoundsTest.java
+++ b/src/test/java/io/saltflow/coordination/RoundsTest.java
@@ -14,6 +14,7 @@
 import java.io.IOException;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** Rounds of one leader, most of them as traces to read. */
@@ -194,6 +195,28 @@
     assertTrue(f.checkIn("vm-1").stream().anyMatch(o -> o instanceof Order.Clear));
   }
 
+  /** Without it, clips that should start within three minutes rose only when they were over. */
+  @Test
+  void workThatShouldHaveStartedRises() {
+    Policy p =
+        Policies.of(
+            Map.of("class", Span.seconds(100)),
+            Span.seconds(16),
+            Span.seconds(20),
+            1800,
+            new Policy.Team("blue", 0, 0, 0, 0));
+    Floor f = new Floor(p, List.of());
+    f.checkIn("vm-1");
+    f.arrive(Jobs.job(1).cores(10).estimateS(90).build());
+    f.checkIn("vm-1");
+    f.arrive(Jobs.job(2).cores(10).estimateS(20).priority(Priority.LOW).build());
+    f.work("vm-1", 60);
+    f.arrive(Jobs.job(3).cores(10).estimateS(20).build());
+    f.work("vm-1", 20);
+    f.ends("vm-1", Floor.task(1, 0), Report.ExitCause.DONE);
+    assertEquals(List.of(Floor.task(2, 0)), launches(f.checkIn("vm-1")));
+  }
+
   /** Work of low priority whose time runs out queues with work of normal priority. */
   @Test
   void pressedWorkRises() {
