--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -205,7 +205,9 @@
             || !job.errorMachines.contains(m.id)
             || job.failsEverywhere()
             || usable.size() <= 1)
-        && (!m.retiring || job.spec.priority().compareTo(policy.preemptFrom()) >= 0);
+        && (!m.retiring
+            || guaranteed.contains(job.id())
+            || job.spec.priority().compareTo(policy.preemptFrom()) >= 0);
   }
 
   /**
--- a/src/test/java/io/saltflow/coordination/Floor.java
+++ b/src/test/java/io/saltflow/coordination/Floor.java
@@ -100,7 +100,7 @@
         "",
         "box",
         machine.endsWith("b") ? "b" : "a",
-        false,
+        machine.endsWith("s"),
         session.getOrDefault(machine, 1L),
         n,
         token,
--- a/src/test/java/io/saltflow/coordination/RoundsTest.java
+++ b/src/test/java/io/saltflow/coordination/RoundsTest.java
@@ -195,6 +195,25 @@
     assertTrue(f.checkIn("vm-1").stream().anyMatch(o -> o instanceof Order.Clear));
   }
 
+  /**
+   * An empty dear machine that is to go still takes work within a guarantee: after a takeover
+   * twenty of them were returned while a hundred such tasks waited, and others were stopped for
+   * those.
+   */
+  @Test
+  void guaranteedWorkMayUseDearMachinesThatAreToGo() {
+    Floor f = new Floor(policy(1800), List.of());
+    f.checkIn("vm-1s");
+    f.arrive(Jobs.job(1).cores(10).estimateS(20).build());
+    f.checkIn("vm-1s");
+    f.checkIn("vm-2");
+    f.work("vm-2", 4);
+    f.arrive(Jobs.job(2).cores(3).estimateS(20).build());
+    assertEquals(List.of(), launches(f.checkIn("vm-2")), "what can wait, waits for a cheap one");
+    f.arrive(Jobs.job(3).team("red").cores(3).estimateS(20).build());
+    assertEquals(List.of(Floor.task(3, 0)), launches(f.checkIn("vm-2")));
+  }
+
   /** Without it, clips that should start within three minutes rose only when they were over. */
   @Test
   void workThatShouldHaveStartedRises() {
