--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -230,6 +230,16 @@
     }
   }
 
+  /** Of a machine that is gone, only results count: they are kept wherever they were made. */
+  void resultsOf(Report r, Time now) {
+    for (Report.TaskReport t : r.tasks()) {
+      Job job = jobs.get(t.task().job());
+      if (t.state() == Report.TaskState.EXITED && t.cause() == Report.ExitCause.DONE) {
+        exited(null, job, null, t, now);
+      }
+    }
+  }
+
   private static double sinceLaunch(Presence p, Time now) {
     return now.since(p.launchedAt).toSeconds();
   }
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -248,6 +248,12 @@
   public List<Order> onReport(Report r, boolean mayLaunch, Time now) {
     lastReport = now;
     heardAny = true;
+    if (goneForGood.contains(r.machine())) {
+      // A cut held the report back until its machine was deleted. Taken for a machine that is up,
+      // it kept its tasks from starting elsewhere until it was found silent and deleted again.
+      fencing.resultsOf(r, now);
+      return null;
+    }
     Machine before = fencing.find(r.machine());
     boolean knownUsable = before != null && before.accounted && !before.quiet;
     Machine m = fencing.onReport(r, types, now);
--- a/src/main/java/io/saltflow/coordination/Presence.java
+++ b/src/main/java/io/saltflow/coordination/Presence.java
@@ -56,6 +56,14 @@
     return new TaskId(job.id(), index);
   }
 
+  /** Whether its run was seen from its start, of a task that had not run before, and goes on. */
+  boolean wholeRunSeen() {
+    // A task that a former leader launched ran longer than this one saw. Its time taken for the
+    // whole, all work looked fifteen times shorter after each takeover: dear machines were returned
+    // and none rented while a thousand tasks waited.
+    return runningSince != null && !stopping && !found && !job.ranBefore.containsKey(index);
+  }
+
   /** Asks for a stop; one that is under way is not asked for again, but may be hastened. */
   void stop(Time now, Span withGrace) {
     if (!stopping) {
--- a/src/main/java/io/saltflow/coordination/TaskOutcomes.java
+++ b/src/main/java/io/saltflow/coordination/TaskOutcomes.java
@@ -35,23 +35,18 @@
 
   @Override
   public void done(Job job, int index, Presence p, Time now) {
+    if (p != null) {
+      p.machine.errorsInARow = 0;
+      if (p.wholeRunSeen()) {
+        estimates.observed(job.spec, now.since(p.runningSince));
+      }
+    }
     job.isDone(index);
     job.stopped.clear(index);
     job.notBefore.remove(index);
     job.ranBefore.remove(index);
     job.dirty = true;
     changed = true;
-    if (p != null) {
-      p.machine.errorsInARow = 0;
-      // One that a former leader launched ran longer than this one saw. Its time taken for the
-      // whole,
-      // all work looked fifteen times shorter after each takeover: dear machines were returned and
-      // none rented while a thousand tasks waited.
-      if (p.runningSince != null && !p.stopping && !p.found) {
-        Span ran = now.since(p.runningSince);
-        estimates.observed(job.spec, job.ranBefore.containsKey(index) ? new Span(0) : ran);
-      }
-    }
   }
 
   @Override
--- a/src/test/java/io/saltflow/coordination/FencingTest.java
+++ b/src/test/java/io/saltflow/coordination/FencingTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.Order;
 import io.saltflow.protocol.Report;
@@ -16,6 +17,25 @@
 
 /** What proves that a task is nowhere, and what does not. */
 class FencingTest {
+  /** Seen in an incident: such machines came back as ghosts and held their tasks for 10 s more. */
+  @Test
+  void aReportThatOutlivesItsMachineBringsResultsAndNothingElse() {
+    Floor f = new Floor(POLICY, List.of());
+    f.checkIn("vm-1");
+    f.arrive(Jobs.job(1).tasks(2).cores(5).estimateS(60).build());
+    f.checkIn("vm-1");
+    f.work("vm-1", 4);
+    f.ends("vm-1", Floor.task(1, 0), Report.ExitCause.DONE);
+    Report heldBack = f.report("vm-1", Floor.TERM);
+    f.leader.deleted(List.of(new MachineId("vm-1")), f.time());
+    f.pass(1);
+    assertNull(f.leader.onReport(heldBack, true, f.time()));
+    assertTrue(f.leader.job(new JobId(Jobs.id(1))).done.get(0));
+    f.checkIn("vm-2");
+    List<Order> orders = f.checkIn("vm-2");
+    assertEquals(List.of(Floor.task(1, 1)), orders.stream().map(Order::task).toList());
+  }
+
   private static final Policy POLICY = World.policy(Span.millis(World.LEASE));
 
   private static Floor takenOver() {
