Bad input: fields are named in 422, doubtful settings are said, tests at both

A guarantee above its limit or no team at all is said by check-config and in the log, and the service starts all the same; unknown tables of the platform's file are ignored as before. 422 names the fields.

--- a/src/main/java/io/saltflow/app/Config.java
+++ b/src/main/java/io/saltflow/app/Config.java
@@ -104,6 +104,23 @@
         Math.min(1, positive(c, "settings.resources.cpu", 1.0)));
   }
 
+  /** What is allowed and yet hardly meant; the service starts all the same. */
+  List<String> doubts() {
+    List<String> out = new ArrayList<>();
+    if (teams.isEmpty()) {
+      out.add("settings.teams: none; every submission will be refused for an unknown team");
+    }
+    for (Policy.Team t : teams.values()) {
+      if (t.coresLimit() > 0 && t.cores() > t.coresLimit()) {
+        out.add("settings.teams " + t.name() + ": cpus is more than cpus_max, which holds");
+      }
+      if (t.gpusLimit() > 0 && t.gpus() > t.gpusLimit()) {
+        out.add("settings.teams " + t.name() + ": gpus is more than gpus_max, which holds");
+      }
+    }
+    return out;
+  }
+
   /** The tightest time that the aims of a kind give each class. */
   private static Map<String, Span> tightestByClass(UnmodifiableConfig c, String kind)
       throws ConfigError {
--- a/src/main/java/io/saltflow/app/Main.java
+++ b/src/main/java/io/saltflow/app/Main.java
@@ -72,6 +72,7 @@
               ? OperatorSettings.read(Path.of(line.getOptionValue("settings")))
               : OperatorSettings.defaults();
       if (command.equals("check-config")) {
+        config.doubts().forEach(d -> out.println("doubtful: " + d));
         out.println("the settings of " + config.host() + " are in order");
         return 0;
       }
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -107,6 +107,7 @@
 
   void start() {
     LOG.info("{} serves on {}", config.host(), config.serveOn());
+    config.doubts().forEach(d -> LOG.warn("doubtful settings: {}", d));
     leadership.start();
     learnTypes();
     loop.every(Span.seconds(1), this, this::beat);
--- a/src/main/java/io/saltflow/app/UserApi.java
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -134,7 +134,7 @@
     Size most = spec.daemon() ? spec.size().times(spec.tasks()) : spec.size();
     if ((team.coresLimit() > 0 && most.cores() > team.coresLimit())
         || (team.gpusLimit() > 0 && most.gpus() > team.gpusLimit())) {
-      return "more than the team's limit";
+      return Wire.CORES + ", " + Wire.GPUS + ": more than the team's limit";
     }
     for (MachineType t : types.get()) {
       if (spec.allowsType(t.name())
@@ -143,7 +143,7 @@
         return null;
       }
     }
-    return "a task fits no allowed machine type";
+    return Wire.CORES + ", " + Wire.TYPES + ", " + Wire.ZONE + ": a task fits no allowed machine";
   }
 
   void poll(String id, Consumer<HttpReply> answer) {
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -520,12 +520,23 @@
       used += m.used().cores();
     }
     int queued = 0;
+    int limited = 0;
     for (Scheduler.Waiting w : waiting) {
       queued += w.tasks();
+      limited += Math.max(0, w.job().pendingCount() - w.tasks());
     }
     return String.format(
-        "%d jobs, %d tasks wait, %d on machines, %.0f of %.0f cores in use, %d machines up, %d"
+        "%d jobs, %d tasks wait and %d beyond team limits, %d on machines, %.0f of %.0f cores in use, %d machines up, %d"
             + " booting, %d launches; %s",
-        jobs.size(), queued, tasks, used, cores, up, booting, answers.launches(), usage.summary());
+        jobs.size(),
+        queued,
+        limited,
+        tasks,
+        used,
+        cores,
+        up,
+        booting,
+        answers.launches(),
+        usage.summary());
   }
 }
--- a/src/test/java/io/saltflow/app/ConfigTest.java
+++ b/src/test/java/io/saltflow/app/ConfigTest.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -45,6 +46,15 @@
       class = "pages"
       within_s = 200.0
       share = 0.9
+      [[settings.objectives]]
+      kind = "wait"
+      class = "pages"
+      within_s = 90.0
+      share = 0.9
+      [[settings.objectives]]
+      kind = "guarantee"
+      within_s = 5.0
+      share = 0.9
       [settings.workers]
       report_s = 3.0
       lease_s = 20.0
@@ -99,6 +109,25 @@
     assertTrue(e.getMessage().startsWith(named), e.getMessage());
   }
 
+  /** The platform's file may grow, and a doubtful one must not keep the service from starting. */
+  @Test
+  void whatIsNotKnownIsIgnoredAndWhatIsDoubtfulIsSaid() throws ConfigError, IOException {
+    String grown = SETTINGS.replace("[settings.cloud]", "[settings.moon]\nx = 1\n[settings.cloud]");
+    assertEquals(List.of(), Config.parse(grown).doubts());
+    String guarantee = SETTINGS.replace("cpus = 4.0", "cpus = 400.0");
+    assertEquals(0, run("check-config", "--config", file("guarantee.toml", guarantee)));
+    assertTrue(said.toString(StandardCharsets.UTF_8).contains("red: cpus is more than cpus_max"));
+    String none = SETTINGS.replaceAll("(?s)\\[\\[settings.teams.*?cpus_max = 40.0", "");
+    assertTrue(Config.parse(none).doubts().get(0).startsWith("settings.teams: none"));
+  }
+
+  @Test
+  void timesOfAimsAreRead() throws ConfigError {
+    Config c = Config.parse(SETTINGS);
+    assertEquals(Span.seconds(90), c.startByClass().get("pages"));
+    assertEquals(Span.seconds(5), c.guaranteeWithin());
+  }
+
   @Test
   void commandLineSaysWhatIsWrong() throws IOException {
     String good = file("good.toml", SETTINGS);
--- a/src/test/java/io/saltflow/app/NodeTest.java
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -14,6 +14,7 @@
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
 import java.io.IOException;
+import java.util.Arrays;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -133,6 +134,16 @@
     assertEquals(422, call("POST", "/submissions", MsgPack.encode(big)));
     Body gang = submission("req-000004", "red").with("shape", "gang");
     assertEquals(400, call("POST", "/submissions", MsgPack.encode(gang)));
+    Body crowd = submission("req-000010", "red").with("shape", "daemon").with("shards", 21);
+    assertEquals(422, call("POST", "/submissions", MsgPack.encode(crowd)), "42 of 40 cores");
+    Body nowhere = submission("req-000011", "red").with("yard", "moon");
+    assertEquals(422, call("POST", "/submissions", MsgPack.encode(nowhere)));
+    Body past = submission("req-000012", "red").with("dueS", -1.0);
+    assertEquals(400, call("POST", "/submissions", MsgPack.encode(past)));
+    assertEquals("dueS: out of range", body.get("error"));
+    byte[] whole = MsgPack.encode(submission("req-000013", "red"));
+    assertEquals(400, call("POST", "/submissions", Arrays.copyOf(whole, whole.length - 1)));
+    assertEquals(413, call("POST", "/submissions", new byte[64 * 1024 + 1]));
     assertEquals(405, call("GET", "/submissions", NOTHING));
     assertEquals(404, call("GET", "/nothing", NOTHING));
   }
