A restarted leader takes its own dead key over at once

The platform starts a host's process only after the former one ended; the claim replaces the key at its version. Nothing of safety rests on the wait (SAFETY, Who may act, 5).

Test: aRestartedLeaderDoesNotWaitForItsOwnDeadLease (the stand-in's leases never end).

--- a/src/main/java/io/saltflow/bookkeeping/Leadership.java
+++ b/src/main/java/io/saltflow/bookkeeping/Leadership.java
@@ -111,11 +111,17 @@
             later(jitter(300, 300), this::look);
           } else if (e.value() == null) {
             leader = null;
-            stand();
+            stand(Stamp.ABSENT);
           } else if (e.value().get(NONCE) instanceof String n && n.startsWith(nonce + "/")) {
             // A key of ours that we no longer hold to: its lease will end by itself.
             leader = null;
             later(jitter(300, 200), this::look);
+          } else if (host.equals(e.value().get(HOST))) {
+            // The key of a former process of this host, which has ended, or this one could not
+            // serve here: there is no need to wait until its lease is over. Whatever it sent last
+            // is fenced by the version of its key and by its token, as after any crash.
+            leader = null;
+            stand(e.version());
           } else {
             follow(e);
           }
@@ -158,7 +164,8 @@
         });
   }
 
-  private void stand() {
+  /** Stands for election; the leader's key must still be of this version. */
+  private void stand(Stamp key) {
     if (loop.now().before(abstainUntil)) {
       later(jitter(500, 200), this::look);
       return;
@@ -174,14 +181,14 @@
         TRY,
         a -> {
           if (a.ok() && a.body().get(Wire.LEASE) instanceof Long id) {
-            readTerm(id, sent);
+            readTerm(id, key, sent);
           } else {
             gaveUp(Span.millis(300));
           }
         });
   }
 
-  private void readTerm(long newLease, Time sent) {
+  private void readTerm(long newLease, Stamp key, Time sent) {
     state.get(
         StateClient.Rank.LEADERSHIP,
         Keys.TERM,
@@ -192,16 +199,16 @@
             return;
           }
           long last = e.value() != null && e.value().get(NUMBER) instanceof Long n ? n : 0;
-          claim(newLease, new Term(last + 1), e.version(), sent);
+          claim(newLease, new Term(last + 1), key, e.version(), sent);
         });
   }
 
-  private void claim(long newLease, Term term, Stamp termVersion, Time sent) {
+  private void claim(long newLease, Term term, Stamp before, Stamp termVersion, Time sent) {
     Body key =
         Body.of().with(HOST, host).with(NUMBER, term.number()).with(NONCE, nonce + "/" + term);
     Txn txn =
         new Txn()
-            .guard(Keys.LEADER, Stamp.ABSENT)
+            .guard(Keys.LEADER, before)
             .guard(Keys.TERM, termVersion)
             .put(Keys.LEADER, key, newLease)
             .put(Keys.TERM, Body.of().with(NUMBER, term.number()));
--- a/src/test/java/io/saltflow/app/NodeTest.java
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -32,6 +32,7 @@
   private final StandInState state = new StandInState();
   private final Root root = new Root();
   private Loop loop;
+  private Config config;
   private Node node;
   private HttpClient user;
   private int status;
@@ -43,7 +44,7 @@
     HttpServer outside =
         new HttpServer(root, loop, Addresses.parse("127.0.0.1:0"), 64, state::handle);
     String at = "127.0.0.1:" + outside.port();
-    Config config = Config.parse(ConfigTest.SETTINGS.replace("10.9.9.9:1", at));
+    config = Config.parse(ConfigTest.SETTINGS.replace("10.9.9.9:1", at));
     node = new Node(loop, config, OperatorSettings.defaults(), 1);
     node.start();
     user = new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + node.port()), 4, 16);
@@ -166,6 +167,34 @@
     assertEquals(201, status);
   }
 
+  /**
+   * The leader's process ended and is back before its lease is over: nobody else can lead until
+   * then, so it takes its own old key over at once. The stand-in's leases never end.
+   */
+  @Test
+  void aRestartedLeaderDoesNotWaitForItsOwnDeadLease() throws IOException, ConfigError {
+    Object dead = leaderOtherThan(null);
+    assertNotNull(dead);
+    node.cancel();
+    node = new Node(loop, config, OperatorSettings.defaults(), 2);
+    node.start();
+    Object fresh = leaderOtherThan(dead);
+    assertNotNull(fresh);
+    assertEquals(2L, state.keys.get("lead").data().get("term"), "a term of its own");
+  }
+
+  private Object leaderOtherThan(Object nonce) throws IOException {
+    for (int i = 0; i < 200; i++) {
+      StandInState.Value lead = state.keys.get("lead");
+      if (lead != null && !lead.data().get("nonce").equals(nonce)) {
+        return lead.data().get("nonce");
+      }
+      loop.after(Span.millis(20), root, loop::pause);
+      loop.run();
+    }
+    return null;
+  }
+
   /** The write was carried out though its answer was lost: the user must not hear otherwise. */
   @Test
   void lostAnswerOfAWriteIsCleared() throws IOException {
--- a/src/test/java/io/saltflow/app/StandInState.java
+++ b/src/test/java/io/saltflow/app/StandInState.java
@@ -16,7 +16,7 @@
 
 /** The state service and the cloud as far as a node's users need them, in memory. */
 final class StandInState {
-  private record Value(Body data, long stamp) {}
+  record Value(Body data, long stamp) {}
 
   final Map<String, Value> keys = new TreeMap<>();
   long epoch = 1;
