--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -8,6 +8,7 @@
 import io.saltflow.coordination.Job;
 import io.saltflow.coordination.Leader;
 import io.saltflow.coordination.Policy;
+import io.saltflow.coordination.Rental;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobId;
@@ -290,13 +291,13 @@
       // rented meanwhile are up when it ends.
       return;
     }
-    for (Leader.Rental r : leader.toRent(loop.now())) {
+    for (Rental r : leader.toRent(loop.now())) {
       ask(r, loop.now());
     }
   }
 
   /** Asks until there is an answer: the name makes a repeated request rent nothing twice. */
-  private void ask(Leader.Rental r, Time since) {
+  private void ask(Rental r, Time since) {
     if (!cloud.ready()) {
       loop.after(AGAIN, this, () -> ask(r, since));
       return;
--- a/src/main/java/io/saltflow/app/Rehearsal.java
+++ b/src/main/java/io/saltflow/app/Rehearsal.java
@@ -3,6 +3,7 @@
 import io.saltflow.bookkeeping.JobStore;
 import io.saltflow.coordination.Job;
 import io.saltflow.coordination.Leader;
+import io.saltflow.coordination.Rental;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Beat;
 import io.saltflow.protocol.JobCodec;
@@ -125,7 +126,7 @@
     for (int step = 1; step < 40; step++) {
       now = now.plus(Span.seconds(1));
       leader.tick(now);
-      for (Leader.Rental r : leader.toRent(now)) {
+      for (Rental r : leader.toRent(now)) {
         leader.hired(r, List.of(new MachineId("vm-" + step)), now);
       }
       leader.ledgered(leader.toLedger());
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -372,37 +372,8 @@
     return !accounted && now.since(tookOver).compareTo(policy.silence().times(1.5)) < 0;
   }
 
-  /** A rental that was asked for. */
-  public static final class Rental {
-    private final Fleet.Hire hire;
-
-    Rental(Fleet.Hire hire) {
-      this.hire = hire;
-    }
-
-    public String name() {
-      return hire.name();
-    }
-
-    public String type() {
-      return hire.type().name();
-    }
-
-    public String zone() {
-      return hire.zone();
-    }
-
-    public boolean spot() {
-      return hire.spot();
-    }
-
-    public int count() {
-      return hire.count();
-    }
-  }
-
   public void hired(Rental rental, List<MachineId> hosts, Time now) {
-    Fleet.Hire h = rental.hire;
+    Fleet.Hire h = rental.hire();
     fleet.answered(h, hosts.size(), now);
     for (MachineId id : hosts) {
       if (fencing.find(id) == null) {
@@ -413,7 +384,7 @@
   }
 
   public void refused(Rental rental, Time now) {
-    fleet.answered(rental.hire, 0, now);
+    fleet.answered(rental.hire(), 0, now);
   }
 
   /**
@@ -502,41 +473,6 @@
 
   /** One line that tells the state of things to whoever reads the log. */
   public String summary() {
-    int up = 0;
-    int booting = 0;
-    int tasks = 0;
-    double used = 0;
-    double cores = 0;
-    for (Machine m : fencing.machines()) {
-      if (m.up) {
-        up++;
-        if (m.type != null) {
-          cores += m.type.size().cores();
-        }
-      } else {
-        booting++;
-      }
-      tasks += m.presences.size();
-      used += m.used().cores();
-    }
-    int queued = 0;
-    int limited = 0;
-    for (Scheduler.Waiting w : waiting) {
-      queued += w.tasks();
-      limited += Math.max(0, w.job().pendingCount() - w.tasks());
-    }
-    return String.format(
-        "%d jobs, %d tasks wait and %d beyond team limits, %d on machines, %.0f of %.0f cores in use, %d machines up, %d"
-            + " booting, %d launches; %s",
-        jobs.size(),
-        queued,
-        limited,
-        tasks,
-        used,
-        cores,
-        up,
-        booting,
-        answers.launches(),
-        usage.summary());
+    return Totals.of(jobs.size(), fencing.machines(), waiting, answers.launches(), usage);
   }
 }
--- a/src/test/java/io/saltflow/coordination/FleetTest.java
+++ b/src/test/java/io/saltflow/coordination/FleetTest.java
@@ -19,7 +19,7 @@
   private static final Policy POLICY =
       Policies.of(Span.seconds(16), Span.seconds(20), 1800, new Policy.Team("blue", 0, 0, 0, 0));
 
-  private static List<String> asked(List<Leader.Rental> rentals) {
+  private static List<String> asked(List<Rental> rentals) {
     return rentals.stream()
         .map(r -> r.count() + " " + r.zone() + (r.spot() ? " spot" : " ordinary"))
         .toList();
@@ -29,8 +29,8 @@
   private static List<String> refuseFor(Floor f, int seconds, Set<String> names) {
     List<String> out = new ArrayList<>();
     for (int i = 0; i < seconds; i++) {
-      List<Leader.Rental> rentals = f.leader.toRent(f.time());
-      for (Leader.Rental r : rentals) {
+      List<Rental> rentals = f.leader.toRent(f.time());
+      for (Rental r : rentals) {
         assertTrue(names.add(r.name()), "a request's name was used twice");
         f.leader.refused(r, f.time());
       }
@@ -70,7 +70,7 @@
     Floor f = new Floor(POLICY, List.of());
     f.arrive(Jobs.job(1).tasks(2).cores(5).estimateS(60).priority(Priority.HIGH).build());
     f.pass(1);
-    List<Leader.Rental> rentals = f.leader.toRent(f.time());
+    List<Rental> rentals = f.leader.toRent(f.time());
     assertEquals(1, rentals.size());
     f.leader.hired(rentals.get(0), List.of(new MachineId("vm-9")), f.time());
     for (int i = 0; i < 15; i++) {
--- a/src/test/java/io/saltflow/coordination/GrownTest.java
+++ b/src/test/java/io/saltflow/coordination/GrownTest.java
@@ -206,8 +206,8 @@
       leader.jobSeen(Jobs.job(j).tasks(12).cores(2).estimateS(60).build(), 0, false);
     }
     leader.tick(new Time(1000));
-    List<Leader.Rental> rentals = leader.toRent(new Time(1000));
-    int[] counts = rentals.stream().mapToInt(Leader.Rental::count).toArray();
+    List<Rental> rentals = leader.toRent(new Time(1000));
+    int[] counts = rentals.stream().mapToInt(Rental::count).toArray();
     assertTrue(counts.length >= 1 && counts.length <= 2, Arrays.toString(counts));
     assertTrue(counts[0] >= 40, Arrays.toString(counts));
     Set<String> names = new HashSet<>();
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -444,7 +444,7 @@
     if (now < cloudDownUntil) {
       return;
     }
-    for (Leader.Rental r : core.toRent(time())) {
+    for (Rental r : core.toRent(time())) {
       List<MachineId> hosts = new ArrayList<>();
       for (int i = 0; i < r.count() && workers.size() < mostMachines; i++) {
         MachineId id = new MachineId(String.format("vm-%06d", machineNumber++));
