A machine is known to hold what its cache holds, as the cloud states it

Cause: six images were remembered of a machine, whatever its cache; Qalam has 33 images of 40 GB in all and a cache of 50. Fetches were expected where none would be, and a task rather took an empty machine that held its image than half of one that held it too.

Test: aMachineIsKnownToHoldWhatItsCacheHolds fails with six.

--- a/src/main/java/io/saltflow/protocol/MachineType.java
+++ b/src/main/java/io/saltflow/protocol/MachineType.java
@@ -7,6 +7,7 @@
     String name,
     Size size,
     double fetchGbPerS,
+    double localGb,
     double price,
     double spotPrice,
     Span boot,
