--- a/src/main/java/io/saltflow/app/Rehearsal.java
+++ b/src/main/java/io/saltflow/app/Rehearsal.java
@@ -107,7 +107,7 @@
   private static void rehearseCore(Config config, OperatorSettings operator) throws BadMessage {
     Time now = new Time(1000);
     MachineType type =
-        new MachineType("m", new Size(8, 0, 32), 0.3, 50, 1, 0.3, Span.seconds(15), List.of("z"));
+        new MachineType("m", new Size(8, 0, 32), 0.3, 1, 0.3, Span.seconds(15), List.of("z"));
     Term term = new Term(1);
     Leader leader =
         new Leader(
--- a/src/main/java/io/saltflow/coordination/Estimates.java
+++ b/src/main/java/io/saltflow/coordination/Estimates.java
@@ -77,7 +77,7 @@
   }
 
   Span fetch(Job job, Machine m) {
-    if (m.has(job.spec.image())) {
+    if (m.images.contains(job.spec.image())) {
       return new Span(0);
     }
     return Span.seconds(job.spec.imageGb() / Math.max(0.01, m.type.fetchGbPerS()));
--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -223,7 +223,7 @@
     if (p.state == Presence.State.RUNNING && p.runningSince == null) {
       p.runningSince = now;
       LOG.debug("{} runs on {}, {} s after its launch", p.task(), m.id, sinceLaunch(p, now));
-      m.remember(job.spec.image(), job.spec.imageGb());
+      m.remember(job.spec.image());
     }
     if (p.state == Presence.State.SAVING && !p.stopping) {
       p.stop(now, job.spec.save());
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -6,13 +6,15 @@
 import io.saltflow.protocol.TaskId;
 import io.saltflow.protocol.Time;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 
 /** A rented machine and what is, or might be, on it. */
 public final class Machine {
+  private static final int REMEMBERED_IMAGES = 6;
+
   /** Boots take 0.6 to 1.5 times what the cloud says, by the protocol. */
   private static final double USUALLY_UP = 1.6;
 
@@ -70,8 +72,7 @@
   /** The head's claim on it, or null. */
   Reservation reserved;
 
-  /** The images that tasks ran with here, as far as they fit, the last used last. */
-  private final Map<String, Double> images = new LinkedHashMap<>();
+  final LinkedHashSet<String> images = new LinkedHashSet<>();
 
   Machine(
       MachineId id, MachineType type, String typeName, String zone, boolean spot, Time rentedAt) {
@@ -134,25 +135,14 @@
     }
   }
 
-  /** The image is in the machine's cache, which drops those that were used longest ago. */
-  void remember(String image, double gb) {
-    double room = type == null ? 0 : type.localGb();
+  void remember(String image) {
     images.remove(image);
-    images.put(image, gb);
-    double all = 0;
-    for (double each : images.values()) {
-      all += each;
-    }
-    for (Iterator<Double> eldest = images.values().iterator(); all > room && images.size() > 1; ) {
-      all -= eldest.next();
-      eldest.remove();
+    images.add(image);
+    if (images.size() > REMEMBERED_IMAGES) {
+      images.remove(images.iterator().next());
     }
   }
 
-  boolean has(String image) {
-    return images.containsKey(image);
-  }
-
   double pricePerCore() {
     return type.hourly(spot) / Math.max(0.1, type.size().cores());
   }
--- a/src/main/java/io/saltflow/protocol/CloudCodec.java
+++ b/src/main/java/io/saltflow/protocol/CloudCodec.java
@@ -27,7 +27,6 @@
               new Size(
                   t.amount(Wire.CORES), t.amountOr(Wire.GPUS, 0), t.amountOr(Wire.MEMORY_GB, 0)),
               t.amountOr(Wire.FETCH_GB_PER_S, 0.1),
-              t.amountOr(Wire.LOCAL_GB, 0),
               t.amount(Wire.PRICE),
               t.amountOr(Wire.SPOT_PRICE, t.amount(Wire.PRICE)),
               t.seconds(Wire.BOOT_S),
@@ -46,7 +45,6 @@
               .with(Wire.GPUS, t.size().gpus())
               .with(Wire.MEMORY_GB, t.size().memoryGb())
               .with(Wire.FETCH_GB_PER_S, t.fetchGbPerS())
-              .with(Wire.LOCAL_GB, t.localGb())
               .with(Wire.PRICE, t.price())
               .with(Wire.SPOT_PRICE, t.spotPrice())
               .with(Wire.BOOT_S, t.boot().toSeconds())
--- a/src/main/java/io/saltflow/protocol/MachineType.java
+++ b/src/main/java/io/saltflow/protocol/MachineType.java
@@ -7,7 +7,6 @@
     String name,
     Size size,
     double fetchGbPerS,
-    double localGb,
     double price,
     double spotPrice,
     Span boot,
--- a/src/main/java/io/saltflow/protocol/Wire.java
+++ b/src/main/java/io/saltflow/protocol/Wire.java
@@ -86,7 +86,6 @@
 
   public static final String TYPE_NAME = "sku";
   public static final String FETCH_GB_PER_S = "fetchGbPerS";
-  public static final String LOCAL_GB = "localGb";
   public static final String PRICE = "hourly";
   public static final String SPOT_PRICE = "spotPrice";
   public static final String BOOT_S = "readyS";
