saltflow on one machine: local, and a user's commands

Need: nobody could try saltflow, since serve needs a state service, a cloud and machines that a newcomer does not have.

Change: a package of stand-ins, each a deterministic core and a shell: the state service with all of PROTOCOL's section and a synced log, a cloud whose list lags, and machines whose tasks are timers. `local` runs one controller as serve wires it before them, in one process. `submit`, `status`, `watch` and `cancel` ask as any user would, with exit codes for scripts. The tests' StandInState is replaced by the same store.

--- /dev/null
+++ b/src/main/java/io/saltflow/app/Local.java
@@ -0,0 +1,203 @@
+package io.saltflow.app;
+
+import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.standin.CloudFront;
+import io.saltflow.standin.CloudStore;
+import io.saltflow.standin.Depot;
+import io.saltflow.standin.StandInMachine;
+import io.saltflow.standin.StateFront;
+import io.saltflow.standin.StateLog;
+import io.saltflow.standin.StateStore;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.core.source64.SplitMix64;
+
+/**
+ * saltflow on one machine: one controller as {@code serve} wires it, and stand-ins for what it
+ * needs around it, in one process on loopback.
+ */
+final class Local extends Routine {
+  /** The team that {@code submit} names when a job names none. */
+  static final String TEAM = "local";
+
+  static final String ZONE = "here";
+  private static final Size MACHINE = new Size(8, 1, 32);
+  private static final Span BOOT = Span.seconds(1);
+  private static final double CLOUD_RPS = 20;
+  private static final Span LIST_LAG = Span.seconds(1);
+  private static final StandInMachine.Rhythm RHYTHM =
+      new StandInMachine.Rhythm(Span.seconds(1), Span.seconds(8));
+  private static final StateStore.Limits STATE = new StateStore.Limits(2000, 1000, 64, 32);
+  private static final Span READY_LOOK = Span.millis(10);
+
+  /** Where to listen, how many machines there are, and where to keep what was accepted. */
+  record Options(InetSocketAddress http, int machines, Path data) {}
+
+  private final Loop loop;
+  private final StateStore state;
+  private final StateLog log;
+  private final Node node;
+  private final int machines;
+
+  /** Throws when an address is taken or the folder can't be used. */
+  Local(Loop loop, Options options, OperatorSettings operator, long seed)
+      throws IOException, ConfigError {
+    super(null);
+    this.loop = loop;
+    this.machines = options.machines();
+    UniformRandomProvider random = new SplitMix64(seed);
+    log = options.data() == null ? null : StateLog.open(options.data());
+    state = new StateStore(STATE, log == null ? (epoch, writes) -> {} : log, loop.now());
+    if (log != null) {
+      log.restore(state, loop.now());
+    }
+    InetSocketAddress outside = serveOutside(random, options);
+    node = new Node(loop, config(options.http(), outside), operator, random.nextLong());
+  }
+
+  /** The state service and the cloud on one port; the machines report to the node once it is up. */
+  private InetSocketAddress serveOutside(UniformRandomProvider random, Options options)
+      throws IOException {
+    StateFront stateFront = new StateFront(this, loop, state);
+    Depot depot = new Depot(this::description);
+    MachineType type = new MachineType("box", MACHINE, 10, 1.0, 0.5, BOOT, List.of(ZONE));
+    // Machines of a former process are gone: none of these may bear the name of one.
+    String prefix = String.format("vm-%010x-", System.currentTimeMillis());
+    CloudStore cloud =
+        new CloudStore(List.of(type), options.machines(), CLOUD_RPS, LIST_LAG, prefix, loop.now());
+    CloudFront cloudFront =
+        new CloudFront(
+            this,
+            loop,
+            cloud,
+            (parent, rented) ->
+                new StandInMachine(
+                    parent,
+                    loop,
+                    rented,
+                    List.of(new InetSocketAddress("127.0.0.1", node.port())),
+                    RHYTHM,
+                    depot,
+                    random::nextLong));
+    HttpServer server =
+        new HttpServer(
+            this,
+            loop,
+            Addresses.parse("127.0.0.1:0"),
+            256,
+            (method, target, body, answer) -> {
+              if (StateFront.serves(target)) {
+                stateFront.handle(method, target, body, answer);
+              } else {
+                cloudFront.handle(method, target, body, answer);
+              }
+            });
+    return new InetSocketAddress("127.0.0.1", server.port());
+  }
+
+  /** Users upload descriptions; here a machine finds them where the controllers keep them. */
+  private JobSpec description(JobId id) {
+    StateStore.Value live = state.value(JobStore.keyOfLive(id));
+    try {
+      return live == null ? null : JobStore.decode(live.data()).spec();
+    } catch (BadMessage e) {
+      return null;
+    }
+  }
+
+  private static Config config(InetSocketAddress http, InetSocketAddress outside)
+      throws ConfigError {
+    String at = Addresses.text(outside);
+    String settings =
+        """
+        host_name = "local"
+        zone = "%s"
+        serve_on = "%s"
+        mesh_addr = "127.0.0.1:0"
+        [endpoints]
+        cloud = "%s"
+        state = "%s"
+        [settings]
+        size = 1
+        [[settings.teams]]
+        name = "%s"
+        [settings.workers]
+        report_s = %s
+        lease_s = %s
+        cancel_s = 20.0
+        [settings.state]
+        rps = %s
+        write_rps = %s
+        value_kb = %s
+        txn_ops = %d
+        [settings.cloud]
+        rps = %s
+        list_lag_s = %s
+        [settings.resources]
+        sockets = 2000
+        """
+            .formatted(
+                ZONE,
+                Addresses.text(http),
+                at,
+                at,
+                TEAM,
+                RHYTHM.report().toSeconds(),
+                RHYTHM.lease().toSeconds(),
+                STATE.rps(),
+                STATE.writeRps(),
+                STATE.valueKb(),
+                STATE.txnOps(),
+                CLOUD_RPS,
+                LIST_LAG.toSeconds());
+    return Config.parse(settings);
+  }
+
+  /** Begins; says so once, when work can be submitted. */
+  void start(Runnable ready) {
+    node.start();
+    awaitReady(ready);
+  }
+
+  private void awaitReady(Runnable ready) {
+    if (node.ready()) {
+      ready.run();
+    } else {
+      loop.after(READY_LOOK, this, () -> awaitReady(ready));
+    }
+  }
+
+  /** One line with the addresses under which it can be reached. */
+  String readyLine() {
+    return "ready: http 127.0.0.1:" + node.port() + ", " + machines + " machines";
+  }
+
+  int port() {
+    return node.port();
+  }
+
+  @Override
+  protected void onCancel() {
+    node.cancel();
+    if (log != null) {
+      try {
+        log.close();
+      } catch (IOException e) {
+        // Each record was synced when it was answered: there is nothing left to save.
+      }
+    }
+  }
+}
--- a/src/main/java/io/saltflow/app/Main.java
+++ b/src/main/java/io/saltflow/app/Main.java
@@ -17,13 +17,30 @@
       """
       usage: saltflow serve --config FILE [--settings FILE]
              saltflow check-config --config FILE [--settings FILE]
+             saltflow local [--http ADDR:PORT] [--machines N] [--data DIR] [--settings FILE]
+             saltflow submit FILE|-  [--server ADDR:PORT] [--json] [--wait SECONDS]
+             saltflow status|watch|cancel ID  [--server ADDR:PORT] [--json] [--wait SECONDS]
              saltflow --help | --version
 
       serve         run one controller until it is killed
       check-config  read the settings, say what is wrong with them, and end
+      local         run one controller with stand-ins for all that it needs, on loopback
+      submit        submit the jobs of a JSON file; prints their ids
+      status        say where a job stands
+      watch         say so again and again until it is over
+      cancel        cancel it
 
-        --config FILE    the platform's settings (TOML)
-        --settings FILE  the operators' own settings (JSON)
+        --config FILE      the platform's settings (TOML)
+        --settings FILE    the operators' own settings (JSON)
+        --http ADDR:PORT   where users reach local (127.0.0.1:8080; port 0: any free one)
+        --machines N       how many stand-in machines there are (4)
+        --data DIR         keep what was accepted in this folder
+        --server ADDR:PORT the controller to ask (127.0.0.1:8080)
+        --json             answers as JSON
+        --wait SECONDS     how long to ask again when there is no answer (60)
+
+      Exit codes: 0 in order, 1 refused, 2 wrong use or settings, 3 no answer, 4 no such job,
+      5 the watched job was cancelled.
 
       LOG_LEVEL (error, info, debug) sets how much is logged to standard error.""";
 
@@ -48,6 +65,15 @@
       case "serve", "check-config" -> {
         return withConfig(command, Arrays.copyOfRange(args, 1, args.length), out, err);
       }
+      case "local" -> {
+        setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
+        return LocalCommand.run(Arrays.copyOfRange(args, 1, args.length), out, err);
+      }
+      case "submit", "status", "watch", "cancel" -> {
+        setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
+        return new UserCommands(System.in, out, err)
+            .run(command, Arrays.copyOfRange(args, 1, args.length));
+      }
       default -> {
         err.println("saltflow: unknown command '" + command + "'");
         err.println(USAGE);
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -105,6 +105,11 @@
     return server.port();
   }
 
+  /** Whether work can be submitted here and a leader can start it. */
+  boolean ready() {
+    return !types.isEmpty() && duty != null && duty.leader() != null;
+  }
+
   void start() {
     LOG.info("{} serves on {}", config.host(), config.serveOn());
     config.doubts().forEach(d -> LOG.warn("doubtful settings: {}", d));
--- /dev/null
+++ b/src/main/java/io/saltflow/app/UserClient.java
@@ -0,0 +1,102 @@
+package io.saltflow.app;
+
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+/**
+ * A user as PROTOCOL describes one: asks, waits for the answer, and asks again where it says so.
+ */
+final class UserClient extends Routine {
+  private static final byte[] NOTHING = new byte[0];
+  private static final Span ANSWER_WITHIN = Span.seconds(5);
+  private static final Span RETRY = Span.seconds(1);
+  private static final int MOST_RETRY_AFTER_S = 30;
+
+  private final Loop loop;
+  private final HttpClient http;
+  private final Span patience;
+
+  /** The last answer: status 0 when none came in time. */
+  record Answer(int status, Body body) {
+    String error() {
+      return body != null && body.get(Wire.ERROR) instanceof String s ? s : "status " + status;
+    }
+  }
+
+  UserClient(Loop loop, InetSocketAddress server, Span patience) {
+    super(null);
+    this.loop = loop;
+    this.http = new HttpClient(this, loop, server, 1, 1);
+    this.patience = patience;
+  }
+
+  Answer submit(Body job) throws IOException {
+    return insist("POST", Wire.PATH_JOBS, MsgPack.encode(job));
+  }
+
+  Answer status(String id) throws IOException {
+    return insist("GET", Wire.PATH_JOBS + "/" + id, NOTHING);
+  }
+
+  Answer cancel(String id) throws IOException {
+    return insist("POST", Wire.PATH_JOBS + "/" + id + Wire.END_CANCEL, NOTHING);
+  }
+
+  /** What is answered 429, 503, 504 or not at all is asked again, until patience is over. */
+  private Answer insist(String method, String path, byte[] body) throws IOException {
+    Time until = loop.now().plus(patience);
+    while (true) {
+      HttpClient.Answer a = call(method, path, body);
+      boolean last =
+          switch (a.status()) {
+            case 200, 201, 400, 404, 413, 422 -> true;
+            default -> false;
+          };
+      Span pause =
+          Span.seconds(Math.max(RETRY.toSeconds(), Math.min(MOST_RETRY_AFTER_S, a.retryAfterS())));
+      if (last || loop.now().plus(pause).after(until)) {
+        return new Answer(a.status(), decode(a.body()));
+      }
+      sleep(pause);
+    }
+  }
+
+  void sleep(Span pause) throws IOException {
+    loop.after(pause, this, loop::pause);
+    loop.run();
+  }
+
+  private HttpClient.Answer call(String method, String path, byte[] body) throws IOException {
+    HttpClient.Answer[] got = new HttpClient.Answer[1];
+    http.call(
+        method,
+        path,
+        body,
+        ANSWER_WITHIN,
+        a -> {
+          got[0] = a;
+          loop.pause();
+        });
+    while (got[0] == null) {
+      loop.run();
+    }
+    return got[0];
+  }
+
+  private static Body decode(byte[] body) {
+    try {
+      return body.length == 0 ? null : MsgPack.decode(body);
+    } catch (BadMessage e) {
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/app/UserCommands.java
@@ -0,0 +1,202 @@
+package io.saltflow.app;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Wire;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.Loop;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** {@code submit}, {@code status}, {@code watch} and {@code cancel}: a user at the command line. */
+final class UserCommands {
+  static final int REFUSED = 1;
+  static final int USAGE = 2;
+  static final int NO_ANSWER = 3;
+  static final int UNKNOWN = 4;
+  static final int CANCELLED = 5;
+
+  private static final String SERVER = "server";
+  private static final String JSON = "json";
+  private static final String WAIT = "wait";
+  private static final Span POLL = Span.seconds(1);
+
+  private final PrintStream out;
+  private final PrintStream err;
+  private final InputStream in;
+  private UserClient client;
+  private boolean json;
+
+  UserCommands(InputStream in, PrintStream out, PrintStream err) {
+    this.in = in;
+    this.out = out;
+    this.err = err;
+  }
+
+  /** The exit code. */
+  int run(String command, String[] args) {
+    Options options =
+        new Options()
+            .addOption(Option.builder().longOpt(SERVER).hasArg().build())
+            .addOption(Option.builder().longOpt(WAIT).hasArg().build())
+            .addOption(Option.builder().longOpt(JSON).build());
+    try {
+      CommandLine line = new DefaultParser().parse(options, args);
+      if (line.getArgList().size() != 1) {
+        throw new ParseException(
+            command + " takes one " + (command.equals("submit") ? "file, or -" : "id"));
+      }
+      json = line.hasOption(JSON);
+      InetSocketAddress server = address(line.getOptionValue(SERVER, "127.0.0.1:8080"));
+      Span patience = Span.seconds(seconds(line.getOptionValue(WAIT, "60")));
+      client = new UserClient(new Loop(), server, patience);
+      return run(command, line.getArgList().get(0));
+    } catch (ParseException | ConfigError e) {
+      err.println("saltflow: " + e.getMessage());
+      return USAGE;
+    } catch (IOException e) {
+      err.println("saltflow: " + e.getMessage());
+      return NO_ANSWER;
+    } finally {
+      if (client != null) {
+        client.cancel();
+      }
+    }
+  }
+
+  private static InetSocketAddress address(String text) throws ParseException {
+    try {
+      return Addresses.parse(text);
+    } catch (IllegalArgumentException e) {
+      throw new ParseException("--" + SERVER + ": " + e.getMessage());
+    }
+  }
+
+  private static double seconds(String text) throws ParseException {
+    if (!text.matches("\\d{1,6}(\\.\\d+)?")) {
+      throw new ParseException("--" + WAIT + ": a number of seconds is required");
+    }
+    return Double.parseDouble(text);
+  }
+
+  private int run(String command, String argument) throws IOException, ConfigError {
+    if (command.equals("submit")) {
+      return submit(argument);
+    }
+    if (!JobId.valid(argument)) {
+      throw new ConfigError("'" + argument + "' is no job's id (" + Wire.JOB_PREFIX + "digits)");
+    }
+    return switch (command) {
+      case "status" -> told(argument, client.status(argument));
+      case "cancel" -> told(argument, client.cancel(argument));
+      default -> watch(argument);
+    };
+  }
+
+  private int submit(String file) throws IOException, ConfigError {
+    String text;
+    try {
+      byte[] bytes = file.equals("-") ? in.readAllBytes() : Files.readAllBytes(Path.of(file));
+      text = new String(bytes, StandardCharsets.UTF_8);
+    } catch (IOException e) {
+      throw new ConfigError(file + ": can't be read: " + e.getMessage());
+    }
+    SecureRandom random = new SecureRandom();
+    List<Body> jobs =
+        Submissions.read(
+            text,
+            () ->
+                new JobId(
+                    Wire.JOB_PREFIX
+                        + System.currentTimeMillis()
+                        + String.format("%09d", random.nextInt(1_000_000_000))));
+    int worst = 0;
+    for (Body job : jobs) {
+      worst = Math.max(worst, submitted(job, client.submit(job)));
+    }
+    return worst;
+  }
+
+  private int submitted(Body job, UserClient.Answer a) {
+    if (a.status() == 200 || a.status() == 201) {
+      out.println(json ? text(a.body()) : (String) a.body().get(Wire.ID));
+      return 0;
+    }
+    return failed((String) job.get(Wire.ID), a);
+  }
+
+  private int failed(String id, UserClient.Answer a) {
+    if (a.status() == 0) {
+      err.println("saltflow: " + id + ": no answer; it may have been taken, ask for its status");
+      return NO_ANSWER;
+    }
+    err.println("saltflow: " + id + ": " + a.error());
+    return switch (a.status()) {
+      case 404 -> UNKNOWN;
+      case 400, 413, 422 -> REFUSED;
+      default -> NO_ANSWER;
+    };
+  }
+
+  private int told(String id, UserClient.Answer a) {
+    if (a.status() != 200) {
+      return failed(id, a);
+    }
+    out.println(json ? text(a.body()) : line(a.body()));
+    return 0;
+  }
+
+  private static String line(Body b) {
+    return b.get(Wire.ID)
+        + " "
+        + b.get(Wire.STATE)
+        + ": "
+        + b.get(Wire.DONE)
+        + " done, "
+        + b.get(Wire.RUNNING)
+        + " running";
+  }
+
+  private static String text(Body b) {
+    try {
+      return new ObjectMapper().writeValueAsString(b.fields());
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a wire body has a JSON form", e);
+    }
+  }
+
+  /** Tells each change until the job is over. */
+  private int watch(String id) throws IOException {
+    Body last = null;
+    while (true) {
+      UserClient.Answer a = client.status(id);
+      if (a.status() != 200) {
+        return failed(id, a);
+      }
+      if (last == null || !last.equals(a.body())) {
+        told(id, a);
+        last = a.body();
+      }
+      Object phase = a.body().get(Wire.STATE);
+      if (Wire.STATE_DONE.equals(phase) || Wire.STATE_CANCELLED.equals(phase)) {
+        return Wire.STATE_DONE.equals(phase) ? 0 : CANCELLED;
+      }
+      client.sleep(POLL);
+    }
+  }
+}
--- a/src/main/java/io/saltflow/bookkeeping/CloudClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/CloudClient.java
@@ -2,6 +2,7 @@
 
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
+import io.saltflow.protocol.Budget;
 import io.saltflow.protocol.CloudCodec;
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
@@ -86,7 +87,7 @@
 
   private static boolean refusal(byte[] body) {
     try {
-      return body.length > 0 && "no capacity".equals(MsgPack.decode(body).get(Wire.ERROR));
+      return body.length > 0 && Wire.NO_CAPACITY.equals(MsgPack.decode(body).get(Wire.ERROR));
     } catch (BadMessage e) {
       return false;
     }
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -245,6 +245,11 @@
     state.list(StateClient.Rank.LEADERSHIP, Keys.LIVE, then);
   }
 
+  /** Where the record of a job is that is not over. */
+  public static String keyOfLive(JobId id) {
+    return Keys.live(id);
+  }
+
   public static JobId idOfLive(String key) {
     return key.startsWith(Keys.LIVE) ? new JobId(key.substring(Keys.LIVE.length())) : null;
   }
--- a/src/main/java/io/saltflow/bookkeeping/StateClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -2,6 +2,7 @@
 
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
+import io.saltflow.protocol.Budget;
 import io.saltflow.protocol.MsgPack;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
--- a/src/main/java/io/saltflow/bookkeeping/Budget.java
+++ b/src/main/java/io/saltflow/protocol/Budget.java
@@ -1,6 +1,4 @@
-package io.saltflow.bookkeeping;
-
-import io.saltflow.protocol.Time;
+package io.saltflow.protocol;
 
 /** A rate that is kept by waiting: so many a second, with a burst of so many at once. */
 public final class Budget {
--- a/src/main/java/io/saltflow/protocol/CloudCodec.java
+++ b/src/main/java/io/saltflow/protocol/CloudCodec.java
@@ -74,6 +74,24 @@
     return Body.of().with(Wire.MACHINES, hosts.stream().map(MachineId::text).toList());
   }
 
+  /** One page of the list. */
+  public static Body encodeList(List<Listed> machines, boolean more) {
+    List<Object> list = new ArrayList<>(machines.size());
+    for (Listed l : machines) {
+      String state = l.booting() ? Wire.MACHINE_BOOTING : Wire.MACHINE_RUNNING;
+      list.add(
+          Body.of()
+              .with(Wire.ID, l.id().text())
+              .with(Wire.ADDR, l.address())
+              .with(Wire.TYPE, l.type())
+              .with(Wire.ZONE, l.zone())
+              .with(Wire.SPOT, l.spot())
+              .with(Wire.STATE, l.failed() ? Wire.MACHINE_FAILED : state)
+              .with(Wire.AGE_S, l.age().toSeconds()));
+    }
+    return Body.of().with(Wire.MACHINES, list).with(Wire.MORE, more);
+  }
+
   public static List<Listed> decodeList(Body b) throws BadMessage {
     List<Listed> out = new ArrayList<>();
     for (Body m : b.maps(Wire.MACHINES)) {
--- a/src/main/java/io/saltflow/protocol/Wire.java
+++ b/src/main/java/io/saltflow/protocol/Wire.java
@@ -112,6 +112,10 @@
   public static final String TTL_MS = "ttlMs";
   public static final String HOLD_MS = "holdMs";
   public static final String EVENTS = "news";
+  public static final String FAILED = "failed";
+  public static final String NO_SUCH_LEASE = "no such lease";
+  public static final String NO_CAPACITY = "no capacity";
+  public static final String MACHINE_RUNNING = "running";
 
   private Wire() {}
 }
--- a/src/main/java/io/saltflow/protocol/WorkerCodec.java
+++ b/src/main/java/io/saltflow/protocol/WorkerCodec.java
@@ -35,6 +35,71 @@
         tasks);
   }
 
+  public static Body encodeReport(Report r) {
+    List<Object> tasks = new ArrayList<>(r.tasks().size());
+    for (Report.TaskReport t : r.tasks()) {
+      Body b =
+          Body.of()
+              .with(Wire.TASK, t.task().toString())
+              .with(Wire.ATTEMPT, t.attempt().number())
+              .with(Wire.STATE, name(t.state()));
+      if (t.state() == Report.TaskState.EXITED) {
+        b.with(Wire.CAUSE, name(t.cause())).with(Wire.SAVED, t.saved());
+      }
+      tasks.add(b);
+    }
+    return Body.of()
+        .with(Wire.MACHINE, r.machine().text())
+        .with(Wire.ADDR, r.address())
+        .with(Wire.TYPE, r.type())
+        .with(Wire.ZONE, r.zone())
+        .with(Wire.SPOT, r.spot())
+        .with(Wire.SESSION, r.session())
+        .with(Wire.SEQUENCE, r.sequence())
+        .with(Wire.TOKEN, r.token().number())
+        .with(Wire.NOTICE_S, r.notice() == null ? null : r.notice().toSeconds())
+        .with(Wire.TASKS, tasks);
+  }
+
+  private static String name(Report.TaskState state) {
+    return switch (state) {
+      case FETCHING -> Wire.TASK_FETCHING;
+      case RUNNING -> Wire.TASK_RUNNING;
+      case SAVING -> Wire.TASK_SAVING;
+      case EXITED -> Wire.TASK_EXITED;
+    };
+  }
+
+  private static String name(Report.ExitCause cause) {
+    return switch (cause) {
+      case DONE -> Wire.CAUSE_DONE;
+      case STOPPED -> Wire.CAUSE_STOPPED;
+      case ERROR, OTHER -> Wire.CAUSE_ERROR;
+      case NO_ROOM -> Wire.CAUSE_NO_ROOM;
+      case BUSY -> Wire.CAUSE_BUSY;
+      case UNKNOWN_TASK -> Wire.CAUSE_UNKNOWN;
+    };
+  }
+
+  /** The orders of an answer. One that is not known here is left out. */
+  public static List<Order> decodeOrders(Body b) throws BadMessage {
+    List<Order> out = new ArrayList<>();
+    for (Body o : b.maps(Wire.ORDERS)) {
+      TaskId task = TaskId.parse(o.text(Wire.TASK));
+      if (task == null) {
+        throw new BadMessage(Wire.TASK + ": not a task's name");
+      }
+      Attempt attempt = new Attempt(o.integer(Wire.ATTEMPT));
+      switch (o.text(Wire.VERB)) {
+        case Wire.VERB_LAUNCH -> out.add(new Order.Launch(task, attempt));
+        case Wire.VERB_HALT -> out.add(new Order.Halt(task, attempt, o.seconds(Wire.GRACE_S)));
+        case Wire.VERB_CLEAR -> out.add(new Order.Clear(task, attempt));
+        default -> {}
+      }
+    }
+    return out;
+  }
+
   /** A state that we do not know is taken as running: the task is on the machine. */
   private static Report.TaskState state(String text) {
     return switch (text) {
--- /dev/null
+++ b/src/main/java/io/saltflow/standin/JsonSize.java
@@ -0,0 +1,48 @@
+package io.saltflow.standin;
+
+import io.saltflow.protocol.Body;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+
+/** How many bytes a body takes as JSON without spaces: PROTOCOL's limits count that form. */
+final class JsonSize {
+  private JsonSize() {}
+
+  static int of(Object value) {
+    if (value instanceof Body b) {
+      return of(b.fields());
+    }
+    if (value instanceof Map<?, ?> map) {
+      int n = 2 + Math.max(0, map.size() - 1);
+      for (Map.Entry<?, ?> e : map.entrySet()) {
+        n += of(e.getKey()) + 1 + of(e.getValue());
+      }
+      return n;
+    }
+    if (value instanceof List<?> list) {
+      int n = 2 + Math.max(0, list.size() - 1);
+      for (Object item : list) {
+        n += of(item);
+      }
+      return n;
+    }
+    if (value instanceof String s) {
+      return text(s);
+    }
+    return String.valueOf(value).length();
+  }
+
+  private static int text(String s) {
+    int n = 2 + s.getBytes(StandardCharsets.UTF_8).length;
+    for (int i = 0; i < s.length(); i++) {
+      char c = s.charAt(i);
+      if (c == '"' || c == '\\' || c == '\n' || c == '\t' || c == '\r') {
+        n++;
+      } else if (c < ' ') {
+        n += 5;
+      }
+    }
+    return n;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/standin/Target.java
@@ -0,0 +1,33 @@
+package io.saltflow.standin;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** A request's path and what it asks for after the question mark. */
+record Target(String path, Map<String, String> queries) {
+  static Target of(String target) {
+    int mark = target.indexOf('?');
+    Map<String, String> queries = new HashMap<>();
+    if (mark >= 0) {
+      for (String pair : target.substring(mark + 1).split("&")) {
+        int equals = pair.indexOf('=');
+        if (equals > 0) {
+          queries.put(pair.substring(0, equals), pair.substring(equals + 1));
+        }
+      }
+    }
+    return new Target(mark < 0 ? target : target.substring(0, mark), queries);
+  }
+
+  boolean is(String method, String wantedMethod, String wantedPath) {
+    return method.equals(wantedMethod) && path.equals(wantedPath);
+  }
+
+  String query(String name, String otherwise) {
+    return queries.getOrDefault(name, otherwise);
+  }
+
+  int number(String name, int otherwise) {
+    return queries.containsKey(name) ? Integer.parseInt(queries.get(name)) : otherwise;
+  }
+}
--- a/src/main/java/io/saltflow/transport/Addresses.java
+++ b/src/main/java/io/saltflow/transport/Addresses.java
@@ -29,6 +29,11 @@
     }
   }
 
+  /** The same form again. */
+  public static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
   private static int ranged(String text, int most) {
     int value;
     try {
--- a/src/main/java/io/saltflow/transport/HttpClient.java
+++ b/src/main/java/io/saltflow/transport/HttpClient.java
@@ -20,8 +20,13 @@
   private static final int MAX_BODY = 8 * 1024 * 1024;
   private static final Span POOL_IDLE = Span.seconds(20);
 
-  /** What came back; status 0: nothing. */
-  public record Answer(int status, byte[] body, Time sent) {
+  /** What came back, and when to come back if that was said (in seconds, else 0). */
+  public record Answer(int status, byte[] body, Time sent, int retryAfterS) {
+    /** No answer came: status 0. */
+    static Answer none(Time sent) {
+      return new Answer(0, new byte[0], sent, 0);
+    }
+
     public boolean lost() {
       return status == 0;
     }
@@ -50,7 +55,7 @@
   public void call(String method, String target, byte[] body, Span timeout, Consumer<Answer> then) {
     Request request = new Request(method, target, body, loop.now().plus(timeout), then);
     if (queue.size() >= maxQueue) {
-      loop.after(Span.millis(1), this, () -> then.accept(new Answer(0, new byte[0], loop.now())));
+      loop.after(Span.millis(1), this, () -> then.accept(Answer.none(loop.now())));
       return;
     }
     queue.add(request);
@@ -60,7 +65,7 @@
 
   private void expire(Request request) {
     if (queue.remove(request)) {
-      request.then.accept(new Answer(0, new byte[0], loop.now()));
+      request.then.accept(Answer.none(loop.now()));
     }
   }
 
@@ -74,10 +79,7 @@
         connection = connect();
         if (connection == null) {
           Request request = queue.poll();
-          loop.after(
-              Span.millis(20),
-              this,
-              () -> request.then.accept(new Answer(0, new byte[0], loop.now())));
+          loop.after(Span.millis(20), this, () -> request.then.accept(Answer.none(loop.now())));
           continue;
         }
       }
@@ -161,7 +163,7 @@
       Request done = current;
       current = null;
       usedAt = loop.now();
-      Answer answer = new Answer(parser.status(), parser.body(), sent);
+      Answer answer = new Answer(parser.status(), parser.body(), sent, parser.retryAfterS());
       if (parser.wantsClose()) {
         cancel();
       } else {
@@ -183,7 +185,7 @@
               Span.millis(1),
               HttpClient.this,
               () -> {
-                lost.then.accept(new Answer(0, new byte[0], sent));
+                lost.then.accept(Answer.none(sent));
                 pump();
               });
         }
--- a/src/main/java/io/saltflow/transport/HttpParser.java
+++ b/src/main/java/io/saltflow/transport/HttpParser.java
@@ -45,6 +45,7 @@
   private String method;
   private String target;
   private int status;
+  private int retryAfterS;
   private boolean close;
   private boolean chunked;
   private boolean hasLength;
@@ -69,6 +70,11 @@
     return status;
   }
 
+  /** When to come back, in seconds; 0: it was not said, or as a date. */
+  public int retryAfterS() {
+    return retryAfterS;
+  }
+
   public boolean wantsClose() {
     return close;
   }
@@ -93,6 +99,7 @@
     method = null;
     target = null;
     status = 0;
+    retryAfterS = 0;
     close = false;
     chunked = false;
     hasLength = false;
@@ -203,6 +210,8 @@
         throw new Malformed(501, "unknown transfer encoding");
       }
       chunked = true;
+    } else if (name.equalsIgnoreCase("Retry-After")) {
+      retryAfterS = value.matches("\\d{1,6}") ? Integer.parseInt(value) : 0;
     } else if (name.equalsIgnoreCase("Connection")) {
       close = value.equalsIgnoreCase("close") || (close && !value.equalsIgnoreCase("keep-alive"));
     }
--- a/src/main/java/io/saltflow/transport/HttpServer.java
+++ b/src/main/java/io/saltflow/transport/HttpServer.java
@@ -37,7 +37,12 @@
     listener = ServerSocketChannel.open();
     listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
     listener.configureBlocking(false);
-    listener.bind(address, 512);
+    try {
+      listener.bind(address, 512);
+    } catch (IOException e) {
+      listener.close();
+      throw new IOException(Addresses.text(address) + ": " + e.getMessage(), e);
+    }
     loop.register(listener, SelectionKey.OP_ACCEPT, this);
   }
 
--- a/src/main/java/io/saltflow/transport/Loop.java
+++ b/src/main/java/io/saltflow/transport/Loop.java
@@ -36,6 +36,7 @@
   private final PriorityQueue<Timer> timers = new PriorityQueue<>();
   private long timerOrder;
   private boolean running;
+  private volatile boolean stopping;
 
   public Loop() throws IOException {
     selector = Selector.open();
@@ -70,10 +71,16 @@
     running = false;
   }
 
-  /** Runs until {@link #pause}. */
+  /** Ends {@link #run} for good. The one method that another thread may call. */
+  public void stop() {
+    stopping = true;
+    selector.wakeup();
+  }
+
+  /** Runs until {@link #pause} or {@link #stop}. */
   public void run() throws IOException {
     running = true;
-    while (running) {
+    while (running && !stopping) {
       long wait = fireTimers();
       if (wait == 0) {
         selector.selectNow();
--- a/src/test/java/io/saltflow/LayersTest.java
+++ b/src/test/java/io/saltflow/LayersTest.java
@@ -26,7 +26,8 @@
           "transport", List.of("protocol"),
           "coordination", List.of("protocol"),
           "bookkeeping", List.of("protocol", "transport", "coordination"),
-          "app", List.of("protocol", "transport", "coordination", "bookkeeping"));
+          "standin", List.of("protocol", "transport"),
+          "app", List.of("protocol", "transport", "coordination", "bookkeeping", "standin"));
 
   private static List<Path> sources(String layer) throws IOException {
     try (Stream<Path> files = Files.walk(MAIN.resolve(layer))) {
@@ -50,6 +51,15 @@
     }
   }
 
+  /** What a controller does not need stays off its start-up path and out of its archive. */
+  @Test
+  void onlyLocalKnowsTheStandIns() throws IOException {
+    for (Path file : sources("app")) {
+      boolean uses = Files.readString(file).contains("io.saltflow.standin.");
+      assertEquals(file.endsWith("Local.java"), uses, file.toString());
+    }
+  }
+
   @Test
   void theCoreIsPure() throws IOException {
     for (Path file : sources("coordination")) {
--- a/src/test/java/io/saltflow/app/NodeTest.java
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -7,8 +7,14 @@
 
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
+import io.saltflow.standin.CloudFront;
+import io.saltflow.standin.CloudStore;
+import io.saltflow.standin.StateFront;
+import io.saltflow.standin.StateStore;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.HttpClient;
 import io.saltflow.transport.HttpServer;
@@ -16,6 +22,7 @@
 import io.saltflow.transport.Routine;
 import java.io.IOException;
 import java.util.Arrays;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -30,8 +37,16 @@
     }
   }
 
-  private final StandInState state = new StandInState();
+  private static final MachineType TYPE =
+      new MachineType("box", new Size(8, 0, 32), 1, 1, 0.5, Span.seconds(15), List.of("a"));
+  private static final StateStore.Limits LIMITS = new StateStore.Limits(1000, 1000, 8, 8);
+
   private final Root root = new Root();
+  private StateStore state;
+
+  /** The next transaction that puts this key is carried out, but its answer never comes. */
+  private String loseAnswerFor;
+
   private Loop loop;
   private Config config;
   private Node node;
@@ -42,8 +57,8 @@
   @BeforeEach
   void start() throws IOException, ConfigError {
     loop = new Loop();
-    HttpServer outside =
-        new HttpServer(root, loop, Addresses.parse("127.0.0.1:0"), 64, state::handle);
+    state = new StateStore(LIMITS, (epoch, writes) -> {}, loop.now());
+    HttpServer outside = new HttpServer(root, loop, Addresses.parse("127.0.0.1:0"), 64, outside());
     String at = "127.0.0.1:" + outside.port();
     config = Config.parse(ConfigTest.SETTINGS.replace("10.9.9.9:1", at));
     node = new Node(loop, config, OperatorSettings.defaults(), 1);
@@ -59,6 +74,31 @@
     assertEquals(201, status);
   }
 
+  /** The state service, and a cloud that has nothing to rent. */
+  private HttpServer.Handler outside() {
+    StateFront stateFront = new StateFront(root, loop, state);
+    CloudStore cloud = new CloudStore(List.of(TYPE), 0, 100, Span.seconds(1), "vm-", loop.now());
+    CloudFront cloudFront = new CloudFront(root, loop, cloud, (parent, rented) -> parent);
+    return (method, target, sent, answer) -> {
+      if (!StateFront.serves(target)) {
+        cloudFront.handle(method, target, sent, answer);
+        return;
+      }
+      boolean watched = loseAnswerFor != null && state.value(loseAnswerFor) == null;
+      stateFront.handle(
+          method,
+          target,
+          sent,
+          reply -> {
+            if (watched && state.value(loseAnswerFor) != null) {
+              loseAnswerFor = null;
+            } else {
+              answer.accept(reply);
+            }
+          });
+    };
+  }
+
   @AfterEach
   void end() {
     node.cancel();
@@ -123,8 +163,8 @@
     assertEquals(200, call("POST", "/submissions/req-000001/withdraw", NOTHING));
     assertEquals(200, submit("req-000001", "red"));
     assertEquals("cancelled", body.get("phase"), "it never comes back");
-    assertTrue(state.keys.containsKey("over/req-000001"));
-    assertTrue(!state.keys.containsKey("live/req-000001"));
+    assertTrue(state.value("over/req-000001") != null);
+    assertTrue(state.value("live/req-000001") == null);
   }
 
   @Test
@@ -154,23 +194,23 @@
   void inAnOutageNothingIsToldThatIsNotKnown() throws IOException {
     assertEquals(200, call("POST", "/submissions/req-000001/withdraw", NOTHING));
     assertEquals(201, submit("req-000005", "red"));
-    state.down = true;
+    state.setDown(true, loop.now());
     assertEquals(503, submit("req-000006", "red"));
     assertEquals(503, submit("req-000005", "nobody"), "neither 200 nor 422 can be told");
     assertEquals(503, call("GET", "/submissions/req-000005", NOTHING));
     assertEquals(503, call("GET", "/submissions/req-000007", NOTHING), "404 would be a guess");
     assertEquals(200, call("GET", "/submissions/req-000001", NOTHING), "an end never changes");
     assertEquals("cancelled", body.get("phase"));
-    state.down = false;
+    state.setDown(false, loop.now());
     while (submit("req-000006", "red") == 503) {
-      assertTrue(state.keys.size() < 100);
+      assertTrue(state.size() < 100);
     }
     assertEquals(201, status);
   }
 
   /**
    * The leader's process ended and is back before its lease is over: nobody else can lead until
-   * then, so it takes its own old key over at once. The stand-in's leases never end.
+   * then, so it takes its own old key over at once. Its lease is far longer than this test.
    */
   @Test
   void aRestartedLeaderDoesNotWaitForItsOwnDeadLease() throws IOException {
@@ -179,7 +219,7 @@
       restart(again);
       dead = leaderOtherThan(dead, 200);
       assertNotNull(dead);
-      assertEquals(again + 1L, state.keys.get("lead").data().get("term"), "a term of its own");
+      assertEquals(again + 1L, state.value("lead").data().get("term"), "a term of its own");
     }
     // One that ends again and again leaves the office to others, who wait for its lease.
     restart(3);
@@ -194,7 +234,7 @@
 
   private Object leaderOtherThan(Object nonce, int looks) throws IOException {
     for (int i = 0; i < looks; i++) {
-      StandInState.Value lead = state.keys.get("lead");
+      StateStore.Value lead = state.value("lead");
       if (lead != null && !lead.data().get("nonce").equals(nonce)) {
         return lead.data().get("nonce");
       }
@@ -207,7 +247,7 @@
   /** The write was carried out though its answer was lost: the user must not hear otherwise. */
   @Test
   void lostAnswerOfAWriteIsCleared() throws IOException {
-    state.loseAnswerFor = "live/req-000008";
+    loseAnswerFor = "live/req-000008";
     assertEquals(200, submit("req-000008", "red"));
     assertEquals("pending", body.get("phase"));
   }
--- /dev/null
+++ b/src/test/java/io/saltflow/standin/StateStoreTest.java
@@ -0,0 +1,213 @@
+package io.saltflow.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** PROTOCOL's state section, sentence by sentence, and what outlives a process. */
+class StateStoreTest {
+  private static final StateStore.Limits LIMITS = new StateStore.Limits(100, 10, 1, 4);
+  private static final Body X = Body.of().with("x", 1L);
+
+  @TempDir Path folder;
+  private Time now = new Time(0);
+  private StateStore store = new StateStore(LIMITS, (epoch, writes) -> {}, now);
+
+  private static Body put(String key, Object... lease) {
+    Body b = Body.of().with("put", key).with("data", X);
+    return lease.length == 0 ? b : b.with("tenancy", lease[0]);
+  }
+
+  private StateStore.Reply commit(List<Object> guards, Object... writes) throws BadMessage {
+    Body txn = Body.of().with("guards", guards).with("writes", Arrays.asList(writes));
+    return store.commit(MsgPack.decode(MsgPack.encode(txn)));
+  }
+
+  private static Body guard(String key, long stamp) {
+    return Body.of().with("path", key).with("stamp", stamp);
+  }
+
+  private long lease(long ttlMs) throws BadMessage {
+    return (Long) store.grant(Body.of().with("ttlMs", ttlMs), now).body().get("tenancy");
+  }
+
+  @Test
+  void allWritesOfATransactionOrNone() throws BadMessage {
+    assertEquals(200, commit(List.of(guard("a", 0)), put("a"), put("b")).status());
+    assertEquals(store.value("a").stamp(), store.value("b").stamp(), "one revision");
+    StateStore.Reply late = commit(List.of(guard("a", 0), guard("b", 9)), put("c"));
+    assertEquals(409, late.status());
+    assertEquals(List.of("a", "b"), late.body().get("failed"));
+    assertNull(store.value("c"));
+    assertEquals(200, commit(List.of(guard("a", store.value("a").stamp()))).status());
+    assertEquals(404, store.get("c").status());
+    assertEquals(400, store.get("has space").status());
+    assertEquals(400, commit(List.of(), put("k".repeat(201))).status());
+  }
+
+  @Test
+  void limitsOfSizeHold() throws BadMessage {
+    assertEquals(400, commit(List.of(), put("1"), put("2"), put("3"), put("4"), put("5")).status());
+    Body big = Body.of().with("put", "b").with("data", Body.of().with("t", "z".repeat(1016)));
+    assertEquals(200, commit(List.of(), big).status(), "1,024 bytes as JSON");
+    big.with("data", Body.of().with("t", "z".repeat(1017)));
+    assertEquals(400, commit(List.of(), big).status());
+  }
+
+  @Test
+  void ratesAllowABurstOfOneSecond() {
+    for (int i = 0; i < 10; i++) {
+      assertNull(store.refusal(1, now));
+    }
+    assertEquals(429, store.refusal(1, now).status());
+    assertNull(store.refusal(0, now), "reads are not writes");
+    now = now.plus(Span.millis(100));
+    assertNull(store.refusal(1, now));
+    assertEquals(429, store.refusal(1, now).status());
+  }
+
+  @Test
+  void aLeaseNeverEndsEarlyAndTakesItsKeysAlong() throws BadMessage {
+    long id = lease(1000);
+    assertEquals(200, commit(List.of(), put("led", id), put("free")).status());
+    now = now.plus(Span.millis(900));
+    assertEquals(200, store.extend(id, now).status());
+    now = now.plus(Span.millis(1000));
+    store.expire(now);
+    assertNotNull(store.value("led"));
+    now = now.plus(Span.millis(1));
+    store.expire(now);
+    assertNull(store.value("led"));
+    assertNotNull(store.value("free"));
+    assertEquals(404, store.extend(id, now).status());
+    assertEquals("no such lease", commit(List.of(), put("led", id)).body().get("error"));
+    assertEquals(400, store.grant(Body.of().with("ttlMs", 99L), now).status());
+  }
+
+  /** A put without a lease detaches the key; an outage gives every lease its full time again. */
+  @Test
+  void detachedKeysStayAndOutagesRenew() throws BadMessage {
+    long id = lease(1000);
+    commit(List.of(), put("a", id), put("b", id));
+    commit(List.of(), put("b"));
+    store.setDown(true, now);
+    assertEquals(503, store.refusal(0, now).status());
+    now = now.plus(Span.seconds(30));
+    store.expire(now);
+    store.setDown(false, now);
+    now = now.plus(Span.millis(1000));
+    store.expire(now);
+    assertNotNull(store.value("a"));
+    assertEquals(200, store.release(id).status());
+    assertNull(store.value("a"));
+    assertNotNull(store.value("b"));
+  }
+
+  @Test
+  void watchesSeeEveryChangeOrAreToldThatTheyCannot() throws BadMessage {
+    long before = store.epoch();
+    commit(List.of(), put("c/1"), put("d/1"));
+    commit(List.of(), Body.of().with("delete", "c/1"), Body.of().with("delete", "c/none"));
+    StateStore.Reply seen = store.changes("c/", before, false);
+    assertEquals(2, ((List<?>) seen.body().get("news")).size());
+    assertNull(store.changes("c/", store.epoch(), false), "it waits");
+    assertEquals(200, store.changes("c/", store.epoch(), true).status());
+    for (int i = 0; i < 10_001; i++) {
+      commit(List.of(), put("many"));
+    }
+    assertEquals(410, store.changes("c/", before, true).status());
+    assertEquals(200, store.changes("c/", store.epoch() - 10_000, true).status());
+  }
+
+  @Test
+  void listsComeInPages() throws BadMessage {
+    for (int i = 0; i < 5; i++) {
+      commit(List.of(), put("p/" + i));
+    }
+    commit(List.of(), put("q"));
+    Body first = store.list("p/", "", 3).body();
+    assertEquals(3, ((List<?>) first.get("pairs")).size());
+    assertEquals(true, first.get("truncated"));
+    Body rest = store.list("p/", "p/2", 3).body();
+    assertEquals(2, ((List<?>) rest.get("pairs")).size());
+    assertEquals(false, rest.get("truncated"));
+  }
+
+  private StateStore reopened(StateLog log) {
+    StateStore s = new StateStore(LIMITS, log, now);
+    log.restore(s, now);
+    return s;
+  }
+
+  private void writeTwo() throws IOException, BadMessage {
+    try (StateLog log = StateLog.open(folder)) {
+      store = reopened(log);
+      commit(List.of(), put("first", lease(1000)));
+      commit(List.of(), put("second"), Body.of().with("delete", "first"));
+      commit(List.of(), put("third", lease(1000)));
+      assertThrows(IOException.class, () -> StateLog.open(folder), "one process at a time");
+    }
+  }
+
+  @Test
+  void whatWasAnsweredOutlivesTheProcess() throws IOException, BadMessage {
+    writeTwo();
+    long epoch = store.epoch();
+    try (StateLog log = StateLog.open(folder)) {
+      store = reopened(log);
+      assertEquals(epoch, store.epoch(), "revisions never go back");
+      assertNull(store.value("first"));
+      assertNotNull(store.value("second"));
+      store.expire(now.plus(Span.millis(1000)));
+      assertNotNull(store.value("third"), "its lease has its full time again");
+      store.expire(now.plus(Span.millis(1001)));
+      assertNull(store.value("third"));
+    }
+  }
+
+  /** A record that was cut short at any byte was never answered; damage before others is told. */
+  @Test
+  void tornTailsAreCutOffAndDamageIsRefused() throws IOException, BadMessage {
+    writeTwo();
+    byte[] whole = Files.readAllBytes(folder.resolve("state.log"));
+    for (int cut = whole.length - 1; cut > whole.length - 60; cut--) {
+      Files.write(folder.resolve("state.log"), Arrays.copyOf(whole, cut));
+      try (StateLog log = StateLog.open(folder)) {
+        assertNull(reopened(log).value("third"));
+        assertNotNull(reopened(log).value("second"));
+      }
+    }
+    byte[] damaged = whole.clone();
+    damaged[20] ^= 1;
+    Files.write(folder.resolve("state.log"), damaged);
+    IOException e = assertThrows(IOException.class, () -> StateLog.open(folder));
+    assertEquals(true, e.getMessage().contains("damaged at byte 0"), e.getMessage());
+  }
+
+  @Test
+  void whatCannotBeWrittenDownIsRefused() throws BadMessage {
+    store =
+        new StateStore(
+            LIMITS,
+            (epoch, writes) -> {
+              throw new IOException("No space left on device");
+            },
+            now);
+    assertEquals(503, commit(List.of(), put("a")).status());
+    assertNull(store.value("a"));
+  }
+}
