--- /dev/null
+++ b/src/main/java/io/saltflow/amqp/Bytes.java
@@ -0,0 +1,67 @@
+package io.saltflow.amqp;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+
+/** Bytes that are written one after the other, big-endian. */
+final class Bytes {
+  private byte[] bytes = new byte[64];
+  private int size;
+
+  private void room(int more) {
+    if (size + more > bytes.length) {
+      bytes = Arrays.copyOf(bytes, Math.max(size + more, bytes.length * 2));
+    }
+  }
+
+  Bytes u8(int value) {
+    room(1);
+    bytes[size++] = (byte) value;
+    return this;
+  }
+
+  Bytes u16(int value) {
+    return u8(value >> 8).u8(value);
+  }
+
+  Bytes u32(long value) {
+    return u16((int) (value >> 16)).u16((int) value);
+  }
+
+  Bytes u64(long value) {
+    return u32(value >> 32).u32(value);
+  }
+
+  Bytes all(byte[] more) {
+    return all(more, 0, more.length);
+  }
+
+  Bytes all(byte[] more, int from, int length) {
+    room(length);
+    System.arraycopy(more, from, bytes, size, length);
+    size += length;
+    return this;
+  }
+
+  int size() {
+    return size;
+  }
+
+  /** Writes a length over the four bytes at the given place. */
+  void lengthAt(int at) {
+    long length = size - at - 4;
+    bytes[at] = (byte) (length >> 24);
+    bytes[at + 1] = (byte) (length >> 16);
+    bytes[at + 2] = (byte) (length >> 8);
+    bytes[at + 3] = (byte) length;
+  }
+
+  byte[] copy() {
+    return Arrays.copyOf(bytes, size);
+  }
+
+  /** What was written, without copying; nothing may be written afterwards. */
+  ByteBuffer buffer() {
+    return ByteBuffer.wrap(bytes, 0, size);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/amqp/Desk.java
@@ -0,0 +1,47 @@
+package io.saltflow.amqp;
+
+/**
+ * What stands behind one connection: the queues, as its session asks for them. Answers that have to
+ * wait for a record come back to the session later, by the numbers that are given here.
+ */
+public interface Desk {
+  /** A message as it was published. */
+  record Content(Properties properties, byte[] body) {}
+
+  /** What passive declaration tells. */
+  record Status(int messages, int consumers) {}
+
+  /** What a consumer says of a delivery. */
+  enum Settlement {
+    ACK,
+    REJECT,
+    REQUEUE
+  }
+
+  /** Null when the virtual host has no such queue. */
+  Status status(String queue);
+
+  /**
+   * Answered by {@link Session#confirmed} or {@link Session#refused}, confirms asked for or not.
+   */
+  void publish(int channel, long number, String queue, Content content);
+
+  void consume(int channel, String tag, String queue, boolean noAck) throws AmqpError;
+
+  void cancel(int channel, String tag);
+
+  /** Answered by {@link Session#got}. */
+  void get(int channel, String queue, boolean noAck) throws AmqpError;
+
+  /** How many deliveries may be unacknowledged, of each consumer to come or of the channel. */
+  void prefetch(int channel, int count, boolean wholeChannel);
+
+  /** The handle is the one that came with the delivery. */
+  void settle(int channel, Object handle, Settlement how);
+
+  /** The channel has ended, with its consumers; deliveries not settled are given back. */
+  void closed(int channel);
+
+  /** The connection has ended: as {@link #closed} for each channel. Called once. */
+  void gone();
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/amqp/Fields.java
@@ -0,0 +1,144 @@
+package io.saltflow.amqp;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Strings and field tables, AMQP 0-9-1 section 4.2.5 with the types that brokers use. A claimed
+ * length is checked against the bytes that there are before anything is set aside for it.
+ */
+final class Fields {
+  private static final int MAX_DEPTH = 8;
+  private static final int MOST_SHORT = 255;
+
+  private Fields() {}
+
+  static String shortString(ByteBuffer in) throws AmqpError {
+    return text(in, in.get() & 0xff);
+  }
+
+  static String longString(ByteBuffer in) throws AmqpError {
+    return text(in, length(in));
+  }
+
+  private static int length(ByteBuffer in) throws AmqpError {
+    long length = in.getInt() & 0xffffffffL;
+    if (length > in.remaining()) {
+      throw new AmqpError(Code.SYNTAX_ERROR, "a length is more than what there is");
+    }
+    return (int) length;
+  }
+
+  private static String text(ByteBuffer in, int length) {
+    if (length > in.remaining()) {
+      throw new BufferUnderflowException();
+    }
+    byte[] bytes = new byte[length];
+    in.get(bytes);
+    return new String(bytes, StandardCharsets.UTF_8);
+  }
+
+  static Map<String, Object> table(ByteBuffer in) throws AmqpError {
+    return table(in, 0);
+  }
+
+  private static Map<String, Object> table(ByteBuffer in, int depth) throws AmqpError {
+    if (depth > MAX_DEPTH) {
+      throw new AmqpError(Code.SYNTAX_ERROR, "a table is nested too deeply");
+    }
+    ByteBuffer inside = slice(in);
+    Map<String, Object> out = new LinkedHashMap<>();
+    while (inside.hasRemaining()) {
+      out.put(shortString(inside), value(inside, depth));
+    }
+    return out;
+  }
+
+  private static ByteBuffer slice(ByteBuffer in) throws AmqpError {
+    int length = length(in);
+    ByteBuffer inside = in.slice(in.position(), length);
+    in.position(in.position() + length);
+    return inside;
+  }
+
+  private static Object value(ByteBuffer in, int depth) throws AmqpError {
+    int type = in.get() & 0xff;
+    return switch (type) {
+      case 't' -> in.get() != 0;
+      case 'b' -> (long) in.get();
+      case 'B' -> in.get() & 0xffL;
+      case 's' -> (long) in.getShort();
+      case 'u' -> in.getShort() & 0xffffL;
+      case 'I' -> (long) in.getInt();
+      case 'i' -> in.getInt() & 0xffffffffL;
+      case 'l', 'L', 'T' -> in.getLong();
+      case 'f' -> (double) in.getFloat();
+      case 'd' -> in.getDouble();
+      case 'D' -> {
+        int scale = in.get() & 0xff;
+        yield in.getInt() / Math.pow(10, scale);
+      }
+      case 'S', 'x' -> longString(in);
+      case 'A' -> list(in, depth);
+      case 'F' -> table(in, depth + 1);
+      case 'V' -> "";
+      default -> throw new AmqpError(Code.SYNTAX_ERROR, "unknown field type " + type);
+    };
+  }
+
+  private static List<Object> list(ByteBuffer in, int depth) throws AmqpError {
+    if (depth > MAX_DEPTH) {
+      throw new AmqpError(Code.SYNTAX_ERROR, "a list is nested too deeply");
+    }
+    ByteBuffer inside = slice(in);
+    List<Object> out = new ArrayList<>();
+    while (inside.hasRemaining()) {
+      out.add(value(inside, depth + 1));
+    }
+    return out;
+  }
+
+  static void shortString(Bytes out, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    if (bytes.length > MOST_SHORT) {
+      throw new IllegalArgumentException("longer than a short string");
+    }
+    out.u8(bytes.length).all(bytes);
+  }
+
+  static void longString(Bytes out, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    out.u32(bytes.length).all(bytes);
+  }
+
+  /** Texts, booleans, longs and maps of these: what the server has to say. */
+  static void table(Bytes out, Map<String, Object> table) {
+    int at = out.size();
+    out.u32(0);
+    for (Map.Entry<String, Object> e : table.entrySet()) {
+      shortString(out, e.getKey());
+      value(out, e.getValue());
+    }
+    out.lengthAt(at);
+  }
+
+  @SuppressWarnings("unchecked")
+  private static void value(Bytes out, Object value) {
+    if (value instanceof Boolean b) {
+      out.u8('t').u8(b ? 1 : 0);
+    } else if (value instanceof Long n) {
+      out.u8('l').u64(n);
+    } else if (value instanceof Map<?, ?> map) {
+      out.u8('F');
+      table(out, (Map<String, Object>) map);
+    } else {
+      out.u8('S');
+      longString(out, (String) value);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/amqp/Frame.java
@@ -0,0 +1,48 @@
+package io.saltflow.amqp;
+
+import java.nio.ByteBuffer;
+
+/** A frame as it came; the payload is read once. */
+record Frame(int type, int channel, ByteBuffer payload) {
+  static final int METHOD = 1;
+  static final int HEADER = 2;
+  static final int BODY = 3;
+  static final int HEARTBEAT = 8;
+  static final int END = 0xCE;
+
+  /** Bytes of a frame besides its payload. */
+  static final int OVERHEAD = 8;
+
+  static void method(Bytes out, int channel, Method method) {
+    int at = begin(out, METHOD, channel);
+    method.encode(out);
+    end(out, at);
+  }
+
+  /** A content's header and body, in frames no longer than the peer takes. */
+  static void content(Bytes out, int channel, byte[] properties, byte[] body, int frameMax) {
+    int at = begin(out, HEADER, channel);
+    out.u16(Kind.BASIC_CLASS).u16(0).u64(body.length).all(properties);
+    end(out, at);
+    int most = frameMax - OVERHEAD;
+    for (int from = 0; from < body.length; from += most) {
+      at = begin(out, BODY, channel);
+      out.all(body, from, Math.min(most, body.length - from));
+      end(out, at);
+    }
+  }
+
+  static void heartbeat(Bytes out) {
+    end(out, begin(out, HEARTBEAT, 0));
+  }
+
+  private static int begin(Bytes out, int type, int channel) {
+    out.u8(type).u16(channel).u32(0);
+    return out.size() - 4;
+  }
+
+  private static void end(Bytes out, int at) {
+    out.lengthAt(at);
+    out.u8(END);
+  }
+}
--- a/src/main/java/io/saltflow/app/Config.java
+++ b/src/main/java/io/saltflow/app/Config.java
@@ -41,7 +41,8 @@
     double cloudRps,
     Span listLag,
     int sockets,
-    double cpuShare) {
+    double cpuShare,
+    Span skew) {
 
   public static Config read(Path file) throws ConfigError {
     try (Reader in = Files.newBufferedReader(file)) {
@@ -101,7 +102,8 @@
         positive(c, "settings.cloud.rps", null),
         Span.seconds(amount(c, "settings.cloud.list_lag_s", 5.0)),
         (int) positive(c, "settings.resources.sockets", 1000.0),
-        Math.min(1, positive(c, "settings.resources.cpu", 1.0)));
+        Math.min(1, positive(c, "settings.resources.cpu", 1.0)),
+        Span.millis((long) amount(c, "settings.skew_ms", 0.0)));
   }
 
   /** What is allowed and yet hardly meant; the service starts all the same. */
--- /dev/null
+++ b/src/main/java/io/saltflow/app/JsonSettings.java
@@ -0,0 +1,53 @@
+package io.saltflow.app;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.networknt.schema.JsonSchema;
+import com.networknt.schema.JsonSchemaFactory;
+import com.networknt.schema.SpecVersion;
+import com.networknt.schema.ValidationMessage;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.util.Set;
+
+/** Operators' files in JSON, checked by a schema. Only here are the JSON libraries loaded. */
+final class JsonSettings {
+  private JsonSettings() {}
+
+  static JsonNode read(Path file, String schemaResource) throws ConfigError {
+    JsonNode node;
+    try {
+      node = new ObjectMapper().readTree(Files.readString(file));
+    } catch (JsonProcessingException e) {
+      throw new ConfigError(file + ": " + e.getMessage());
+    } catch (NoSuchFileException e) {
+      throw new ConfigError(file + ": there is no such file");
+    } catch (IOException e) {
+      throw new ConfigError(file + ": can't be read: " + e.getMessage());
+    }
+    try (InputStream in = JsonSettings.class.getResourceAsStream(schemaResource)) {
+      JsonSchema schema =
+          JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
+      Set<ValidationMessage> faults = schema.validate(node);
+      if (!faults.isEmpty()) {
+        throw new ConfigError(file + ": " + faults.iterator().next().getMessage());
+      }
+    } catch (IOException e) {
+      throw new ConfigError(schemaResource + ": " + e.getMessage());
+    }
+    return node;
+  }
+
+  /** A file of our own, which the build's tests have checked. */
+  static JsonNode resource(String name) {
+    try (InputStream in = JsonSettings.class.getResourceAsStream(name)) {
+      return new ObjectMapper().readTree(in);
+    } catch (IOException e) {
+      throw new IllegalStateException(name + " is packed with the program", e);
+    }
+  }
+}
--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -54,6 +54,7 @@
   private final Consumer<List<MachineType>> onTypes;
   private final Consumer<Span> onDeaf;
   private final BooleanSupplier outageForAll;
+  private final Consumer<LeaderDuty> onReady;
   private Leader leader;
   private LeaderBooks.Inherited former;
   private boolean listing;
@@ -72,7 +73,8 @@
       Supplier<Collection<MachineType>> types,
       Consumer<List<MachineType>> onTypes,
       Consumer<Span> onDeaf,
-      BooleanSupplier outageForAll) {
+      BooleanSupplier outageForAll,
+      Consumer<LeaderDuty> onReady) {
     super(parent);
     this.loop = loop;
     this.policy = policy;
@@ -86,6 +88,7 @@
     this.onTypes = onTypes;
     this.onDeaf = onDeaf;
     this.outageForAll = outageForAll;
+    this.onReady = onReady;
   }
 
   /** The core, or null while the records are being read. */
@@ -140,6 +143,7 @@
           books.adopt(inherited);
           authority.synced(sent);
           begin(listed.revision());
+          onReady.accept(this);
         });
   }
 
--- a/src/main/java/io/saltflow/app/Local.java
+++ b/src/main/java/io/saltflow/app/Local.java
@@ -7,6 +7,7 @@
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
+import io.saltflow.serving.AmqpSettings;
 import io.saltflow.standin.CloudFront;
 import io.saltflow.standin.CloudStore;
 import io.saltflow.standin.Depot;
@@ -51,13 +52,17 @@
   private final StateLog log;
   private final Node node;
   private final int machines;
+  private final InetSocketAddress http;
+  private final InetSocketAddress amqp;
 
   /** Throws when an address is taken or the folder can't be used. */
-  Local(Loop loop, Options options, OperatorSettings operator, long seed)
+  Local(Loop loop, Options options, OperatorSettings operator, AmqpSettings queues, long seed)
       throws IOException, ConfigError {
     super(null);
     this.loop = loop;
     this.machines = options.machines();
+    this.http = options.http();
+    this.amqp = queues.listen();
     UniformRandomProvider random = new SplitMix64(seed);
     log = options.data() == null ? null : StateLog.open(options.data());
     state = new StateStore(STATE, log == null ? (epoch, writes) -> {} : log, loop.now());
@@ -65,7 +70,7 @@
       log.restore(state, loop.now());
     }
     InetSocketAddress outside = serveOutside(random, options);
-    node = new Node(loop, config(options.http(), outside), operator, random.nextLong());
+    node = new Node(loop, config(options.http(), outside), operator, queues, random.nextLong());
   }
 
   /** The state service and the cloud on one port; the machines report to the node once it is up. */
@@ -182,13 +187,23 @@
 
   /** One line with the addresses under which it can be reached. */
   String readyLine() {
-    return "ready: http 127.0.0.1:" + node.port() + ", " + machines + " machines";
+    return "ready: http "
+        + Addresses.text(new InetSocketAddress(http.getAddress(), node.port()))
+        + ", amqp "
+        + Addresses.text(new InetSocketAddress(amqp.getAddress(), node.amqpPort()))
+        + ", "
+        + machines
+        + " machines";
   }
 
   int port() {
     return node.port();
   }
 
+  int amqpPort() {
+    return node.amqpPort();
+  }
+
   @Override
   protected void onCancel() {
     node.cancel();
--- a/src/main/java/io/saltflow/app/LocalCommand.java
+++ b/src/main/java/io/saltflow/app/LocalCommand.java
@@ -1,10 +1,9 @@
 package io.saltflow.app;
 
-import io.saltflow.transport.Addresses;
+import io.saltflow.serving.AmqpSettings;
 import io.saltflow.transport.Loop;
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -59,7 +58,7 @@
 
   static Local parse(String[] args, Loop loop) throws ParseException, ConfigError, IOException {
     org.apache.commons.cli.Options options = new org.apache.commons.cli.Options();
-    for (String name : new String[] {"data", "http", "machines", "settings"}) {
+    for (String name : new String[] {"data", "http", "amqp", "machines", "settings", "queues"}) {
       options.addOption(Option.builder().longOpt(name).hasArg().build());
     }
     CommandLine line = new DefaultParser().parse(options, args);
@@ -72,10 +71,17 @@
             : OperatorSettings.defaults();
     Local.Options where =
         new Local.Options(
-            address(line, "http", "127.0.0.1:8080"),
+            Main.address(line, "http", "127.0.0.1:8080"),
             machines(line.getOptionValue("machines", "4")),
             line.hasOption("data") ? Path.of(line.getOptionValue("data")) : null);
-    return new Local(loop, where, operator, System.nanoTime());
+    AmqpSettings queues =
+        line.hasOption("queues")
+            ? QueueSettings.read(Path.of(line.getOptionValue("queues")))
+            : QueueSettings.local();
+    if (line.hasOption("amqp")) {
+      queues = queues.withListen(Main.address(line, "amqp", null));
+    }
+    return new Local(loop, where, operator, queues, System.nanoTime());
   }
 
   private static int machines(String text) throws ParseException {
@@ -85,13 +91,4 @@
     }
     return n;
   }
-
-  private static InetSocketAddress address(CommandLine line, String option, String otherwise)
-      throws ParseException {
-    try {
-      return Addresses.parse(line.getOptionValue(option, otherwise));
-    } catch (IllegalArgumentException e) {
-      throw new ParseException("--" + option + ": " + e.getMessage());
-    }
-  }
 }
--- a/src/main/java/io/saltflow/app/Main.java
+++ b/src/main/java/io/saltflow/app/Main.java
@@ -1,8 +1,11 @@
 package io.saltflow.app;
 
+import io.saltflow.serving.AmqpSettings;
+import io.saltflow.transport.Addresses;
 import io.saltflow.transport.Loop;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Arrays;
 import org.apache.commons.cli.CommandLine;
@@ -15,9 +18,11 @@
 public final class Main {
   private static final String USAGE =
       """
-      usage: saltflow serve --config FILE [--settings FILE]
-             saltflow check-config --config FILE [--settings FILE]
-             saltflow local [--http ADDR:PORT] [--machines N] [--data DIR] [--settings FILE]
+      usage: saltflow serve --config FILE [--settings FILE] [--queues FILE [--amqp ADDR:PORT]]
+             saltflow check-config --config FILE [--settings FILE] [--queues FILE]
+             saltflow local [--http ADDR:PORT] [--amqp ADDR:PORT] [--machines N] [--data DIR]
+                            [--settings FILE] [--queues FILE]
+             saltflow hash-password
              saltflow submit FILE|-  [--server ADDR:PORT] [--json] [--wait SECONDS]
              saltflow status|watch|cancel ID  [--server ADDR:PORT] [--json] [--wait SECONDS]
              saltflow --help | --version
@@ -29,9 +34,12 @@
       status        say where a job stands
       watch         say so again and again until it is over
       cancel        cancel it
+      hash-password read a password and print its hash for a queues file
 
         --config FILE      the platform's settings (TOML)
         --settings FILE    the operators' own settings (JSON)
+        --queues FILE      AMQP work queues (JSON); without it serve has none
+        --amqp ADDR:PORT   where AMQP clients reach it (local: 127.0.0.1:5672)
         --http ADDR:PORT   where users reach local (127.0.0.1:8080; port 0: any free one)
         --machines N       how many stand-in machines there are (4)
         --data DIR         keep what was accepted in this folder
@@ -65,6 +73,9 @@
       case "serve", "check-config" -> {
         return withConfig(command, Arrays.copyOfRange(args, 1, args.length), out, err);
       }
+      case "hash-password" -> {
+        return HashPassword.run(System.in, out, err);
+      }
       case "local" -> {
         setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
         return LocalCommand.run(Arrays.copyOfRange(args, 1, args.length), out, err);
@@ -86,7 +97,9 @@
     Options options =
         new Options()
             .addOption(Option.builder().longOpt("config").hasArg().required().build())
-            .addOption(Option.builder().longOpt("settings").hasArg().build());
+            .addOption(Option.builder().longOpt("settings").hasArg().build())
+            .addOption(Option.builder().longOpt("queues").hasArg().build())
+            .addOption(Option.builder().longOpt("amqp").hasArg().build());
     try {
       CommandLine line = new DefaultParser().parse(options, args);
       if (!line.getArgList().isEmpty()) {
@@ -97,12 +110,16 @@
           line.hasOption("settings")
               ? OperatorSettings.read(Path.of(line.getOptionValue("settings")))
               : OperatorSettings.defaults();
+      AmqpSettings queues = line.hasOption("queues") ? queues(line) : null;
       if (command.equals("check-config")) {
         config.doubts().forEach(d -> out.println("doubtful: " + d));
+        if (queues != null) {
+          QueueSettings.doubts(queues, config.teams()).forEach(d -> out.println("doubtful: " + d));
+        }
         out.println("the settings of " + config.host() + " are in order");
         return 0;
       }
-      serve(config, operator);
+      serve(config, operator, queues);
       return 0;
     } catch (ParseException | ConfigError e) {
       err.println("saltflow: " + e.getMessage());
@@ -113,10 +130,26 @@
     }
   }
 
-  private static void serve(Config config, OperatorSettings operator) throws IOException {
+  private static AmqpSettings queues(CommandLine line) throws ConfigError, ParseException {
+    AmqpSettings queues = QueueSettings.read(Path.of(line.getOptionValue("queues")));
+    return line.hasOption("amqp") ? queues.withListen(address(line, "amqp", null)) : queues;
+  }
+
+  /** The address that an option names. */
+  static InetSocketAddress address(CommandLine line, String option, String otherwise)
+      throws ParseException {
+    try {
+      return Addresses.parse(line.getOptionValue(option, otherwise));
+    } catch (IllegalArgumentException e) {
+      throw new ParseException("--" + option + ": " + e.getMessage());
+    }
+  }
+
+  private static void serve(Config config, OperatorSettings operator, AmqpSettings queues)
+      throws IOException {
     setLogLevel(System.getenv("LOG_LEVEL"));
     Loop loop = new Loop();
-    Node node = new Node(loop, config, operator, seed(config));
+    Node node = new Node(loop, config, operator, queues, seed(config));
     node.start();
     loop.run();
   }
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -16,6 +16,9 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
+import io.saltflow.serving.AmqpFront;
+import io.saltflow.serving.AmqpSettings;
+import io.saltflow.serving.QueueNode;
 import io.saltflow.transport.HttpClient;
 import io.saltflow.transport.HttpReply;
 import io.saltflow.transport.HttpServer;
@@ -55,11 +58,20 @@
   private final Map<String, MachineType> types = new HashMap<>();
   private final Map<String, Heard> siblings = new HashMap<>();
   private Map<JobId, Beat.Counts> counts = new HashMap<>();
+  private final AmqpFront amqp;
   private LeaderDuty duty;
 
   private record Heard(Beat beat, Time at) {}
 
   Node(Loop loop, Config config, OperatorSettings operator, long seed) throws IOException {
+    this(loop, config, operator, null, seed);
+  }
+
+  /**
+   * @param queues the AMQP front and its queues; null: not served
+   */
+  Node(Loop loop, Config config, OperatorSettings operator, AmqpSettings queues, long seed)
+      throws IOException {
     super(null);
     this.loop = loop;
     this.config = config;
@@ -99,6 +111,28 @@
     server =
         new HttpServer(
             this, loop, config.serveOn(), Math.max(16, config.sockets() - 100), this::handle);
+    amqp =
+        queues == null
+            ? null
+            : new AmqpFront(this, loop, queues, queueNode(wps), leadership::leader);
+  }
+
+  private QueueNode queueNode(double writesPerS) {
+    return new QueueNode(
+        config.host(),
+        authority,
+        state,
+        jobs,
+        limits(),
+        writesPerS,
+        config.skew(),
+        System::currentTimeMillis,
+        () -> !types.isEmpty(),
+        users::neverRuns);
+  }
+
+  private LeaderBooks.Limits limits() {
+    return new LeaderBooks.Limits(config.txnOps(), config.valueKb(), config.stateWriteRps());
   }
 
   int port() {
@@ -107,7 +141,8 @@
 
   /** Whether work can be submitted here and a leader can start it. */
   boolean ready() {
-    return !types.isEmpty() && duty != null && duty.leader() != null;
+    boolean queues = amqp == null || amqp.ready();
+    return queues && !types.isEmpty() && duty != null && duty.leader() != null;
   }
 
   void start() {
@@ -129,13 +164,14 @@
               authority,
               state,
               jobs,
-              new LeaderBooks.Limits(config.txnOps(), config.valueKb(), config.stateWriteRps()),
+              limits(),
               cloud,
               config.listLag(),
               types::values,
               Node.this::typesKnown,
               abstain -> leadership.stepDown("no worker's report reaches it", abstain),
-              Node.this::outageForAll);
+              Node.this::outageForAll,
+              Node.this::leads);
       duty.start();
       beat();
     }
@@ -146,9 +182,24 @@
         duty.cancel();
         duty = null;
       }
+      if (amqp != null) {
+        amqp.deposed();
+      }
     }
   }
 
+  /** The records have been read. */
+  private void leads(LeaderDuty ready) {
+    if (amqp != null) {
+      amqp.lead(ready, ready.leader());
+    }
+  }
+
+  /** The port of the AMQP front; -1: there is none. */
+  int amqpPort() {
+    return amqp == null ? -1 : amqp.port();
+  }
+
   private void typesKnown(Collection<MachineType> list) {
     for (MachineType t : list) {
       types.put(t.name(), t);
--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -1,21 +1,12 @@
 package io.saltflow.app;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.networknt.schema.JsonSchema;
-import com.networknt.schema.JsonSchemaFactory;
-import com.networknt.schema.SpecVersion;
-import com.networknt.schema.ValidationMessage;
 import io.saltflow.coordination.Authority;
 import io.saltflow.coordination.Policy;
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
-import java.io.IOException;
-import java.io.InputStream;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Locale;
-import java.util.Set;
 
 /** What operators may set beyond the platform's file. The defaults fit any site. */
 public record OperatorSettings(
@@ -44,23 +35,7 @@
 
   /** Reads and checks the file. Only here are the JSON libraries loaded. */
   public static OperatorSettings read(Path file) throws ConfigError {
-    ObjectMapper json = new ObjectMapper();
-    JsonNode node;
-    try {
-      node = json.readTree(Files.readString(file));
-    } catch (IOException e) {
-      throw new ConfigError(file + ": " + e.getMessage());
-    }
-    try (InputStream in = OperatorSettings.class.getResourceAsStream(SCHEMA)) {
-      JsonSchema schema =
-          JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
-      Set<ValidationMessage> faults = schema.validate(node);
-      if (!faults.isEmpty()) {
-        throw new ConfigError(file + ": " + faults.iterator().next().getMessage());
-      }
-    } catch (IOException e) {
-      throw new ConfigError(SCHEMA + ": " + e.getMessage());
-    }
+    JsonNode node = JsonSettings.read(file, SCHEMA);
     OperatorSettings d = defaults();
     return new OperatorSettings(
         node.path("leaderLeaseS").asDouble(d.leaderLeaseS),
--- a/src/main/java/io/saltflow/app/UserApi.java
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -126,7 +126,8 @@
     };
   }
 
-  private String neverRuns(JobSpec spec) {
+  /** Why no machine will ever run it, or null. */
+  String neverRuns(JobSpec spec) {
     Policy.Team team = teams.get(spec.team());
     if (team == null) {
       return Wire.TEAM + ": unknown team";
--- a/src/main/java/io/saltflow/app/UserCommands.java
+++ b/src/main/java/io/saltflow/app/UserCommands.java
@@ -2,8 +2,10 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JsonJobs;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Wire;
 import io.saltflow.transport.Addresses;
@@ -116,22 +118,33 @@
     } catch (IOException e) {
       throw new ConfigError(file + ": can't be read: " + e.getMessage());
     }
+    List<Body> jobs;
+    try {
+      jobs = JsonJobs.read(text);
+    } catch (BadMessage e) {
+      throw new ConfigError(e.getMessage());
+    }
+    if (jobs.isEmpty()) {
+      throw new ConfigError("no job to submit");
+    }
     SecureRandom random = new SecureRandom();
-    List<Body> jobs =
-        Submissions.read(
-            text,
-            () ->
-                new JobId(
-                    Wire.JOB_PREFIX
-                        + System.currentTimeMillis()
-                        + String.format("%09d", random.nextInt(1_000_000_000))));
     int worst = 0;
     for (Body job : jobs) {
+      job.fields().putIfAbsent(Wire.TEAM, Local.TEAM);
+      if (job.get(Wire.ID) == null) {
+        job.with(Wire.ID, newId(random));
+      }
       worst = Math.max(worst, submitted(job, client.submit(job)));
     }
     return worst;
   }
 
+  private static String newId(SecureRandom random) {
+    return Wire.JOB_PREFIX
+        + System.currentTimeMillis()
+        + String.format("%09d", random.nextInt(1_000_000_000));
+  }
+
   private int submitted(Body job, UserClient.Answer a) {
     if (a.status() == 200 || a.status() == 201) {
       out.println(json ? text(a.body()) : (String) a.body().get(Wire.ID));
--- a/src/main/java/io/saltflow/bookkeeping/Keys.java
+++ b/src/main/java/io/saltflow/bookkeeping/Keys.java
@@ -11,6 +11,7 @@
   static final String OVER = "over/";
   static final String FLEET = "fleet/";
   static final String PROGRESS = "progress/";
+  static final String QUEUES = "queues/";
 
   private Keys() {}
 
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -102,6 +102,11 @@
     return n;
   }
 
+  /** How often its tasks have failed under this leader. */
+  public int errorCount() {
+    return errors;
+  }
+
   boolean allDone() {
     return !spec.daemon() && done.cardinality() == spec.tasks();
   }
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -6,7 +6,9 @@
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Order;
+import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Report;
+import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Term;
 import io.saltflow.protocol.Time;
@@ -40,6 +42,10 @@
   /** A machine that a former leader wrote down before it used it. */
   public record LedgerEntry(MachineId id, String type, String zone, boolean spot) {}
 
+  /** What one queue's messages hold of their team's limit, and what those that wait would. */
+  public record Demand(
+      String team, Priority priority, Size held, Size wanted, long arrivedWallMs) {}
+
   private final Policy policy;
   private final Term term;
   private final Time tookOver;
@@ -346,6 +352,31 @@
     roundPause = policy.roundPause(items);
   }
 
+  /** What the work queues use of the teams' limits, which they share with native jobs. */
+  public void demands(List<Demand> demands) {
+    use.messages(demands);
+  }
+
+  /**
+   * Whether a message may go to its consumer: its team's limit has room for it besides what runs
+   * and besides the native jobs that come before it by priority and arrival.
+   */
+  public boolean mayDeliver(String team, Size size, Priority priority, long arrivedWallMs) {
+    if (!use.limited(team)) {
+      return true;
+    }
+    Size before = Size.ZERO;
+    for (Job job : jobs.values()) {
+      boolean first =
+          job.queuedAs().above(priority)
+              || (job.queuedAs() == priority && job.arrivedWallMs < arrivedWallMs);
+      if (first && job.spec.team().equals(team) && !job.cancelled && !job.failsEverywhere()) {
+        before = before.plus(job.spec.size().times(job.pendingCount()));
+      }
+    }
+    return use.mayDeliver(team, size, before);
+  }
+
   /** How often machines have been looked at for a task, for tests that bound a round's work. */
   long looks() {
     return scheduler.looks();
--- a/src/main/java/io/saltflow/coordination/TeamUse.java
+++ b/src/main/java/io/saltflow/coordination/TeamUse.java
@@ -2,6 +2,7 @@
 
 import io.saltflow.protocol.Size;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -26,6 +27,7 @@
   private final Map<String, Sum> present = new HashMap<>();
   private final Map<String, Sum> given = new HashMap<>();
   private Size unknown = Size.ZERO;
+  private List<Leader.Demand> messages = List.of();
 
   TeamUse(Map<String, Policy.Team> teams) {
     this.teams = teams;
@@ -64,6 +66,39 @@
     unknown = most;
   }
 
+  /** What consumers of the queues have, and could take, of the teams' limits. */
+  void messages(List<Leader.Demand> demands) {
+    messages = demands;
+  }
+
+  /** What a native job leaves to messages: what they hold, and what those before it wait for. */
+  private Size messagesBefore(Job job) {
+    Size sum = Size.ZERO;
+    for (Leader.Demand d : messages) {
+      if (d.team().equals(job.spec.team())) {
+        boolean first =
+            d.priority().above(job.queuedAs())
+                || (d.priority() == job.queuedAs() && d.arrivedWallMs() < job.arrivedWallMs);
+        sum = sum.plus(first ? d.held().plus(d.wanted()) : d.held());
+      }
+    }
+    return sum;
+  }
+
+  boolean limited(String name) {
+    Policy.Team team = teams.get(name);
+    return team != null && (team.coresLimit() > 0 || team.gpusLimit() > 0);
+  }
+
+  /** Whether a message of that size may go out, after native work of that size. */
+  boolean mayDeliver(String team, Size size, Size nativeBefore) {
+    Size used = most(team).plus(nativeBefore);
+    for (Leader.Demand d : messages) {
+      used = d.team().equals(team) ? used.plus(d.held()) : used;
+    }
+    return within(team, used.plus(size));
+  }
+
   /** The most that the team may be using, with what has been given out. */
   Size most(String team) {
     return launched(team).plus(given.getOrDefault(team, Sum.NONE).size);
@@ -84,13 +119,15 @@
   }
 
   private boolean within(Job job, Size used) {
-    Policy.Team team = teams.get(job.spec.team());
-    if (team == null) {
-      return false;
-    }
     Size after = used.plus(job.spec.size());
-    return (team.coresLimit() <= 0 || after.cores() <= team.coresLimit() + 1e-6)
-        && (team.gpusLimit() <= 0 || after.gpus() <= team.gpusLimit() + 1e-6);
+    return within(job.spec.team(), messages.isEmpty() ? after : after.plus(messagesBefore(job)));
+  }
+
+  private boolean within(String name, Size used) {
+    Policy.Team team = teams.get(name);
+    return team != null
+        && (team.coresLimit() <= 0 || used.cores() <= team.coresLimit() + 1e-6)
+        && (team.gpusLimit() <= 0 || used.gpus() <= team.gpusLimit() + 1e-6);
   }
 
   /** How many more of the job's tasks the team's limit lets run. */
@@ -99,7 +136,8 @@
     if (team == null || team.coresLimit() <= 0 || job.spec.size().cores() <= 0) {
       return Integer.MAX_VALUE;
     }
-    double left = team.coresLimit() - most(job.spec.team()).cores() + 1e-6;
+    double used = most(job.spec.team()).plus(messagesBefore(job)).cores();
+    double left = team.coresLimit() - used + 1e-6;
     return (int) Math.max(0, Math.floor(left / job.spec.size().cores()));
   }
 }
--- a/src/main/java/io/saltflow/protocol/Budget.java
+++ b/src/main/java/io/saltflow/protocol/Budget.java
@@ -29,6 +29,12 @@
     return tokens >= Math.min(n, perSecond);
   }
 
+  /** How many could be taken now. */
+  public int whole(Time now) {
+    refill(now);
+    return (int) Math.floor(tokens);
+  }
+
   public void takeAnyway(int n, Time now) {
     refill(now);
     tokens = Math.max(-perSecond, tokens - n);
--- a/src/main/java/io/saltflow/app/Submissions.java
+++ b/src/main/java/io/saltflow/protocol/JsonJobs.java
@@ -1,28 +1,25 @@
-package io.saltflow.app;
+package io.saltflow.protocol;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.saltflow.protocol.Body;
-import io.saltflow.protocol.JobId;
-import io.saltflow.protocol.Wire;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Supplier;
 
-/** Jobs as people write them, in JSON with PROTOCOL's field names, and what they may leave out. */
-final class Submissions {
+/**
+ * Jobs as people write them: JSON with the field names of the wire, most of which have defaults.
+ */
+public final class JsonJobs {
   private static final Map<String, Object> DEFAULTS = new TreeMap<>();
   private static final List<String> OPTIONAL =
-      List.of(Wire.ID, Wire.TYPES, Wire.ZONE, Wire.DEADLINE_S);
+      List.of(Wire.ID, Wire.TEAM, Wire.TYPES, Wire.ZONE, Wire.DEADLINE_S);
   private static final List<String> REQUIRED = List.of(Wire.CORES, Wire.ESTIMATE_S);
 
   static {
     DEFAULTS.put(Wire.CLASS, "work");
-    DEFAULTS.put(Wire.TEAM, Local.TEAM);
     DEFAULTS.put(Wire.SHAPE, Wire.SHAPE_ARRAY);
     DEFAULTS.put(Wire.PRIORITY, Wire.URGENCY_NORMAL);
     DEFAULTS.put(Wire.TASKS, 1L);
@@ -37,10 +34,10 @@
     DEFAULTS.put(Wire.SAVE_S, 0.0);
   }
 
-  private Submissions() {}
+  private JsonJobs() {}
 
   /** The jobs of a text: one map or a list of them. The error says which, and what is wrong. */
-  static List<Body> read(String json, Supplier<JobId> ids) throws ConfigError {
+  public static List<Body> read(String json) throws BadMessage {
     JsonNode root;
     try {
       root =
@@ -50,44 +47,53 @@
           e.getLocation() == null
               ? ""
               : "line " + e.getLocation().getLineNr() + ", column " + e.getLocation().getColumnNr();
-      throw new ConfigError("not JSON: " + at + ": " + e.getOriginalMessage());
+      throw new BadMessage("not JSON: " + at + ": " + e.getOriginalMessage());
     }
     List<Body> out = new ArrayList<>();
-    if (root.isArray()) {
-      for (int i = 0; i < root.size(); i++) {
-        out.add(job(root.get(i), "job " + (i + 1) + ": ", ids));
-      }
-    } else {
-      out.add(job(root, "", ids));
+    if (!root.isArray()) {
+      out.add(withDefaults(fields(root)));
+      return out;
     }
-    if (out.isEmpty()) {
-      throw new ConfigError("no job to submit");
+    for (int i = 0; i < root.size(); i++) {
+      try {
+        out.add(withDefaults(fields(root.get(i))));
+      } catch (BadMessage e) {
+        throw new BadMessage("job " + (i + 1) + ": " + e.getMessage());
+      }
     }
     return out;
   }
 
-  private static Body job(JsonNode node, String which, Supplier<JobId> ids) throws ConfigError {
+  /** The fields of one job; one that is not known is refused, for it is likely a slip. */
+  public static Body fields(JsonNode node) throws BadMessage {
     if (!node.isObject()) {
-      throw new ConfigError(which + "a map of fields is required");
+      throw new BadMessage("a map of fields is required");
     }
     Body body = Body.of();
-    DEFAULTS.forEach(body::with);
     for (Map.Entry<String, JsonNode> field : node.properties()) {
       String name = field.getKey();
       if (!DEFAULTS.containsKey(name) && !OPTIONAL.contains(name) && !REQUIRED.contains(name)) {
-        throw new ConfigError(which + "unknown field '" + name + "'");
+        throw new BadMessage("unknown field '" + name + "'");
       }
-      body.with(name, value(field.getValue(), which + name));
+      body.with(name, value(field.getValue(), name));
     }
+    return body;
+  }
+
+  /** What was left out, filled in; what must be said must have been. */
+  public static Body withDefaults(Body job) throws BadMessage {
     for (String name : REQUIRED) {
-      if (body.get(name) == null) {
-        throw new ConfigError(which + name + ": is missing");
+      if (job.get(name) == null) {
+        throw new BadMessage(name + ": is missing");
       }
     }
-    return body.get(Wire.ID) == null ? body.with(Wire.ID, ids.get().text()) : body;
+    Body out = Body.of();
+    DEFAULTS.forEach(out::with);
+    job.fields().forEach(out::with);
+    return out;
   }
 
-  private static Object value(JsonNode node, String which) throws ConfigError {
+  private static Object value(JsonNode node, String which) throws BadMessage {
     if (node.isNull()) {
       return null;
     }
@@ -110,6 +116,6 @@
       }
       return list;
     }
-    throw new ConfigError(which + ": a map has no meaning here");
+    throw new BadMessage(which + ": a map has no meaning here");
   }
 }
--- /dev/null
+++ b/src/main/java/io/saltflow/queues/Digest.java
@@ -0,0 +1,33 @@
+package io.saltflow.queues;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+
+/**
+ * Half a SHA-256 of a queue and a message id, by which a repeated publish is known: 128 bits, so
+ * that two ids among a billion meet with a chance below one in 10^20.
+ */
+public record Digest(long high, long low) {
+  /** The digest of texts; where one ends and the next begins counts. */
+  public static Digest of(String... texts) {
+    MessageDigest sha;
+    try {
+      sha = MessageDigest.getInstance("SHA-256");
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+    for (String text : texts) {
+      byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+      sha.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
+      sha.update(bytes);
+    }
+    ByteBuffer sum = ByteBuffer.wrap(sha.digest());
+    return new Digest(sum.getLong(), sum.getLong());
+  }
+
+  static Digest of(QueueId queue, String messageId) {
+    return of(queue.vhost(), queue.name(), messageId);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/queues/EntryCodec.java
@@ -0,0 +1,140 @@
+package io.saltflow.queues;
+
+import io.saltflow.protocol.BadMessage;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.avro.AvroRuntimeException;
+import org.apache.avro.io.BinaryDecoder;
+import org.apache.avro.io.BinaryEncoder;
+import org.apache.avro.io.DecoderFactory;
+import org.apache.avro.io.EncoderFactory;
+
+/**
+ * Entries in Avro's binary form by the schema {@code queues.avsc}. Written field by field, as the
+ * mesh's beats are: reading the schema would cost a small machine seconds.
+ */
+public final class EntryCodec {
+  private static final int KEPT = 0;
+  private static final int STARTED = 1;
+  private static final int RETURNED = 2;
+  private static final int ENDED = 3;
+  private static final int KNOWN = 4;
+  private static final int MOST_ENTRIES = 1_000_000;
+
+  private EntryCodec() {}
+
+  /** About how many bytes an entry takes, never less than it does. */
+  static int size(Entry e) {
+    if (e instanceof Entry.Kept k) {
+      // Text takes up to three bytes a character; the numbers ten at the most.
+      int texts = k.queue().vhost().length() + k.queue().name().length() + k.id().length();
+      return 80 + 3 * texts + k.properties().length + k.body().length;
+    }
+    return e instanceof Entry.Known ? 32 : 24;
+  }
+
+  /** The array of entries that the schema describes. */
+  public static byte[] encode(List<Entry> entries) {
+    try {
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+      BinaryEncoder out = EncoderFactory.get().directBinaryEncoder(bytes, null);
+      out.writeArrayStart();
+      out.setItemCount(entries.size());
+      for (Entry e : entries) {
+        out.startItem();
+        write(out, e);
+      }
+      out.writeArrayEnd();
+      out.flush();
+      return bytes.toByteArray();
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding in memory failed", e);
+    }
+  }
+
+  private static void write(BinaryEncoder out, Entry entry) throws IOException {
+    if (entry instanceof Entry.Kept k) {
+      out.writeIndex(KEPT);
+      out.writeLong(k.no().number());
+      out.writeString(k.queue().vhost());
+      out.writeString(k.queue().name());
+      out.writeString(k.id());
+      out.writeBoolean(k.named());
+      out.writeLong(k.arrivedWallMs());
+      out.writeLong(k.expiresWallMs());
+      out.writeInt(k.attempts());
+      out.writeBoolean(k.out());
+      out.writeBytes(k.properties());
+      out.writeBytes(k.body());
+    } else if (entry instanceof Entry.Started s) {
+      out.writeIndex(STARTED);
+      out.writeLong(s.no().number());
+      out.writeInt(s.attempt());
+    } else if (entry instanceof Entry.Returned r) {
+      out.writeIndex(RETURNED);
+      out.writeLong(r.no().number());
+      out.writeInt(r.attempts());
+    } else if (entry instanceof Entry.Ended e) {
+      out.writeIndex(ENDED);
+      out.writeLong(e.no().number());
+    } else if (entry instanceof Entry.Known k) {
+      out.writeIndex(KNOWN);
+      out.writeLong(k.digest().high());
+      out.writeLong(k.digest().low());
+      out.writeLong(k.wallMs());
+    }
+  }
+
+  public static List<Entry> decode(byte[] bytes) throws BadMessage {
+    try {
+      BinaryDecoder in = DecoderFactory.get().binaryDecoder(bytes, null);
+      List<Entry> out = new ArrayList<>();
+      for (long n = in.readArrayStart(); n != 0; n = in.arrayNext()) {
+        if (n < 0 || out.size() + n > MOST_ENTRIES) {
+          throw new BadMessage("a batch with too many entries");
+        }
+        for (long i = 0; i < n; i++) {
+          out.add(read(in));
+        }
+      }
+      if (!in.isEnd()) {
+        throw new BadMessage("bytes after the entries of a batch");
+      }
+      return out;
+    } catch (IOException | AvroRuntimeException e) {
+      throw new BadMessage("a batch that can't be read");
+    }
+  }
+
+  private static Entry read(BinaryDecoder in) throws IOException, BadMessage {
+    return switch (in.readIndex()) {
+      case KEPT ->
+          new Entry.Kept(
+              new MessageNo(in.readLong()),
+              new QueueId(in.readString(), in.readString()),
+              in.readString(),
+              in.readBoolean(),
+              in.readLong(),
+              in.readLong(),
+              in.readInt(),
+              in.readBoolean(),
+              bytes(in),
+              bytes(in));
+      case STARTED -> new Entry.Started(new MessageNo(in.readLong()), in.readInt());
+      case RETURNED -> new Entry.Returned(new MessageNo(in.readLong()), in.readInt());
+      case ENDED -> new Entry.Ended(new MessageNo(in.readLong()));
+      case KNOWN -> new Entry.Known(new Digest(in.readLong(), in.readLong()), in.readLong());
+      default -> throw new BadMessage("an entry of an unknown kind");
+    };
+  }
+
+  private static byte[] bytes(BinaryDecoder in) throws IOException {
+    ByteBuffer buffer = in.readBytes(null);
+    byte[] out = new byte[buffer.remaining()];
+    buffer.get(out);
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/queues/JobMaker.java
@@ -0,0 +1,16 @@
+package io.saltflow.queues;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+
+/** Makes a job of a message's body: its description, or the parameters of the queue's template. */
+public interface JobMaker {
+  /** Why no job can be made of it, in a sentence. */
+  final class BadJob extends Exception {
+    public BadJob(String why) {
+      super(why, null, false, false);
+    }
+  }
+
+  JobSpec make(QueuePolicy queue, JobId id, byte[] body) throws BadJob;
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/queues/Message.java
@@ -0,0 +1,96 @@
+package io.saltflow.queues;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A message that is not over, as the leader knows it. */
+final class Message {
+  static final long NEVER = Long.MAX_VALUE;
+
+  /** Where it stands. What is not recorded yet is acted upon only once it is. */
+  enum State {
+    /** Its publish, or its coming here, is being recorded. */
+    RECORDING,
+    WAITING,
+    /** That it goes to a consumer is being recorded. */
+    STARTING,
+    DELIVERED,
+    /** It is a job on rented machines. */
+    ON_MACHINES,
+    /** Its end is being recorded. */
+    ENDING
+  }
+
+  final MessageNo no;
+  final QueueState queue;
+  final String id;
+  final boolean named;
+  final long arrivedWallMs;
+  final long expiresWallMs;
+  final byte[] properties;
+  final byte[] body;
+
+  /** Publishes of it that are to be confirmed when it is recorded. */
+  final List<Ticket> tickets = new ArrayList<>(1);
+
+  State state = State.RECORDING;
+  int attempts;
+
+  /**
+   * A consumer may have it, or have had it when it ended: written again before its end is recorded,
+   * it must not look like one that nobody has seen.
+   */
+  boolean out;
+
+  Consumer holder;
+  Time heldUntil = Time.NEVER;
+  Time notBefore = Time.LONG_AGO;
+  JobId job;
+
+  /** The batch that holds its latest whole entry. */
+  long home;
+
+  /** Its job has failed as often as it may, and is being cancelled for that. */
+  boolean givenUp;
+
+  Message(Entry.Kept k, QueueState queue) {
+    this.no = k.no();
+    this.queue = queue;
+    this.id = k.id();
+    this.named = k.named();
+    this.arrivedWallMs = k.arrivedWallMs();
+    this.expiresWallMs = k.expiresWallMs();
+    this.properties = k.properties();
+    this.body = k.body();
+    this.attempts = k.attempts();
+    this.out = k.out();
+  }
+
+  Entry.Kept kept() {
+    return new Entry.Kept(
+        no,
+        queue.policy.id(),
+        id,
+        named,
+        arrivedWallMs,
+        expiresWallMs,
+        attempts,
+        out,
+        properties,
+        body);
+  }
+
+  Digest digest() {
+    return named ? Digest.of(queue.policy.id(), id) : null;
+  }
+
+  int bytes() {
+    return body.length + properties.length;
+  }
+
+  DeliveryId delivery() {
+    return new DeliveryId(no, attempts, holder.id);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/queues/QueuePolicy.java
@@ -0,0 +1,63 @@
+package io.saltflow.queues;
+
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+
+/**
+ * What operators set for a queue. {@code results}, {@code deadLetters} and {@code timeToLive} may
+ * be null: none.
+ *
+ * @param machines a message becomes a job on rented machines; else connected consumers do the work
+ * @param size what one delivery counts against its team's limit
+ * @param attempts the most deliveries, or failures of a job
+ * @param pause after a failed attempt; doubles with each further one
+ * @param repeats whether a message may be delivered again after a consumer may have begun it
+ * @param delivery how long a consumer may keep a delivery
+ * @param mostWaiting the most messages that are not over
+ * @param inward only the service itself puts messages here: results and dead letters
+ */
+public record QueuePolicy(
+    QueueId id,
+    boolean machines,
+    String jobClass,
+    String team,
+    Priority priority,
+    Size size,
+    int attempts,
+    Span pause,
+    boolean repeats,
+    Span delivery,
+    QueueId deadLetters,
+    QueueId results,
+    int mostWaiting,
+    Span timeToLive,
+    boolean inward) {
+
+  private static final int MOST_DOUBLINGS = 10;
+
+  /** A queue that results or dead letters go to: each is kept until somebody takes it. */
+  public static QueuePolicy inward(QueueId id, Span delivery, int mostWaiting) {
+    return new QueuePolicy(
+        id,
+        false,
+        id.name(),
+        "",
+        Priority.NORMAL,
+        Size.ZERO,
+        Integer.MAX_VALUE,
+        Span.millis(0),
+        true,
+        delivery,
+        null,
+        null,
+        mostWaiting,
+        null,
+        true);
+  }
+
+  /** The pause after so many attempts. */
+  Span pauseAfter(int attempt) {
+    return pause.times(1 << Math.min(MOST_DOUBLINGS, Math.max(0, attempt - 1)));
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/queues/QueueState.java
@@ -0,0 +1,63 @@
+package io.saltflow.queues;
+
+import java.util.Comparator;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/** One queue: what waits, in order, and who could take it. */
+final class QueueState {
+  final QueuePolicy policy;
+  final TreeMap<MessageNo, Message> waiting = new TreeMap<>();
+  private final TreeSet<Consumer> free =
+      new TreeSet<>(Comparator.comparingLong((Consumer c) -> c.place));
+  int consumers;
+
+  /** Messages that are not over. */
+  int messages;
+
+  /** Messages that consumers have, which count against the team's limit. */
+  int out;
+
+  private long places;
+
+  QueueState(QueuePolicy policy) {
+    this.policy = policy;
+  }
+
+  /** The next consumer in turn, or null. */
+  Consumer nextConsumer() {
+    return free.isEmpty() ? null : free.first();
+  }
+
+  /**
+   * To be called whenever what a consumer may take has changed. One that was given something goes
+   * behind the others, so that a large prefetch does not take all.
+   */
+  void refresh(Consumer c) {
+    free.remove(c);
+    if (c.free()) {
+      c.place = ++places;
+      free.add(c);
+    }
+  }
+
+  void remove(Consumer c) {
+    free.remove(c);
+  }
+
+  Message head() {
+    return waiting.isEmpty() ? null : waiting.firstEntry().getValue();
+  }
+
+  /** How many of the waiting messages could be taken now. */
+  int wanted() {
+    int room = 0;
+    for (Consumer c : free) {
+      room += Math.min(c.limit - c.held.size(), c.share.limit - c.share.out);
+      if (room >= waiting.size()) {
+        return waiting.size();
+      }
+    }
+    return room;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/queues/Recorder.java
@@ -0,0 +1,124 @@
+package io.saltflow.queues;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What is to be recorded, in order and in batches of which one is under way at a time, and what
+ * follows once it is. Entries of one unit are recorded together or not at all.
+ */
+final class Recorder {
+  /** What else keeps the log short: the entry that a name needs now, and where it went. */
+  interface Living {
+    Entry entry(Object name);
+
+    void moved(Object name, long batch);
+
+    /** About how many bytes the entries of all that lives take. */
+    long bytes();
+  }
+
+  /**
+   * @param dropped what to do when it is refused instead; null: it can't be refused
+   */
+  private record Unit(List<Entry> entries, Runnable recorded, Runnable dropped) {
+    int size() {
+      return entries.stream().mapToInt(EntryCodec::size).sum();
+    }
+  }
+
+  private final Ring ring;
+  private final Living living;
+  private final ArrayDeque<Unit> pending = new ArrayDeque<>();
+  private List<Unit> inFlight;
+  private Batch batch;
+
+  Recorder(Ring ring, Living living) {
+    this.ring = ring;
+    this.living = living;
+  }
+
+  void add(List<Entry> entries, Runnable recorded, Runnable dropped) {
+    pending.add(new Unit(entries, recorded, dropped));
+  }
+
+  boolean hasPending() {
+    return batch == null && !pending.isEmpty();
+  }
+
+  /** The number of the batch under way. */
+  long number() {
+    return batch.number();
+  }
+
+  /** Units that are not on their way and can be refused are. */
+  void drop() {
+    for (Unit u : new ArrayList<>(pending)) {
+      if (u.dropped != null) {
+        pending.remove(u);
+        u.dropped.run();
+      }
+    }
+  }
+
+  /**
+   * At least one unit, further ones up to so many bytes, and in what is left of these what still
+   * lives of the oldest batch, if the log has grown too long. Null: nothing to record now.
+   */
+  Batch next(int mostBytes) {
+    if (!hasPending()) {
+      return null;
+    }
+    ring.trim();
+    inFlight = new ArrayList<>();
+    List<Entry> entries = new ArrayList<>();
+    int size = 0;
+    while (!pending.isEmpty()
+        && (inFlight.isEmpty() || size + pending.peek().size() <= mostBytes)) {
+      Unit u = pending.poll();
+      size += u.size();
+      inFlight.add(u);
+      entries.addAll(u.entries);
+    }
+    if (ring.tooLong(living.bytes())) {
+      clean(entries, mostBytes - size);
+    }
+    batch = new Batch(ring.next(), ring.tail(), entries);
+    return batch;
+  }
+
+  private void clean(List<Entry> entries, int room) {
+    int left = room;
+    for (Object name : ring.oldest()) {
+      Entry e = living.entry(name);
+      left -= EntryCodec.size(e);
+      if (left < 0) {
+        return;
+      }
+      entries.add(e);
+      inFlight.add(new Unit(List.of(), () -> living.moved(name, number()), null));
+    }
+  }
+
+  /** The batch is durable. */
+  void recorded(int chunks) {
+    ring.recorded(batch.number(), chunks);
+    List<Unit> units = inFlight;
+    inFlight = null;
+    units.forEach(u -> u.recorded.run());
+    batch = null;
+  }
+
+  /** It is certainly not, and never will be: its units come again, first. */
+  void notRecorded() {
+    List<Unit> units = inFlight;
+    inFlight = null;
+    batch = null;
+    for (int i = units.size() - 1; i >= 0; i--) {
+      if (!units.get(i).entries.isEmpty()) {
+        pending.addFirst(units.get(i));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/queues/Ring.java
@@ -0,0 +1,83 @@
+package io.saltflow.queues;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Which batches still hold what is needed, after the log-structured file system of Rosenblum and
+ * Ousterhout ("The Design and Implementation of a Log-Structured File System", 1992): what is alive
+ * in the oldest batches is written again, and they go.
+ */
+final class Ring {
+  /** So many chunks are never too many. */
+  private static final int FEW = 16;
+
+  /** The log may be so many times as long as what is alive in it. */
+  private static final int SLACK = 3;
+
+  private final int chunkBytes;
+  private final TreeMap<Long, Set<Object>> alive = new TreeMap<>();
+  private final TreeMap<Long, Integer> chunks = new TreeMap<>();
+  private long next = 1;
+  private long used;
+
+  Ring(int chunkBytes) {
+    this.chunkBytes = chunkBytes;
+  }
+
+  long next() {
+    return next;
+  }
+
+  /** Batches before it hold nothing that is alive. */
+  long tail() {
+    return alive.isEmpty() ? next : alive.firstKey();
+  }
+
+  /** A batch was recorded, or is found recorded. */
+  void recorded(long number, int size) {
+    next = number + 1;
+    chunks.put(number, size);
+    used += size;
+  }
+
+  /** What is named is alive in that batch, and no more in the one before (0: there was none). */
+  void moved(Object name, long from, long to) {
+    gone(name, from);
+    alive.computeIfAbsent(to, n -> new LinkedHashSet<>()).add(name);
+  }
+
+  void gone(Object name, long from) {
+    Set<Object> there = alive.get(from);
+    if (there != null && there.remove(name) && there.isEmpty()) {
+      alive.remove(from);
+    }
+  }
+
+  /** Lets go of the batches before the tail; not in the middle of one, whose own may come yet. */
+  void trim() {
+    Map.Entry<Long, Integer> oldest = chunks.firstEntry();
+    while (oldest != null && oldest.getKey() < tail()) {
+      used -= chunks.pollFirstEntry().getValue();
+      oldest = chunks.firstEntry();
+    }
+  }
+
+  /** Whether the log is longer than it need be, for so many bytes that are alive. */
+  boolean tooLong(long aliveBytes) {
+    return used > Math.max(FEW, SLACK * (aliveBytes / chunkBytes + 1));
+  }
+
+  /** What is alive in the oldest batch. */
+  List<Object> oldest() {
+    return alive.isEmpty() ? List.of() : new ArrayList<>(alive.firstEntry().getValue());
+  }
+
+  long usedChunks() {
+    return used;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/queues/Sessions.java
@@ -0,0 +1,121 @@
+package io.saltflow.queues;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The consumers of all connections, by connection and channel. */
+final class Sessions {
+  private static final class Channel {
+    final Consumer.Share share = new Consumer.Share(Integer.MAX_VALUE);
+    final Map<String, Consumer> consumers = new TreeMap<>();
+  }
+
+  private static final class Session {
+    final Consumer.Line line = new Consumer.Line();
+    final Map<Integer, Channel> channels = new TreeMap<>();
+
+    void refresh() {
+      channels.values().forEach(ch -> ch.consumers.values().forEach(c -> c.queue.refresh(c)));
+    }
+  }
+
+  private final Map<Long, Session> sessions = new HashMap<>();
+
+  private Session session(long session) {
+    return sessions.computeIfAbsent(session, s -> new Session());
+  }
+
+  private Channel channel(long session, int channel) {
+    return session(session).channels.computeIfAbsent(channel, c -> new Channel());
+  }
+
+  private Channel known(ConsumerId id) {
+    Session session = sessions.get(id.session());
+    return session == null ? null : session.channels.get(id.channel());
+  }
+
+  Consumer add(ConsumerId id, QueueState queue, boolean noAck, int limit) {
+    Channel channel = channel(id.session(), id.channel());
+    Consumer c = new Consumer(id, queue, noAck, limit, channel.share, session(id.session()).line);
+    channel.consumers.put(id.tag(), c);
+    return c;
+  }
+
+  /** What stands for gets on the channel from that queue. */
+  Consumer getter(ConsumerId id, QueueState queue, boolean noAck) {
+    Channel channel = channel(id.session(), id.channel());
+    // Gets are not bounded by prefetch: each is asked for by itself.
+    return channel.consumers.computeIfAbsent(
+        id.tag() + noAck + queue.policy.id(),
+        tag -> {
+          Consumer c =
+              new Consumer(
+                  id,
+                  queue,
+                  noAck,
+                  Integer.MAX_VALUE,
+                  new Consumer.Share(0),
+                  session(id.session()).line);
+          c.leaving = true;
+          return c;
+        });
+  }
+
+  Consumer find(ConsumerId id) {
+    Channel channel = known(id);
+    return channel == null ? null : channel.consumers.get(id.tag());
+  }
+
+  void share(long session, int channel, int limit) {
+    Channel there = channel(session, channel);
+    there.share.limit = limit;
+    there.consumers.values().forEach(c -> c.queue.refresh(c));
+  }
+
+  void paused(long session, boolean paused) {
+    Session there = session(session);
+    there.line.paused = paused;
+    there.refresh();
+  }
+
+  /** What was on its way to the consumer is sent, or will not be. */
+  void underWay(Consumer c, int bytes) {
+    boolean wasFull = c.line.full();
+    c.line.starting += bytes;
+    Session session = sessions.get(c.id.session());
+    if (wasFull && !c.line.full() && session != null) {
+      session.refresh();
+    }
+  }
+
+  /** It has settled something: it, or another consumer of its channel, may take more. */
+  void freed(Consumer freed) {
+    Channel channel = known(freed.id);
+    if (channel == null) {
+      return;
+    }
+    if (channel.share.limit == Integer.MAX_VALUE) {
+      freed.queue.refresh(freed);
+    } else {
+      channel.consumers.values().forEach(c -> c.queue.refresh(c));
+    }
+  }
+
+  List<Consumer> removeChannel(long session, int channel) {
+    Session there = sessions.get(session);
+    Channel gone = there == null ? null : there.channels.remove(channel);
+    return gone == null ? List.of() : new ArrayList<>(gone.consumers.values());
+  }
+
+  List<Consumer> removeSession(long session) {
+    List<Consumer> out = new ArrayList<>();
+    Session there = sessions.remove(session);
+    if (there != null) {
+      there.channels.values().forEach(c -> out.addAll(c.consumers.values()));
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/queues/Ticket.java
@@ -0,0 +1,9 @@
+package io.saltflow.queues;
+
+/** A publish that is to be answered. */
+public record Ticket(long session, int channel, long number) {
+  @Override
+  public String toString() {
+    return session + "." + channel + "/" + number;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/serving/AmqpDesk.java
@@ -0,0 +1,181 @@
+package io.saltflow.serving;
+
+import io.saltflow.amqp.AmqpError;
+import io.saltflow.amqp.Code;
+import io.saltflow.amqp.Desk;
+import io.saltflow.amqp.Properties;
+import io.saltflow.amqp.Session;
+import io.saltflow.protocol.Time;
+import io.saltflow.queues.ConsumerId;
+import io.saltflow.queues.DeliveryId;
+import io.saltflow.queues.QueueCore;
+import io.saltflow.queues.QueueId;
+import io.saltflow.queues.Ticket;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/** One connection's questions, put to the queues of its virtual host. */
+final class AmqpDesk implements Desk {
+  private static final int UNLIMITED = Integer.MAX_VALUE;
+
+  private final long id;
+  private final String host;
+  private final QueueCore core;
+  private final AmqpSettings.Bounds bounds;
+  private final Session session;
+  private final Supplier<Time> now;
+  private final LongSupplier wallMs;
+  private final Runnable afterwards;
+  private final Map<Integer, Integer> prefetch = new HashMap<>();
+  private final Map<Ticket, Integer> unconfirmed = new HashMap<>();
+  private int unconfirmedBytes;
+
+  AmqpDesk(
+      long id,
+      String host,
+      QueueCore core,
+      AmqpSettings.Bounds bounds,
+      Session session,
+      Supplier<Time> now,
+      LongSupplier wallMs,
+      Runnable afterwards) {
+    this.id = id;
+    this.host = host;
+    this.core = core;
+    this.bounds = bounds;
+    this.session = session;
+    this.now = now;
+    this.wallMs = wallMs;
+    this.afterwards = afterwards;
+  }
+
+  Session session() {
+    return session;
+  }
+
+  private QueueId queue(String name) {
+    return new QueueId(host, name);
+  }
+
+  @Override
+  public Status status(String queue) {
+    int[] counts = core.status(queue(queue));
+    return counts == null ? null : new Status(counts[0], counts[1]);
+  }
+
+  @Override
+  public void publish(int channel, long number, String queue, Content content) {
+    Ticket ticket = new Ticket(id, channel, number);
+    int size = content.body().length + content.properties().bytes().length;
+    long ttl;
+    try {
+      ttl = expiration(content.properties());
+    } catch (AmqpError e) {
+      session.closeChannel(channel, e);
+      return;
+    }
+    if (unconfirmedBytes + size > bounds.unconfirmedBytes() && !unconfirmed.isEmpty()) {
+      session.refused(
+          channel,
+          number,
+          new AmqpError(Code.RESOURCE_LOCKED, "too much is unconfirmed on this connection"));
+      return;
+    }
+    unconfirmed.put(ticket, size);
+    unconfirmedBytes += size;
+    core.publish(
+        ticket,
+        queue(queue),
+        content.properties().messageId(),
+        ttl,
+        content.properties().bytes(),
+        content.body(),
+        now.get(),
+        wallMs.getAsLong());
+    afterwards.run();
+  }
+
+  /** Milliseconds as text, as brokers take it; -1: none. */
+  private static long expiration(Properties properties) throws AmqpError {
+    String text = properties.expiration();
+    if (text == null) {
+      return -1;
+    }
+    if (!text.matches("\\d{1,15}")) {
+      throw new AmqpError(Code.PRECONDITION_FAILED, "expiration is a number of milliseconds");
+    }
+    return Long.parseLong(text);
+  }
+
+  /** The publish has its answer. */
+  void answered(Ticket ticket) {
+    Integer size = unconfirmed.remove(ticket);
+    unconfirmedBytes -= size == null ? 0 : size;
+  }
+
+  @Override
+  public void consume(int channel, String tag, String queue, boolean noAck) throws AmqpError {
+    int asked = prefetch.getOrDefault(channel, 0);
+    int limit = asked == 0 ? bounds.mostUnacked() : Math.min(asked, bounds.mostUnacked());
+    ConsumerId consumer = new ConsumerId(id, channel, tag);
+    if (!core.consume(consumer, queue(queue), noAck, limit, now.get(), wallMs.getAsLong())) {
+      throw new AmqpError(Code.ACCESS_REFUSED, "'" + queue + "' is worked on by rented machines");
+    }
+    afterwards.run();
+  }
+
+  @Override
+  public void cancel(int channel, String tag) {
+    core.cancel(new ConsumerId(id, channel, tag));
+  }
+
+  @Override
+  public void get(int channel, String queue, boolean noAck) {
+    core.get(id, channel, queue(queue), noAck, now.get(), wallMs.getAsLong());
+    afterwards.run();
+  }
+
+  @Override
+  public void prefetch(int channel, int count, boolean wholeChannel) {
+    if (wholeChannel) {
+      int limit = count == 0 ? UNLIMITED : count;
+      core.share(id, channel, limit, now.get(), wallMs.getAsLong());
+      afterwards.run();
+    } else {
+      prefetch.put(channel, count);
+    }
+  }
+
+  @Override
+  public void settle(int channel, Object handle, Settlement how) {
+    QueueCore.Settlement settlement =
+        switch (how) {
+          case ACK -> QueueCore.Settlement.ACK;
+          case REJECT -> QueueCore.Settlement.REJECT;
+          case REQUEUE -> QueueCore.Settlement.REQUEUE;
+        };
+    core.settle((DeliveryId) handle, settlement, now.get(), wallMs.getAsLong());
+    afterwards.run();
+  }
+
+  @Override
+  public void closed(int channel) {
+    prefetch.remove(channel);
+    core.channelClosed(id, channel, now.get(), wallMs.getAsLong());
+    afterwards.run();
+  }
+
+  @Override
+  public void gone() {
+    core.sessionGone(id, now.get(), wallMs.getAsLong());
+    afterwards.run();
+  }
+
+  /** The peer's socket is full, or empty again. */
+  void paused(boolean paused) {
+    core.paused(id, paused, now.get(), wallMs.getAsLong());
+    afterwards.run();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/serving/AmqpFront.java
@@ -0,0 +1,313 @@
+package io.saltflow.serving;
+
+import io.saltflow.amqp.AmqpError;
+import io.saltflow.amqp.Code;
+import io.saltflow.amqp.Desk;
+import io.saltflow.amqp.Gate;
+import io.saltflow.amqp.Session;
+import io.saltflow.coordination.Leader;
+import io.saltflow.protocol.Span;
+import io.saltflow.queues.DeliveryId;
+import io.saltflow.queues.Effect;
+import io.saltflow.queues.QueueCore;
+import io.saltflow.queues.Refusal;
+import io.saltflow.queues.Ticket;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import io.saltflow.transport.StreamServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * AMQP clients of one node. Any node takes connections; the leader's serve them, another's are told
+ * who leads and closed, so that clients that know all nodes go on to the next.
+ */
+public final class AmqpFront extends Routine {
+  private static final Logger LOG = LoggerFactory.getLogger(AmqpFront.class);
+  private static final Span LOOK = Span.millis(500);
+  private static final Span STATE_TROUBLE = Span.seconds(2);
+  private static final int PAUSE_AT = 256 * 1024;
+  private static final int MOST_WAITING = 4 << 20;
+  private static final double NEARLY_FULL = 0.9;
+
+  private final Loop loop;
+  private final AmqpSettings settings;
+  private final QueueNode node;
+  private final Supplier<String> leaderName;
+  private final Doorkeeper doorkeeper;
+  private final StreamServer server;
+  private final Map<Long, Connection> serving = new LinkedHashMap<>();
+  private final Set<Connection> connections = new LinkedHashSet<>();
+  private final Set<Connection> touched = new LinkedHashSet<>();
+  private final Map<Connection, Map<Integer, List<Long>>> confirms = new LinkedHashMap<>();
+  private QueueDuty duty;
+  private long lastSession;
+
+  /** Listens from now on. Throws when the address is taken. */
+  public AmqpFront(
+      Routine parent, Loop loop, AmqpSettings settings, QueueNode node, Supplier<String> leaderName)
+      throws IOException {
+    super(parent);
+    this.loop = loop;
+    this.settings = settings;
+    this.node = node;
+    this.leaderName = leaderName;
+    doorkeeper = new Doorkeeper(settings, loop.now());
+    server =
+        new StreamServer(
+            this,
+            loop,
+            settings.listen(),
+            settings.bounds().connections(),
+            MOST_WAITING,
+            Connection::new);
+    loop.every(LOOK, this, this::look);
+  }
+
+  public int port() {
+    return server.port();
+  }
+
+  /** Whether messages can be published here. */
+  public boolean ready() {
+    return duty != null && duty.core() != null;
+  }
+
+  /** This node leads: its queues are read and then served, until the term ends with its parent. */
+  public void lead(Routine term, Leader leader) {
+    duty = new QueueDuty(term, loop, node, leader, settings, this::canRecord, this::perform);
+    duty.start();
+  }
+
+  /** The term is over: whoever is connected is sent to the next leader. */
+  public void deposed() {
+    duty = null;
+    AmqpError why = elsewhere();
+    for (Connection c : new ArrayList<>(connections)) {
+      c.session.close(why);
+    }
+    serving.clear();
+    confirms.clear();
+  }
+
+  private boolean canRecord() {
+    return !node.state().failingFor().longerThan(STATE_TROUBLE);
+  }
+
+  private AmqpError elsewhere() {
+    String name = leaderName.get();
+    if (name == null || name.equals(node.host())) {
+      return new AmqpError(Code.CONNECTION_FORCED, "no leader serves yet, come back in a second");
+    }
+    String at = settings.addresses().get(name);
+    return new AmqpError(
+        Code.CONNECTION_FORCED, name + " leads" + (at == null ? "" : ", its queues are at " + at));
+  }
+
+  private void look() {
+    String reason = null;
+    if (!canRecord()) {
+      reason = "nothing can be recorded now";
+    } else if (ready() && duty.core().bytes() > settings.bounds().mostBytes() * NEARLY_FULL) {
+      reason = "as many messages wait as there is room for";
+    }
+    for (Connection c : new ArrayList<>(connections)) {
+      c.session.block(reason);
+      c.session.flush();
+      if (!c.session.tick(loop.now())) {
+        c.stream.cancel();
+      }
+    }
+  }
+
+  /** What the queues want told; null: that was all for now. */
+  private void perform(Effect e) {
+    if (e == null) {
+      tellConfirms();
+      List<Connection> now = new ArrayList<>(touched);
+      touched.clear();
+      now.forEach(Connection::flush);
+    } else if (e instanceof Effect.Confirm c) {
+      Connection to = answered(c.ticket());
+      if (to != null) {
+        confirms
+            .computeIfAbsent(to, x -> new LinkedHashMap<>())
+            .computeIfAbsent(c.ticket().channel(), x -> new ArrayList<>())
+            .add(c.ticket().number());
+      }
+    } else if (e instanceof Effect.Refuse r) {
+      Connection to = answered(r.ticket());
+      if (to != null) {
+        to.session.refused(r.ticket().channel(), r.ticket().number(), error(r.why()));
+      }
+    } else if (e instanceof Effect.Deliver d) {
+      deliver(d);
+    } else if (e instanceof Effect.GetEmpty g) {
+      Connection to = find(g.session());
+      if (to != null) {
+        to.session.got(g.channel(), null, 0);
+      }
+    } else if (e instanceof Effect.Overdue o) {
+      LOG.info("{} kept a message of {} for too long", o.consumer(), o.queue());
+      Connection to = find(o.consumer().session());
+      if (to != null) {
+        to.session.closeChannel(
+            o.consumer().channel(),
+            new AmqpError(Code.PRECONDITION_FAILED, "a delivery was not acknowledged in time"));
+      }
+    }
+  }
+
+  private void tellConfirms() {
+    confirms.forEach((c, byChannel) -> byChannel.forEach(c.session::confirmed));
+    confirms.clear();
+  }
+
+  private Connection find(long session) {
+    Connection c = serving.get(session);
+    if (c != null) {
+      touched.add(c);
+    }
+    return c;
+  }
+
+  private Connection answered(Ticket ticket) {
+    Connection c = find(ticket.session());
+    if (c != null) {
+      c.desk.answered(ticket);
+    }
+    return c;
+  }
+
+  private static AmqpError error(Refusal why) {
+    return switch (why) {
+      case NO_SUCH_QUEUE -> new AmqpError(Code.NOT_FOUND, "no such queue");
+      case INWARD ->
+          new AmqpError(Code.ACCESS_REFUSED, "only the service itself puts messages there");
+      case FULL -> new AmqpError(Code.RESOURCE_LOCKED, "the queue is full, come back later");
+      case TOO_LARGE -> new AmqpError(Code.CONTENT_TOO_LARGE, "more than can be recorded");
+      case NOT_NOW -> new AmqpError(Code.RESOURCE_LOCKED, "nothing can be recorded now");
+    };
+  }
+
+  private void deliver(Effect.Deliver d) {
+    DeliveryId id = d.id();
+    Connection to = find(id.consumer().session());
+    Session.Delivery delivery =
+        new Session.Delivery(
+            id, d.queue().name(), d.redelivered(), d.noAck(), d.properties(), d.body());
+    int channel = id.consumer().channel();
+    boolean sent =
+        to != null
+            && (d.get()
+                ? to.session.got(channel, delivery, d.left())
+                : to.session.deliver(channel, id.consumer().tag(), delivery));
+    QueueCore core = duty.core();
+    if (!sent) {
+      core.notSent(id, loop.now(), node.wallMs().getAsLong());
+    } else if (d.noAck()) {
+      core.settle(id, QueueCore.Settlement.ACK, loop.now(), node.wallMs().getAsLong());
+    }
+  }
+
+  /** One client's socket and session. */
+  private final class Connection implements StreamServer.Peer, Session.Out, Gate {
+    private final StreamServer.Stream stream;
+    private final Session session;
+    private AmqpDesk desk;
+    private boolean paused;
+
+    Connection(StreamServer.Stream stream) {
+      this.stream = stream;
+      AmqpSettings.Bounds b = settings.bounds();
+      session =
+          new Session(
+              new Session.Limits(b.channels(), b.frameMax(), b.heartbeat(), b.mostBody()),
+              this,
+              this,
+              loop.now());
+      connections.add(this);
+    }
+
+    @Override
+    public void onBytes(ByteBuffer in) {
+      session.feed(in, loop.now());
+    }
+
+    @Override
+    public void send(ByteBuffer bytes) {
+      stream.write(bytes);
+    }
+
+    @Override
+    public void close() {
+      stream.end();
+    }
+
+    void flush() {
+      session.flush();
+      if (!paused && desk != null && stream.waitingBytes() > PAUSE_AT) {
+        paused = true;
+        desk.paused(true);
+      }
+    }
+
+    @Override
+    public void onDrained() {
+      if (paused) {
+        paused = false;
+        desk.paused(false);
+      }
+    }
+
+    @Override
+    public void onGone() {
+      connections.remove(this);
+      serving.values().remove(this);
+      confirms.remove(this);
+      touched.remove(this);
+      session.gone();
+    }
+
+    @Override
+    public String login(String mechanism, String response) throws AmqpError {
+      return doorkeeper.login(mechanism, response, loop.now());
+    }
+
+    @Override
+    public Desk open(String user, String vhost, Session opened) throws AmqpError {
+      InetAddress from = stream.remote();
+      doorkeeper.enter(user, vhost, from);
+      if (duty == null || duty.core() == null) {
+        if (duty != null && duty.broken()) {
+          throw new AmqpError(Code.INTERNAL_ERROR, "the queues' record can't be read");
+        }
+        throw elsewhere();
+      }
+      QueueDuty serves = duty;
+      long id = ++lastSession;
+      desk =
+          new AmqpDesk(
+              id,
+              vhost,
+              serves.core(),
+              settings.bounds(),
+              opened,
+              loop::now,
+              node.wallMs(),
+              serves::pump);
+      serving.put(id, this);
+      return desk;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/serving/AmqpSettings.java
@@ -0,0 +1,48 @@
+package io.saltflow.serving;
+
+import io.saltflow.protocol.Span;
+import io.saltflow.queues.QueueId;
+import io.saltflow.queues.QueuePolicy;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What operators set for the AMQP front and its queues.
+ *
+ * @param listen where it listens
+ * @param addresses where clients reach the front of each node, by the nodes' names; may be empty
+ * @param templates the job that a message of a queue stands for, by queue, as JSON
+ */
+public record AmqpSettings(
+    InetSocketAddress listen,
+    Map<String, String> addresses,
+    Bounds bounds,
+    List<User> users,
+    List<VirtualHost> hosts,
+    List<QueuePolicy> queues,
+    Map<QueueId, String> templates) {
+
+  /** Bounds of one node. Bytes and counts; {@code rememberedFor} is for ids of ended messages. */
+  public record Bounds(
+      int connections,
+      int channels,
+      int frameMax,
+      Span heartbeat,
+      int mostUnacked,
+      int unconfirmedBytes,
+      int mostBody,
+      long mostBytes,
+      int remembered,
+      Span rememberedFor) {}
+
+  /** A user, the bcrypt hash of the password, and the virtual hosts that are open to it. */
+  public record User(String name, String hash, List<String> hosts) {}
+
+  /** A virtual host and the networks that may connect to it, as addresses with prefixes. */
+  public record VirtualHost(String name, List<String> networks) {}
+
+  public AmqpSettings withListen(InetSocketAddress address) {
+    return new AmqpSettings(address, addresses, bounds, users, hosts, queues, templates);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/serving/Doorkeeper.java
@@ -0,0 +1,119 @@
+package io.saltflow.serving;
+
+import at.favre.lib.crypto.bcrypt.BCrypt;
+import inet.ipaddr.IPAddress;
+import inet.ipaddr.IPAddressNetwork.IPAddressGenerator;
+import inet.ipaddr.IPAddressString;
+import io.saltflow.amqp.AmqpError;
+import io.saltflow.amqp.Code;
+import io.saltflow.protocol.Budget;
+import io.saltflow.protocol.Time;
+import java.net.InetAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Who may come in, from where: SASL PLAIN (RFC 4616) against salted hashes, and networks. */
+final class Doorkeeper {
+  private static final String WRONG = "login was refused";
+  private static final int MOST_REMEMBERED = 256;
+
+  /**
+   * So many new passwords a second are tried: a hash that is slow on purpose is slow for this
+   * thread, too, and a leader must not lose its lease over guesses.
+   */
+  private static final double TRIES_PER_S = 4;
+
+  private final Map<String, AmqpSettings.User> users = new HashMap<>();
+  private final Map<String, List<IPAddress>> networks = new HashMap<>();
+  private final Budget tries;
+
+  /** Digests of what was proved right, so that many connections cost one hash. */
+  private final Map<String, byte[]> proved =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, byte[]> eldest) {
+          return size() > MOST_REMEMBERED;
+        }
+      };
+
+  Doorkeeper(AmqpSettings settings, Time now) {
+    settings.users().forEach(u -> users.put(u.name(), u));
+    for (AmqpSettings.VirtualHost h : settings.hosts()) {
+      List<IPAddress> list = new ArrayList<>();
+      h.networks().forEach(n -> list.add(new IPAddressString(n).getAddress().toPrefixBlock()));
+      networks.put(h.name(), list);
+    }
+    tries = new Budget(TRIES_PER_S, TRIES_PER_S, now);
+  }
+
+  /** The user's name, if the response proves it. */
+  String login(String mechanism, String response, Time now) throws AmqpError {
+    if (!mechanism.equals("PLAIN")) {
+      throw new AmqpError(Code.ACCESS_REFUSED, "only PLAIN is spoken");
+    }
+    String[] parts = response.split("\0", -1);
+    // The first part, an identity to act as, may be left out or be the user's own.
+    if (parts.length != 3 || !(parts[0].isEmpty() || parts[0].equals(parts[1]))) {
+      throw new AmqpError(Code.ACCESS_REFUSED, WRONG);
+    }
+    AmqpSettings.User user = users.get(parts[1]);
+    if (user == null || !proves(user, parts[2], now)) {
+      throw new AmqpError(Code.ACCESS_REFUSED, WRONG);
+    }
+    return user.name();
+  }
+
+  private boolean proves(AmqpSettings.User user, String password, Time now) throws AmqpError {
+    byte[] digest = digest(user.hash(), password);
+    if (Arrays.equals(digest, proved.get(user.name()))) {
+      return true;
+    }
+    if (!tries.take(1, now)) {
+      throw new AmqpError(Code.CONNECTION_FORCED, "too many logins, come back in a second");
+    }
+    boolean right =
+        BCrypt.verifyer()
+            .verify(
+                password.getBytes(StandardCharsets.UTF_8),
+                user.hash().getBytes(StandardCharsets.UTF_8))
+            .verified;
+    if (right) {
+      proved.put(user.name(), digest);
+    }
+    return right;
+  }
+
+  private static byte[] digest(String hash, String password) {
+    try {
+      MessageDigest sha = MessageDigest.getInstance("SHA-256");
+      sha.update(hash.getBytes(StandardCharsets.UTF_8));
+      sha.update((byte) 0);
+      return sha.digest(password.getBytes(StandardCharsets.UTF_8));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+
+  /** Refuses a user or a network that the virtual host is not open to. */
+  void enter(String user, String host, InetAddress from) throws AmqpError {
+    List<IPAddress> open = networks.get(host);
+    if (open == null) {
+      throw new AmqpError(Code.NOT_ALLOWED, "no virtual host '" + host + "'");
+    }
+    IPAddress address = new IPAddressGenerator().from(from);
+    // An IPv4 peer of an IPv6 socket is the IPv4 peer that it is.
+    IPAddress plain = address.isIPv4Convertible() ? address.toIPv4() : address;
+    boolean near = open.stream().anyMatch(n -> n.contains(plain) || n.contains(address));
+    if (!near || !users.get(user).hosts().contains(host)) {
+      throw new AmqpError(
+          Code.NOT_ALLOWED, "virtual host '" + host + "' is not open to " + user + " from here");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/serving/JsonResults.java
@@ -0,0 +1,32 @@
+package io.saltflow.serving;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.saltflow.amqp.Properties;
+import io.saltflow.queues.Outcome;
+import io.saltflow.queues.ResultForm;
+
+/** Results as JSON: {@code {"id":"m-1","outcome":"done","attempts":1}}. */
+final class JsonResults implements ResultForm {
+  private final ObjectMapper json = new ObjectMapper();
+
+  @Override
+  public byte[] body(String id, Outcome outcome, int attempts, String reason) {
+    ObjectNode node = json.createObjectNode();
+    node.put("id", id).put("outcome", outcome.text()).put("attempts", attempts);
+    if (reason != null) {
+      node.put("reason", reason);
+    }
+    try {
+      return json.writeValueAsBytes(node);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a tree has a JSON form", e);
+    }
+  }
+
+  @Override
+  public byte[] properties(String id) {
+    return Properties.ofResult(id);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/serving/QueueDuty.java
@@ -0,0 +1,275 @@
+package io.saltflow.serving;
+
+import io.saltflow.bookkeeping.Chunks;
+import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.bookkeeping.QueueBooks;
+import io.saltflow.coordination.Job;
+import io.saltflow.coordination.Leader;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.Span;
+import io.saltflow.queues.Demand;
+import io.saltflow.queues.Effect;
+import io.saltflow.queues.MessageNo;
+import io.saltflow.queues.QueueCore;
+import io.saltflow.queues.QueuePolicy;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The leader's queues during its term: the core, its record, and the jobs that messages become. */
+final class QueueDuty extends Routine {
+  private static final Logger LOG = LoggerFactory.getLogger(QueueDuty.class);
+  private static final Span AGAIN = Span.millis(300);
+  private static final Span TICK = Span.millis(50);
+  private static final Span JOBS = Span.seconds(1);
+  private static final Span SUMMARY = Span.seconds(30);
+
+  /** So many jobs are admitted or asked after at a time: users' submissions come first. */
+  private static final int JOBS_AT_ONCE = 8;
+
+  private final Loop loop;
+  private final JobStore jobs;
+  private final Leader leader;
+  private final QueueNode node;
+  private final LongSupplier wallMs;
+  private final BooleanSupplier serving;
+  private final Consumer<Effect> perform;
+  private final QueueCore core;
+  private final QueueBooks books;
+  private final ArrayDeque<Effect.Admit> toAdmit = new ArrayDeque<>();
+  private final Map<MessageNo, JobId> admitted = new HashMap<>();
+  private final Set<MessageNo> asking = new HashSet<>();
+  private boolean ready;
+  private boolean broken;
+  private boolean pumping;
+  private boolean refusing;
+
+  /**
+   * @param serving whether the state service serves us, so that something can be recorded
+   * @param perform what connections are to be told
+   */
+  QueueDuty(
+      Routine parent,
+      Loop loop,
+      QueueNode node,
+      Leader leader,
+      AmqpSettings settings,
+      BooleanSupplier serving,
+      Consumer<Effect> perform) {
+    super(parent);
+    this.loop = loop;
+    this.node = node;
+    this.jobs = node.jobs();
+    this.leader = leader;
+    this.wallMs = node.wallMs();
+    this.serving = serving;
+    this.perform = perform;
+    Chunks chunks = new Chunks(node.limits());
+    AmqpSettings.Bounds b = settings.bounds();
+    core =
+        new QueueCore(
+            settings.queues(),
+            new QueueCore.Limits(
+                b.mostBytes(),
+                Math.min(b.mostBody(), mostBody(chunks)),
+                b.remembered(),
+                b.rememberedFor(),
+                node.skew()),
+            chunks.bytesEach(),
+            this::mayStart,
+            new Templates(settings.templates()),
+            new JsonResults(),
+            leader.term());
+    books =
+        new QueueBooks(
+            this,
+            loop,
+            node.state(),
+            node.authority(),
+            core,
+            chunks,
+            node.writesPerS(),
+            wallMs,
+            this::pump);
+  }
+
+  /** A message must fit in one transaction, with its result and what is said of it. */
+  static int mostBody(Chunks chunks) {
+    return chunks.certainBytes() - 4096;
+  }
+
+  private boolean mayStart(QueuePolicy queue, long arrivedWallMs) {
+    return leader.mayDeliver(queue.team(), queue.size(), queue.priority(), arrivedWallMs);
+  }
+
+  /** The core, or null while the record is being read. */
+  QueueCore core() {
+    return ready ? core : null;
+  }
+
+  /** The record can't be read: nothing is served rather than something wrong. */
+  boolean broken() {
+    return broken;
+  }
+
+  void start() {
+    books.inherit(
+        read -> {
+          if (cancelled()) {
+            return;
+          }
+          if (read == null) {
+            broken = true;
+          } else if (!read) {
+            loop.after(AGAIN, this, this::start);
+          } else {
+            begin();
+          }
+        });
+  }
+
+  private void begin() {
+    core.begin(loop.now(), wallMs.getAsLong());
+    ready = true;
+    LOG.info("queues are served: {} messages were found", core.size());
+    loop.every(TICK, this, this::tick);
+    loop.every(JOBS, this, this::askAfterJobs);
+    loop.every(SUMMARY, this, this::summary);
+    pump();
+  }
+
+  private void tick() {
+    boolean refuse = !serving.getAsBoolean();
+    if (refuse != refusing) {
+      refusing = refuse;
+      core.taking(!refuse);
+    }
+    core.tick(loop.now(), wallMs.getAsLong());
+    pump();
+  }
+
+  /** To be called after whatever the core was told: does what it asks for, and records. */
+  void pump() {
+    if (pumping || !ready || cancelled()) {
+      return;
+    }
+    pumping = true;
+    try {
+      for (List<Effect> some = core.effects(); !some.isEmpty(); some = core.effects()) {
+        some.forEach(this::take);
+        perform.accept(null);
+      }
+      leader.demands(core.demands().stream().map(QueueDuty::demand).toList());
+      books.flush();
+    } finally {
+      pumping = false;
+    }
+  }
+
+  private static Leader.Demand demand(Demand d) {
+    return new Leader.Demand(d.team(), d.priority(), d.held(), d.wanted(), d.arrivedWallMs());
+  }
+
+  private void take(Effect e) {
+    if (e instanceof Effect.Admit a) {
+      toAdmit.add(a);
+      admit();
+    } else if (e instanceof Effect.Withdraw w) {
+      jobs.cancel(w.job(), outcome -> {});
+    } else {
+      perform.accept(e);
+    }
+  }
+
+  private void admit() {
+    if (!node.typesKnown().getAsBoolean()) {
+      loop.after(AGAIN, this, this::admit);
+      return;
+    }
+    while (asking.size() < JOBS_AT_ONCE && !toAdmit.isEmpty()) {
+      Effect.Admit a = toAdmit.poll();
+      String never = node.neverRuns().apply(a.spec());
+      if (never != null) {
+        over(a.message(), false, never, 0);
+        continue;
+      }
+      asking.add(a.message());
+      jobs.admit(
+          a.spec(),
+          a.arrivedWallMs(),
+          outcome -> {
+            if (cancelled()) {
+              return;
+            }
+            asking.remove(a.message());
+            if (outcome instanceof JobStore.Outcome.Unknown) {
+              toAdmit.add(a);
+              loop.after(AGAIN, this, this::admit);
+              return;
+            }
+            if (outcome instanceof JobStore.Outcome.TooLarge) {
+              over(a.message(), false, "its job's description is too large", 0);
+            } else if (outcome instanceof JobStore.Outcome.Found f) {
+              found(a.message(), f.job());
+            }
+            admitted.put(a.message(), a.spec().id());
+            admit();
+          });
+    }
+  }
+
+  private void over(MessageNo no, boolean done, String refused, int errors) {
+    core.jobOver(no, done, refused, errors, loop.now(), wallMs.getAsLong());
+    admitted.remove(no);
+    pump();
+  }
+
+  private void found(MessageNo no, JobStore.Known job) {
+    if (job.phase() != JobStore.Phase.LIVE) {
+      over(no, job.phase() == JobStore.Phase.DONE, null, 0);
+    }
+  }
+
+  /** Jobs end where their records say so, whoever ended them. */
+  private void askAfterJobs() {
+    Map<MessageNo, JobId> live = core.jobs();
+    admitted.keySet().retainAll(live.keySet());
+    for (Map.Entry<MessageNo, JobId> e : Map.copyOf(admitted).entrySet()) {
+      Job job = leader.job(e.getValue());
+      if (job != null) {
+        core.jobErrors(e.getKey(), job.errorCount(), loop.now(), wallMs.getAsLong());
+      } else if (asking.size() < JOBS_AT_ONCE && asking.add(e.getKey())) {
+        jobs.find(
+            e.getValue(),
+            outcome -> {
+              asking.remove(e.getKey());
+              if (!cancelled() && outcome instanceof JobStore.Outcome.Found f) {
+                found(e.getKey(), f.job());
+              }
+            });
+      }
+    }
+    pump();
+  }
+
+  private void summary() {
+    if (core.size() > 0) {
+      LOG.info(
+          "queues: {} messages are not over, {} KiB; {} answers came too late; {}",
+          core.size(),
+          core.bytes() / 1024,
+          core.staleSettlements(),
+          books.cost());
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/serving/QueueNode.java
@@ -0,0 +1,28 @@
+package io.saltflow.serving;
+
+import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.bookkeeping.LeaderBooks;
+import io.saltflow.bookkeeping.StateClient;
+import io.saltflow.coordination.Authority;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.Span;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+
+/**
+ * What the queues need of the node that serves them.
+ *
+ * @param neverRuns why no machine will ever run a job, or null; only once the types are known
+ */
+public record QueueNode(
+    String host,
+    Authority authority,
+    StateClient state,
+    JobStore jobs,
+    LeaderBooks.Limits limits,
+    double writesPerS,
+    Span skew,
+    LongSupplier wallMs,
+    BooleanSupplier typesKnown,
+    Function<JobSpec, String> neverRuns) {}
--- /dev/null
+++ b/src/main/java/io/saltflow/serving/Templates.java
@@ -0,0 +1,109 @@
+package io.saltflow.serving;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.JobCodec;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.JsonJobs;
+import io.saltflow.protocol.Wire;
+import io.saltflow.queues.JobMaker;
+import io.saltflow.queues.QueueId;
+import io.saltflow.queues.QueuePolicy;
+import java.io.IOException;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Jobs of messages. A queue without a template takes descriptions; with one, a message is a map of
+ * parameters that stand in the template as {@code ${name}}: alone in a field the parameter keeps
+ * its type, within a text it is filled in.
+ */
+final class Templates implements JobMaker {
+  private static final Pattern PARAMETER = Pattern.compile("\\$\\{([A-Za-z_][A-Za-z0-9_]*)}");
+
+  private final ObjectMapper json = new ObjectMapper();
+  private final Map<QueueId, String> templates;
+
+  Templates(Map<QueueId, String> templates) {
+    this.templates = templates;
+  }
+
+  @Override
+  public JobSpec make(QueuePolicy queue, JobId id, byte[] body) throws BadJob {
+    JsonNode message = read(body);
+    String template = templates.get(queue.id());
+    ObjectNode fields =
+        template == null ? ((ObjectNode) message).deepCopy() : filled(template, message);
+    // What the queue says holds for all its messages, and an id is made from the message's.
+    fields.put(Wire.ID, id.text());
+    fields.put(Wire.CLASS, queue.jobClass());
+    fields.put(Wire.TEAM, queue.team());
+    fields.put(Wire.PRIORITY, queue.priority().wireName());
+    if (!fields.has(Wire.CORES) && queue.size().cores() > 0) {
+      fields.put(Wire.CORES, queue.size().cores());
+    }
+    try {
+      return JobCodec.decode(JsonJobs.withDefaults(JsonJobs.fields(fields)));
+    } catch (BadMessage e) {
+      throw new BadJob("no job can be made of it: " + e.getMessage());
+    }
+  }
+
+  private JsonNode read(byte[] body) throws BadJob {
+    JsonNode node;
+    try {
+      node = json.readTree(body);
+    } catch (IOException e) {
+      throw new BadJob("no job can be made of it: it is not JSON");
+    }
+    if (node == null || !node.isObject()) {
+      throw new BadJob("no job can be made of it: a map of fields is required");
+    }
+    return node;
+  }
+
+  private ObjectNode filled(String template, JsonNode parameters) throws BadJob {
+    ObjectNode out;
+    try {
+      out = (ObjectNode) json.readTree(template);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("templates are read when the settings are", e);
+    }
+    for (Iterator<Map.Entry<String, JsonNode>> it = out.fields(); it.hasNext(); ) {
+      Map.Entry<String, JsonNode> field = it.next();
+      if (field.getValue().isTextual()) {
+        field.setValue(filled(field.getValue(), parameters));
+      }
+    }
+    return out;
+  }
+
+  private JsonNode filled(JsonNode text, JsonNode parameters) throws BadJob {
+    Matcher m = PARAMETER.matcher(text.textValue());
+    if (m.matches()) {
+      return parameter(m.group(1), parameters);
+    }
+    StringBuilder out = new StringBuilder();
+    m.reset();
+    while (m.find()) {
+      m.appendReplacement(
+          out, Matcher.quoteReplacement(parameter(m.group(1), parameters).asText()));
+    }
+    m.appendTail(out);
+    return json.getNodeFactory().textNode(out.toString());
+  }
+
+  private static JsonNode parameter(String name, JsonNode parameters) throws BadJob {
+    JsonNode value = parameters.get(name);
+    if (value == null || !value.isValueNode()) {
+      throw new BadJob("no job can be made of it: parameter '" + name + "' is missing");
+    }
+    return value;
+  }
+}
--- a/src/main/java/io/saltflow/transport/Channel.java
+++ b/src/main/java/io/saltflow/transport/Channel.java
@@ -17,12 +17,22 @@
   private SelectionKey key;
   private final ArrayDeque<ByteBuffer> waiting = new ArrayDeque<>();
   private int waitingBytes;
+  private final int mostWaiting;
   private boolean closeWhenWritten;
 
   Channel(Routine parent, Loop loop, SocketChannel socket) {
+    this(parent, loop, socket, MAX_WAITING_BYTES);
+  }
+
+  Channel(Routine parent, Loop loop, SocketChannel socket, int mostWaiting) {
     super(parent);
     this.loop = loop;
     this.socket = socket;
+    this.mostWaiting = mostWaiting;
+  }
+
+  final int waiting() {
+    return waitingBytes;
   }
 
   final void open(int ops) throws IOException {
@@ -69,7 +79,7 @@
       }
       if (bytes.hasRemaining()) {
         waitingBytes += bytes.remaining();
-        if (waitingBytes > MAX_WAITING_BYTES) {
+        if (waitingBytes > mostWaiting) {
           throw new IOException("the peer reads too slowly");
         }
         waiting.add(bytes);
@@ -105,6 +115,8 @@
     key.interestOps(SelectionKey.OP_READ);
     if (closeWhenWritten) {
       cancel();
+    } else {
+      onDrained();
     }
   }
 
@@ -115,6 +127,9 @@
 
   protected void onConnected() {}
 
+  /** What could not be written at once has been written. */
+  protected void onDrained() {}
+
   protected abstract void onBytes(ByteBuffer in) throws IOException;
 
   @Override
--- a/src/main/java/io/saltflow/transport/HttpServer.java
+++ b/src/main/java/io/saltflow/transport/HttpServer.java
@@ -4,15 +4,13 @@
 import io.saltflow.protocol.Time;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
-import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.function.Consumer;
 
 /** Listens, and runs one routine for each connection. */
-public final class HttpServer extends Routine implements Loop.Ready {
+public final class HttpServer extends Listener {
   private static final int MAX_BODY = 64 * 1024;
   private static final Span IDLE_LIMIT = Span.seconds(120);
   private static final Span READ_LIMIT = Span.seconds(10);
@@ -22,62 +20,18 @@
     void handle(String method, String target, byte[] body, Consumer<HttpReply> answer);
   }
 
-  private final Loop loop;
   private final Handler handler;
-  private final int maxConnections;
-  private final ServerSocketChannel listener;
 
   public HttpServer(
       Routine parent, Loop loop, InetSocketAddress address, int maxConnections, Handler handler)
       throws IOException {
-    super(parent);
-    this.loop = loop;
+    super(parent, loop, address, maxConnections);
     this.handler = handler;
-    this.maxConnections = maxConnections;
-    listener = ServerSocketChannel.open();
-    listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-    listener.configureBlocking(false);
-    try {
-      listener.bind(address, 512);
-    } catch (IOException e) {
-      listener.close();
-      throw new IOException(Addresses.text(address) + ": " + e.getMessage(), e);
-    }
-    loop.register(listener, SelectionKey.OP_ACCEPT, this);
-  }
-
-  public int port() {
-    return listener.socket().getLocalPort();
   }
 
   @Override
-  public void onReady(SelectionKey key) throws IOException {
-    for (int i = 0; i < 64; i++) {
-      SocketChannel socket = listener.accept();
-      if (socket == null) {
-        return;
-      }
-      if (childCount() >= maxConnections) {
-        socket.close();
-        continue;
-      }
-      socket.configureBlocking(false);
-      socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
-      new Connection(socket).open(SelectionKey.OP_READ);
-    }
-  }
-
-  /** Accepting failed, for want of sockets perhaps: the listener stays. */
-  @Override
-  public void onBroken(IOException cause) {}
-
-  @Override
-  protected void onCancel() {
-    try {
-      listener.close();
-    } catch (IOException e) {
-      // The process is ending.
-    }
+  void accepted(SocketChannel socket) throws IOException {
+    new Connection(socket).open(SelectionKey.OP_READ);
   }
 
   private final class Connection extends Channel {
--- /dev/null
+++ b/src/test/java/io/saltflow/amqp/Peer.java
@@ -0,0 +1,204 @@
+package io.saltflow.amqp;
+
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A client and the queues behind a session, in memory; both tell what they see, a line each. */
+final class Peer implements Session.Out, Gate, Desk {
+  static final Session.Limits LIMITS = new Session.Limits(10, 8192, Span.seconds(20), 10_000);
+  private static final byte[] NO_PROPERTIES = {0, 0};
+
+  final List<String> lines = new ArrayList<>();
+  final Session session;
+  Time now = new Time(0);
+  private final FrameReader reader = new FrameReader(1 << 20);
+  private boolean greeted;
+  private int deliveries;
+
+  Peer() {
+    session = new Session(LIMITS, this, this, now);
+  }
+
+  // ---- What the client sends
+
+  static byte[] greeting() {
+    return new byte[] {'A', 'M', 'Q', 'P', 0, 0, 9, 1};
+  }
+
+  static byte[] method(int channel, Kind kind, Object... arguments) {
+    Bytes out = new Bytes();
+    Frame.method(out, channel, Method.of(kind, arguments));
+    return out.copy();
+  }
+
+  static byte[] content(int channel, String body) {
+    Bytes out = new Bytes();
+    Frame.content(out, channel, NO_PROPERTIES, body.getBytes(), 4096);
+    return out.copy();
+  }
+
+  static byte[] publish(int channel, String queue, String body) {
+    return join(
+        method(channel, Kind.BASIC_PUBLISH, 0L, "", queue, false, false), content(channel, body));
+  }
+
+  static byte[] join(byte[]... parts) {
+    Bytes out = new Bytes();
+    for (byte[] part : parts) {
+      out.all(part);
+    }
+    return out.copy();
+  }
+
+  static byte[] handshake() {
+    Map<String, Object> can =
+        Map.of("capabilities", Map.of("consumer_cancel_notify", true, "connection.blocked", true));
+    return join(
+        greeting(),
+        method(0, Kind.CONNECTION_START_OK, can, "PLAIN", "\0u\0p", "en_US"),
+        method(0, Kind.CONNECTION_TUNE_OK, 10L, 8192L, 20L),
+        method(0, Kind.CONNECTION_OPEN, "/", "", false),
+        method(1, Kind.CHANNEL_OPEN, ""));
+  }
+
+  void feed(byte[]... parts) {
+    for (byte[] part : parts) {
+      session.feed(ByteBuffer.wrap(part), now);
+    }
+  }
+
+  /** Everything so far in pieces of so many bytes. */
+  void feedInPieces(byte[] bytes, int size) {
+    for (int from = 0; from < bytes.length; from += size) {
+      int length = Math.min(size, bytes.length - from);
+      session.feed(ByteBuffer.wrap(bytes, from, length), now);
+    }
+  }
+
+  Peer open() {
+    feed(handshake());
+    lines.clear();
+    return this;
+  }
+
+  // ---- What the client sees
+
+  @Override
+  public void send(ByteBuffer bytes) {
+    try {
+      if (!greeted) {
+        greeted = true;
+        reader.next(ByteBuffer.wrap(greeting()));
+      }
+      if (bytes.remaining() == 8 && bytes.get(bytes.position()) == 'A') {
+        lines.add("<- another greeting");
+        return;
+      }
+      for (Frame f = reader.next(bytes); f != null; f = reader.next(bytes)) {
+        lines.add("<- " + f.channel() + " " + shown(f));
+      }
+    } catch (AmqpError | FrameReader.NotAmqp e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static String shown(Frame f) throws AmqpError {
+    return switch (f.type()) {
+      case Frame.METHOD -> {
+        Method m = Method.decode(f.payload());
+        List<Object> shown = new ArrayList<>();
+        m.arguments()
+            .forEach(a -> shown.add(a instanceof Map<?, ?> t ? new TreeMap<>(t).keySet() : a));
+        yield m.kind() + " " + shown;
+      }
+      case Frame.HEADER -> "header";
+      case Frame.BODY -> "body of " + f.payload().remaining();
+      default -> "heartbeat";
+    };
+  }
+
+  @Override
+  public void close() {
+    lines.add("<- closed");
+  }
+
+  // ---- What the queues are asked
+
+  private void asked(String what) {
+    lines.add("   " + what);
+  }
+
+  @Override
+  public String login(String mechanism, String response) throws AmqpError {
+    if (!response.equals("\0u\0p")) {
+      throw new AmqpError(Code.ACCESS_REFUSED, "login was refused");
+    }
+    return "u";
+  }
+
+  @Override
+  public Desk open(String user, String vhost, Session opened) {
+    return this;
+  }
+
+  @Override
+  public Status status(String queue) {
+    return queue.startsWith("q") ? new Status(3, 1) : null;
+  }
+
+  @Override
+  public void publish(int channel, long number, String queue, Content content) {
+    asked("publish " + number + " to " + queue + ": " + content.body().length + " bytes");
+  }
+
+  @Override
+  public void consume(int channel, String tag, String queue, boolean noAck) {
+    asked("consume " + queue + " as " + tag);
+  }
+
+  @Override
+  public void cancel(int channel, String tag) {
+    asked("cancel " + tag);
+  }
+
+  @Override
+  public void get(int channel, String queue, boolean noAck) {
+    asked("get from " + queue);
+  }
+
+  @Override
+  public void prefetch(int channel, int count, boolean wholeChannel) {
+    asked("prefetch " + count + (wholeChannel ? " for the channel" : ""));
+  }
+
+  @Override
+  public void settle(int channel, Object handle, Settlement how) {
+    asked("settle " + handle + " " + how);
+  }
+
+  @Override
+  public void closed(int channel) {
+    asked("channel " + channel + " ends");
+  }
+
+  @Override
+  public void gone() {
+    asked("connection ends");
+  }
+
+  boolean deliver(String tag) {
+    String handle = "delivery-" + ++deliveries;
+    boolean sent =
+        session.deliver(
+            1,
+            tag,
+            new Session.Delivery(handle, "q", false, false, NO_PROPERTIES, new byte[] {1, 2}));
+    session.flush();
+    return sent;
+  }
+}
