Queues: record, takeover, settings and doorkeeper tested; one buffer a loop

Cause: two loops in one process read into one static buffer, so a node's connection got another's bytes (found by two controllers in one test); queues without results failed at their first publish. Each loop has its own buffer now.

--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -108,13 +108,20 @@
             leadership::leader,
             () -> duty == null ? null : duty.leader(),
             () -> leadership.stepDown("a worker knows a higher token", Span.seconds(1)));
+    // Of the sockets that the platform gives, AMQP clients may have a quarter.
+    int clients =
+        queues == null ? 0 : Math.min(queues.bounds().connections(), config.sockets() / 4);
     server =
         new HttpServer(
-            this, loop, config.serveOn(), Math.max(16, config.sockets() - 100), this::handle);
+            this,
+            loop,
+            config.serveOn(),
+            Math.max(16, config.sockets() - 100 - clients),
+            this::handle);
     amqp =
         queues == null
             ? null
-            : new AmqpFront(this, loop, queues, queueNode(wps), leadership::leader);
+            : new AmqpFront(this, loop, queues, clients, queueNode(wps), leadership::leader);
   }
 
   private QueueNode queueNode(double writesPerS) {
@@ -128,7 +135,8 @@
         config.skew(),
         System::currentTimeMillis,
         () -> !types.isEmpty(),
-        users::neverRuns);
+        users::neverRuns,
+        () -> leadership.stepDown("the leader's key is another's", Span.millis(0)));
   }
 
   private LeaderBooks.Limits limits() {
--- a/src/main/java/io/saltflow/bookkeeping/QueueBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/QueueBooks.java
@@ -65,6 +65,7 @@
   private final LongSupplier wallMs;
   private final Budget pace;
   private final Runnable onRecorded;
+  private final Runnable onDeposed;
   private final List<Slot> slots = new ArrayList<>();
   private long tail;
   private boolean writing;
@@ -81,7 +82,8 @@
       Chunks chunks,
       double nodeWritesPerS,
       LongSupplier wallMs,
-      Runnable onRecorded) {
+      Runnable onRecorded,
+      Runnable onDeposed) {
     super(parent);
     this.loop = loop;
     this.state = state;
@@ -90,6 +92,7 @@
     this.chunks = chunks;
     this.wallMs = wallMs;
     this.onRecorded = onRecorded;
+    this.onDeposed = onDeposed;
     pace = new Budget(nodeWritesPerS * PART, nodeWritesPerS * PART, loop.now());
   }
 
@@ -245,6 +248,7 @@
     }
     if (failed.contains(Keys.LEADER)) {
       deposed = true;
+      onDeposed.run();
       return;
     }
     state.get(
@@ -265,6 +269,7 @@
             // Nobody but a leader writes here, and we lead: this can't be, so nothing is assumed.
             LOG.error("{} does not hold what was written; queues are not served", to.get(0).key);
             deposed = true;
+            onDeposed.run();
           }
         });
   }
--- a/src/main/java/io/saltflow/queues/Message.java
+++ b/src/main/java/io/saltflow/queues/Message.java
@@ -9,6 +9,9 @@
 final class Message {
   static final long NEVER = Long.MAX_VALUE;
 
+  /** What a message takes in memory besides its bytes, roughly. */
+  static final int OVERHEAD = 300;
+
   /** Where it stands. What is not recorded yet is acted upon only once it is. */
   enum State {
     /** Its publish, or its coming here, is being recorded. */
@@ -87,7 +90,7 @@
   }
 
   int bytes() {
-    return body.length + properties.length;
+    return body.length + properties.length + OVERHEAD;
   }
 
   DeliveryId delivery() {
--- a/src/main/java/io/saltflow/queues/QueueCore.java
+++ b/src/main/java/io/saltflow/queues/QueueCore.java
@@ -235,10 +235,11 @@
       return Refusal.TOO_LARGE;
     }
     // Results must have room whatever happens, so their queue's bound is kept at this end.
-    QueueState results = queues.get(queue.policy.results());
+    QueueId to = queue.policy.results();
+    QueueState results = to == null ? null : queues.get(to);
     boolean full =
         queue.messages >= queue.policy.mostWaiting()
-            || bytes + size > limits.mostBytes()
+            || bytes + size + Message.OVERHEAD > limits.mostBytes()
             || (results != null && results.messages >= results.policy.mostWaiting());
     return full ? Refusal.FULL : null;
   }
@@ -760,7 +761,8 @@
 
     @Override
     public long bytes() {
-      return bytes + MESSAGE_BYTES * messages.size() + KNOWN_BYTES * ended.size();
+      long bodies = bytes - (long) Message.OVERHEAD * messages.size();
+      return bodies + MESSAGE_BYTES * messages.size() + KNOWN_BYTES * ended.size();
     }
   }
 
@@ -842,8 +844,11 @@
     List<Demand> out = new ArrayList<>();
     for (QueueState q : queues.values()) {
       QueuePolicy p = q.policy;
+      if (p.team().isEmpty() || (p.size().cores() <= 0 && p.size().gpus() <= 0)) {
+        continue;
+      }
       int wanted = p.machines() ? 0 : q.wanted();
-      if ((q.out > 0 || wanted > 0) && !p.team().isEmpty()) {
+      if (q.out > 0 || wanted > 0) {
         long arrived = q.head() == null ? Message.NEVER : q.head().arrivedWallMs;
         out.add(
             new Demand(
--- a/src/main/java/io/saltflow/serving/AmqpFront.java
+++ b/src/main/java/io/saltflow/serving/AmqpFront.java
@@ -55,7 +55,12 @@
 
   /** Listens from now on. Throws when the address is taken. */
   public AmqpFront(
-      Routine parent, Loop loop, AmqpSettings settings, QueueNode node, Supplier<String> leaderName)
+      Routine parent,
+      Loop loop,
+      AmqpSettings settings,
+      int mostConnections,
+      QueueNode node,
+      Supplier<String> leaderName)
       throws IOException {
     super(parent);
     this.loop = loop;
@@ -65,12 +70,7 @@
     doorkeeper = new Doorkeeper(settings, loop.now());
     server =
         new StreamServer(
-            this,
-            loop,
-            settings.listen(),
-            settings.bounds().connections(),
-            MOST_WAITING,
-            Connection::new);
+            this, loop, settings.listen(), mostConnections, MOST_WAITING, Connection::new);
     loop.every(LOOK, this, this::look);
   }
 
--- a/src/main/java/io/saltflow/serving/QueueDuty.java
+++ b/src/main/java/io/saltflow/serving/QueueDuty.java
@@ -100,7 +100,8 @@
             chunks,
             node.writesPerS(),
             wallMs,
-            this::pump);
+            this::pump,
+            node.onDeposed());
   }
 
   /** A message must fit in one transaction, with its result and what is said of it. */
--- a/src/main/java/io/saltflow/serving/QueueNode.java
+++ b/src/main/java/io/saltflow/serving/QueueNode.java
@@ -14,6 +14,7 @@
  * What the queues need of the node that serves them.
  *
  * @param neverRuns why no machine will ever run a job, or null; only once the types are known
+ * @param onDeposed a write has shown that this node leads no more
  */
 public record QueueNode(
     String host,
@@ -25,4 +26,5 @@
     Span skew,
     LongSupplier wallMs,
     BooleanSupplier typesKnown,
-    Function<JobSpec, String> neverRuns) {}
+    Function<JobSpec, String> neverRuns,
+    Runnable onDeposed) {}
--- a/src/main/java/io/saltflow/transport/Channel.java
+++ b/src/main/java/io/saltflow/transport/Channel.java
@@ -10,7 +10,6 @@
 /** A socket that is read and written without waiting; what can't be written yet is kept. */
 abstract class Channel extends Routine implements Loop.Ready {
   private static final int MAX_WAITING_BYTES = 1 << 20;
-  private static final ByteBuffer SCRATCH = ByteBuffer.allocateDirect(64 * 1024);
 
   protected final Loop loop;
   protected final SocketChannel socket;
@@ -59,7 +58,7 @@
   }
 
   private void read() throws IOException {
-    ByteBuffer in = SCRATCH;
+    ByteBuffer in = loop.scratch();
     in.clear();
     int n = socket.read(in);
     if (n < 0) {
--- a/src/main/java/io/saltflow/transport/Loop.java
+++ b/src/main/java/io/saltflow/transport/Loop.java
@@ -3,6 +3,7 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
@@ -23,6 +24,8 @@
     void onBroken(IOException cause);
   }
 
+  private static final int SCRATCH_BYTES = 64 * 1024;
+
   private record Timer(Time due, long order, Routine owner, Runnable action)
       implements Comparable<Timer> {
     @Override
@@ -34,6 +37,7 @@
 
   private final Selector selector;
   private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+  private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
   private long timerOrder;
   private boolean running;
   private volatile boolean stopping;
@@ -62,6 +66,14 @@
         });
   }
 
+  /**
+   * What a connection reads into; what is left in it is gone with the next read. Each loop has its
+   * own: two in one process would read into each other's.
+   */
+  ByteBuffer scratch() {
+    return scratch;
+  }
+
   SelectionKey register(SelectableChannel channel, int ops, Ready handler) throws IOException {
     return channel.register(selector, ops, handler);
   }
--- a/src/main/java/io/saltflow/transport/StreamServer.java
+++ b/src/main/java/io/saltflow/transport/StreamServer.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -88,6 +89,8 @@
 
   @Override
   void accepted(SocketChannel socket) throws IOException {
+    // A peer that asked for no heartbeats may still be found dead by its host's silence.
+    socket.setOption(StandardSocketOptions.SO_KEEPALIVE, true);
     Stream stream = new Stream(socket);
     stream.peer = peers.apply(stream);
     stream.open(SelectionKey.OP_READ);
--- /dev/null
+++ b/src/test/java/io/saltflow/app/QueueSettingsTest.java
@@ -0,0 +1,109 @@
+package io.saltflow.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import at.favre.lib.crypto.bcrypt.BCrypt;
+import io.saltflow.queues.QueueId;
+import io.saltflow.queues.QueuePolicy;
+import io.saltflow.serving.AmqpSettings;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The operators' file for queues. */
+class QueueSettingsTest {
+  private static final String GOOD =
+      """
+      {
+        "users": [{"name": "u", "hash": "$2a$04$%s", "hosts": ["/"]}],
+        "hosts": [{"name": "/", "networks": ["10.0.0.0/8", "2001:db8::/32"]}],
+        "queues": [{"name": "q", "results": "r", "deadLetters": "d", "ttlS": 5}]
+      }"""
+          .formatted("a".repeat(53));
+
+  @TempDir Path folder;
+
+  private AmqpSettings read(String text) throws ConfigError, IOException {
+    return QueueSettings.read(Files.writeString(folder.resolve("queues.json"), text));
+  }
+
+  private static QueuePolicy queue(AmqpSettings s, String name) {
+    return s.queues().stream()
+        .filter(q -> q.id().equals(new QueueId("/", name)))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  @Test
+  void defaultsFitAndNamedQueuesAreThere() throws Exception {
+    AmqpSettings s = read(GOOD);
+    assertEquals(5, queue(s, "q").attempts());
+    assertTrue(queue(s, "r").inward());
+    assertTrue(queue(s, "d").inward());
+    assertTrue(QueueSettings.doubts(s, Map.of()).isEmpty());
+  }
+
+  /** What local serves when nothing is said, as its page promises; checked by the same schema. */
+  @Test
+  void localServesWorkOnceAndJobs() throws Exception {
+    Path packed = Path.of("src/main/resources/queues-local.json");
+    AmqpSettings s = QueueSettings.read(packed);
+    assertEquals(s, QueueSettings.local());
+    assertTrue(queue(s, "work").repeats());
+    assertFalse(queue(s, "once").repeats());
+    assertTrue(queue(s, "jobs").machines());
+    AmqpSettings.User guest = s.users().get(0);
+    assertTrue(BCrypt.verifyer().verify("guest".toCharArray(), guest.hash()).verified);
+    Path deploy = Path.of("deploy/queues.json");
+    assertEquals(List.of(), QueueSettings.doubts(QueueSettings.read(deploy), Map.of()));
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "networks: '10.0.0.0/99' | 10.0.0.0/8 | 10.0.0.0/99",
+        "does not match the regex | $2a$04$ | plain",
+        "is not defined in the schema | \"ttlS\" | \"ttl\"",
+        "r takes messages of its own | [{\"name\": \"q\" | [{\"name\": \"r\"}, {\"name\": \"q\"",
+        "set up twice | [{\"name\": \"q\" | [{\"name\": \"q\"}, {\"name\": \"q\"",
+        "no such virtual host | {\"name\": \"q\" | {\"host\": \"x\", \"name\": \"q\"",
+        "Unexpected | \"queues\": | \"queues\""
+      })
+  void badFieldIsNamed(String said, String good, String bad) {
+    ConfigError e = assertThrows(ConfigError.class, () -> read(GOOD.replace(good, bad)));
+    assertTrue(e.getMessage().contains(said), e.getMessage());
+    assertTrue(e.getMessage().contains("queues.json"), e.getMessage());
+  }
+
+  @Test
+  void whatCannotWorkIsDoubtful() throws Exception {
+    String doubtful = "{\"name\": \"q\", \"deliver\": \"machines\", \"team\": \"none\"}";
+    List<String> doubts =
+        QueueSettings.doubts(
+            read(GOOD.replaceAll("\\{\"name\": \"q\".*", doubtful + "]")), Map.of());
+    assertEquals(2, doubts.size(), doubts.toString());
+    assertTrue(doubts.get(0).contains("unknown team 'none'"));
+  }
+
+  @Test
+  void passwordsAreHashedWithoutBeingTyped() {
+    ByteArrayOutputStream said = new ByteArrayOutputStream();
+    PrintStream out = new PrintStream(said, true);
+    assertEquals(0, HashPassword.run(new ByteArrayInputStream("secret\n".getBytes()), out, out));
+    assertTrue(BCrypt.verifyer().verify("secret".toCharArray(), said.toString().trim()).verified);
+    assertEquals(2, HashPassword.run(new ByteArrayInputStream(new byte[0]), out, out));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/app/QueueTakeoverTest.java
@@ -0,0 +1,213 @@
+package io.saltflow.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.rabbitmq.client.AMQP;
+import com.rabbitmq.client.Channel;
+import com.rabbitmq.client.Connection;
+import com.rabbitmq.client.ConnectionFactory;
+import com.rabbitmq.client.GetResponse;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.serving.AmqpSettings;
+import io.saltflow.standin.CloudFront;
+import io.saltflow.standin.CloudStore;
+import io.saltflow.standin.StateFront;
+import io.saltflow.standin.StateStore;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two controllers, each with its own thread: clients at the one that leads, and the other. */
+class QueueTakeoverTest {
+  private static final MachineType TYPE =
+      new MachineType("box", new Size(8, 0, 32), 1, 1, 0.5, Span.seconds(15), List.of("a"));
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  /** Something that runs on a thread of its own until it is stopped. */
+  private static final class Running {
+    final Loop loop;
+    final Routine routine;
+    final Thread thread;
+
+    Running(Loop loop, Routine routine) {
+      this.loop = loop;
+      this.routine = routine;
+      thread =
+          new Thread(
+              () -> {
+                try {
+                  loop.run();
+                  routine.cancel();
+                } catch (IOException e) {
+                  throw new IllegalStateException(e);
+                }
+              });
+      thread.start();
+    }
+
+    void stop() throws InterruptedException {
+      loop.stop();
+      thread.join();
+    }
+  }
+
+  @TempDir Path folder;
+  private final List<Running> running = new ArrayList<>();
+  private final Map<Integer, Running> nodes = new TreeMap<>();
+  private String outside;
+  private AmqpSettings queues;
+
+  @BeforeEach
+  void start() throws Exception {
+    Loop loop = new Loop();
+    Root root = new Root();
+    StateStore store =
+        new StateStore(new StateStore.Limits(1000, 100, 8, 8), (epoch, writes) -> {}, loop.now());
+    StateFront state = new StateFront(root, loop, store);
+    CloudStore cloud = new CloudStore(List.of(TYPE), 0, 100, Span.seconds(1), "vm-", loop.now());
+    CloudFront cloudFront = new CloudFront(root, loop, cloud, (parent, rented) -> parent);
+    HttpServer server =
+        new HttpServer(
+            root,
+            loop,
+            Addresses.parse("127.0.0.1:0"),
+            64,
+            (method, target, body, answer) -> {
+              if (StateFront.serves(target)) {
+                state.handle(method, target, body, answer);
+              } else {
+                cloudFront.handle(method, target, body, answer);
+              }
+            });
+    outside = "127.0.0.1:" + server.port();
+    running.add(new Running(loop, root));
+    queues = QueueSettings.local().withListen(Addresses.parse("127.0.0.1:0"));
+  }
+
+  @AfterEach
+  void end() throws InterruptedException {
+    for (Running r : running) {
+      r.stop();
+    }
+  }
+
+  /** A controller; the port of its AMQP front. */
+  private int node(String name) throws Exception {
+    Path ops = Files.writeString(folder.resolve(name + ".json"), "{\"leaderLeaseS\": 1}");
+    Config config =
+        Config.parse(
+            ConfigTest.SETTINGS
+                .replace("10.9.9.9:1", outside)
+                .replace("node-0", name)
+                .replace(
+                    "[endpoints]",
+                    "[[siblings]]\nhost_name = \"x\"\nzone = \"a\"\naddr = \"127.0.0.1:9\"\n"
+                        + "[endpoints]"));
+    Loop loop = new Loop();
+    Node node = new Node(loop, config, OperatorSettings.read(ops), queues, name.hashCode());
+    node.start();
+    int port = node.amqpPort();
+    Running r = new Running(loop, node);
+    running.add(r);
+    nodes.put(port, r);
+    return port;
+  }
+
+  private static Connection connect(int port) throws Exception {
+    ConnectionFactory factory = new ConnectionFactory();
+    factory.setHost("127.0.0.1");
+    factory.setPort(port);
+    factory.setAutomaticRecoveryEnabled(false);
+    return factory.newConnection();
+  }
+
+  /** As clients that know all nodes do: whoever serves. */
+  private Connection connectToLeader() throws Exception {
+    for (int tries = 0; tries < 300; tries++) {
+      for (int port : nodes.keySet()) {
+        try {
+          return connect(port);
+        } catch (IOException e) {
+          Thread.sleep(50);
+        }
+      }
+    }
+    throw new IllegalStateException("nobody leads");
+  }
+
+  private static void publish(Channel ch, String queue, String id) throws Exception {
+    AMQP.BasicProperties p = new AMQP.BasicProperties.Builder().messageId(id).build();
+    ch.basicPublish("", queue, p, id.getBytes());
+  }
+
+  private static String result(Channel ch, String queue) throws Exception {
+    for (int i = 0; i < 300; i++) {
+      GetResponse got = ch.basicGet(queue, true);
+      if (got != null) {
+        return new String(got.getBody());
+      }
+      Thread.sleep(20);
+    }
+    return null;
+  }
+
+  @Test
+  void clientsFindTheNextLeaderAndNothingIsLostOrRepeated() throws Exception {
+    node("first");
+    Connection c = connectToLeader();
+    int second = node("second");
+    IOException redirect = assertThrows(IOException.class, () -> connect(second));
+    for (int i = 0; i < 100 && !redirect.getCause().getMessage().contains("first leads"); i++) {
+      // In its first moments it may not have heard who leads.
+      Thread.sleep(50);
+      redirect = assertThrows(IOException.class, () -> connect(second));
+    }
+    assertTrue(redirect.getCause().getMessage().contains("CONNECTION_FORCED - first leads"));
+    Channel ch = c.createChannel();
+    ch.confirmSelect();
+    for (int i = 0; i < 4; i++) {
+      publish(ch, "work", "w" + i);
+      publish(ch, "once", "o" + i);
+    }
+    ch.waitForConfirmsOrDie(10_000);
+    assertEquals("w0", new String(ch.basicGet("work", false).getBody()));
+    assertEquals("o0", new String(ch.basicGet("once", false).getBody()));
+    nodes.remove(c.getPort()).stop();
+    Connection next = connectToLeader();
+    assertEquals(second, next.getPort());
+    Channel then = next.createChannel();
+    assertTrue(result(then, "once.results").contains("\"id\":\"o0\",\"outcome\":\"unknown\""));
+    GetResponse again = then.basicGet("work", false);
+    assertEquals("w0", new String(again.getBody()));
+    assertTrue(again.getEnvelope().isRedeliver());
+    then.basicAck(again.getEnvelope().getDeliveryTag(), false);
+    assertEquals(
+        "{\"id\":\"w0\",\"outcome\":\"done\",\"attempts\":2}", result(then, "work.results"));
+    then.confirmSelect();
+    publish(then, "once", "o0");
+    then.waitForConfirmsOrDie(10_000);
+    assertEquals("o1", new String(then.basicGet("once", true).getBody()), "not o0 again");
+    next.abort();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/bookkeeping/QueueBooksTest.java
@@ -0,0 +1,304 @@
+package io.saltflow.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.coordination.Authority;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Term;
+import io.saltflow.queues.ConsumerId;
+import io.saltflow.queues.Effect;
+import io.saltflow.queues.Outcome;
+import io.saltflow.queues.QueueCore;
+import io.saltflow.queues.QueueId;
+import io.saltflow.queues.QueuePolicy;
+import io.saltflow.queues.ResultForm;
+import io.saltflow.queues.Ticket;
+import io.saltflow.standin.StateFront;
+import io.saltflow.standin.StateStore;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpReply;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The queues' record before a state service that loses answers, refuses and elects others. */
+class QueueBooksTest {
+  private static final QueueId QUEUE = new QueueId("/", "q");
+  private static final byte[] NOTHING = new byte[0];
+  private static final LeaderBooks.Limits LIMITS = new LeaderBooks.Limits(8, 8, 200);
+
+  private static final ResultForm FORM =
+      new ResultForm() {
+        @Override
+        public byte[] body(String id, Outcome outcome, int attempts, String reason) {
+          return NOTHING;
+        }
+
+        @Override
+        public byte[] properties(String id) {
+          return NOTHING;
+        }
+      };
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private final Root root = new Root();
+  private final SplittableRandom random = new SplittableRandom(5);
+  private final Chunks chunks = new Chunks(LIMITS);
+  private Loop loop;
+  private StateStore store;
+  private StateClient state;
+  private Authority authority;
+  private QueueCore core;
+  private QueueBooks books;
+  private int loseAnswers;
+  private int refuse;
+  private int deposed;
+  private int confirmed;
+
+  @BeforeEach
+  void start() throws IOException, BadMessage {
+    loop = new Loop();
+    store =
+        new StateStore(new StateStore.Limits(1000, 200, 8, 8), (epoch, writes) -> {}, loop.now());
+    StateFront front = new StateFront(root, loop, store);
+    HttpServer server =
+        new HttpServer(
+            root,
+            loop,
+            Addresses.parse("127.0.0.1:0"),
+            64,
+            (method, target, body, answer) -> {
+              boolean write = target.startsWith("/multi");
+              if (write && refuse > 0) {
+                refuse--;
+                answer.accept(HttpReply.empty(503));
+                return;
+              }
+              boolean lose = write && loseAnswers > 0 && loseAnswers-- > 0;
+              front.handle(method, target, body, lose ? reply -> {} : answer);
+            });
+    HttpClient http =
+        new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + server.port()), 8, 64);
+    state = new StateClient(root, loop, http, http, 1000, 200);
+    lead(1);
+  }
+
+  @AfterEach
+  void end() {
+    root.cancel();
+  }
+
+  /** Another leader: its key is new, and it reads what the former one recorded. */
+  private void lead(long term) throws BadMessage, IOException {
+    Body txn = new Txn().put(Keys.LEADER, Body.of().with("term", term)).body();
+    Stamp stamp =
+        new Stamp((Long) store.commit(MsgPack.decode(MsgPack.encode(txn))).body().get("epoch"));
+    authority = new Authority(Span.seconds(5), Span.seconds(5));
+    authority.won(new Term(term), stamp, loop.now());
+    core =
+        new QueueCore(
+            List.of(
+                new QueuePolicy(
+                    QUEUE,
+                    false,
+                    "c",
+                    "",
+                    Priority.NORMAL,
+                    Size.ZERO,
+                    3,
+                    Span.millis(0),
+                    true,
+                    Span.seconds(60),
+                    null,
+                    null,
+                    10_000,
+                    null,
+                    false)),
+            new QueueCore.Limits(100 << 20, 32 * 1024, 10_000, Span.seconds(60), Span.millis(0)),
+            chunks.bytesEach(),
+            (queue, arrived) -> true,
+            (queue, id, body) -> null,
+            FORM,
+            new Term(term));
+    books =
+        new QueueBooks(
+            root,
+            loop,
+            state,
+            authority,
+            core,
+            chunks,
+            200,
+            () -> 1_000_000,
+            () -> {
+              effects(e -> {});
+              books.flush();
+            },
+            () -> deposed++);
+    loop.every(Span.millis(5), root, books::flush);
+    Boolean[] read = new Boolean[1];
+    books.inherit(ok -> read[0] = ok);
+    await(() -> read[0] != null);
+    assertTrue(read[0]);
+    core.begin(loop.now(), 1_000_000);
+  }
+
+  private void await(BooleanSupplier done) throws IOException {
+    for (int i = 0; i < 20_000 && !done.getAsBoolean(); i++) {
+      loop.after(Span.millis(1), root, loop::pause);
+      loop.run();
+    }
+    assertTrue(done.getAsBoolean());
+  }
+
+  private void effects(Consumer<Effect> then) {
+    for (Effect e : core.effects()) {
+      if (e instanceof Effect.Confirm) {
+        confirmed++;
+      } else if (e instanceof Effect.Deliver d) {
+        core.settle(d.id(), QueueCore.Settlement.ACK, loop.now(), 1_000_000);
+      }
+      then.accept(e);
+    }
+  }
+
+  private void publish(int from, int to, int size) {
+    for (int i = from; i < to; i++) {
+      byte[] body = new byte[size];
+      random.nextBytes(body);
+      Ticket t = new Ticket(1, 1, i);
+      core.publish(t, QUEUE, "m-" + i, -1, NOTHING, body, loop.now(), 1_000_000);
+    }
+    books.flush();
+  }
+
+  @Test
+  void whatWasConfirmedIsReadByTheNextLeaderWhateverItsSize() throws Exception {
+    publish(0, 300, 100);
+    publish(300, 310, 16 * 1024);
+    publish(310, 312, 32 * 1024);
+    await(() -> confirmed == 312);
+    long bytes = core.bytes();
+    lead(2);
+    assertEquals(312, core.size());
+    assertEquals(bytes, core.bytes());
+    core.publish(
+        new Ticket(1, 1, 1), QUEUE, "m-311", -1, NOTHING, new byte[1], loop.now(), 1_000_000);
+    effects(e -> {});
+    assertEquals(313, confirmed, "known, though another took it");
+    assertEquals(312, core.size());
+  }
+
+  /** Many small messages share a change: the state service counts changes, not bytes. */
+  @Test
+  void confirmsAreNotBoundToOneChangeEach() throws IOException {
+    publish(0, 2000, 100);
+    long before = store.epoch();
+    await(() -> confirmed == 2000);
+    assertTrue(store.epoch() - before < 60, "batches: " + (store.epoch() - before));
+  }
+
+  @Test
+  void lostAnswersAndRefusalsChangeNothing() throws Exception {
+    refuse = 3;
+    publish(0, 10, 50);
+    await(() -> confirmed == 10);
+    loseAnswers = 1;
+    publish(10, 20, 50);
+    await(() -> confirmed == 20);
+    lead(2);
+    assertEquals(20, core.size());
+  }
+
+  /** The keys are used over again, and what is alive moves on: the record stays short. */
+  @Test
+  void theRecordStaysShortWhileMessagesComeAndGo() throws Exception {
+    publish(0, 20, 500);
+    await(() -> confirmed == 20);
+    ConsumerId id = new ConsumerId(1, 1, "c");
+    core.consume(id, QUEUE, false, 100, loop.now(), 1_000_000);
+    for (int i = 1; i <= 40; i++) {
+      int all = 20 + i * 50;
+      publish(all - 50, all, 500);
+      await(() -> confirmed == all);
+    }
+    await(() -> core.size() == 0);
+    int keys = ((List<?>) store.list(Keys.QUEUES, "", 1000).body().get("pairs")).size();
+    assertTrue(keys < 120, "2,020 messages of 500 bytes went through " + keys + " keys");
+    lead(2);
+    assertEquals(0, core.size());
+  }
+
+  /** A leader whose key is gone writes nothing more, and knows it at once. */
+  @Test
+  void aDeposedLeaderRecordsNothing() throws Exception {
+    publish(0, 5, 50);
+    await(() -> confirmed == 5);
+    QueueCore former = core;
+    QueueBooks formerBooks = books;
+    lead(2);
+    former.publish(new Ticket(1, 1, 9), QUEUE, "late", -1, NOTHING, NOTHING, loop.now(), 1_000_000);
+    formerBooks.flush();
+    await(() -> deposed == 1);
+    assertEquals(5, confirmed);
+    publish(5, 6, 50);
+    await(() -> confirmed == 6);
+    lead(3);
+    assertEquals(6, core.size());
+  }
+
+  /** What can't be read is never taken for absence. */
+  @Test
+  void aDamagedRecordIsNotServed() throws Exception {
+    publish(0, 200, 400);
+    await(() -> confirmed == 200);
+    StateStore.Value first = store.value(Keys.QUEUES + "000001");
+    Body txn =
+        new Txn().put(Keys.QUEUES + "000001", Body.of().with("b", 99999L).with("i", 0L)).body();
+    store.commit(MsgPack.decode(MsgPack.encode(txn)));
+    assertTrue(first != null);
+    List<Boolean> read = new ArrayList<>();
+    QueueCore fresh = core;
+    QueueBooks next =
+        new QueueBooks(
+            root, loop, state, authority, fresh, chunks, 200, () -> 0, () -> {}, () -> {});
+    next.inherit(read::add);
+    await(() -> !read.isEmpty());
+    assertEquals(Arrays.asList((Boolean) null), read);
+  }
+
+  @Test
+  void whatIsPackedIsReadAgainOrRefused() throws BadMessage {
+    byte[] bytes = new byte[30_000];
+    random.nextBytes(bytes);
+    List<String> parts = chunks.split(bytes);
+    assertTrue(Arrays.equals(bytes, chunks.join(parts)));
+    List<String> cut = parts.subList(0, parts.size() - 1);
+    assertThrows(BadMessage.class, () -> chunks.join(cut));
+    assertThrows(BadMessage.class, () -> chunks.join(List.of("no base64!")));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/serving/DoorkeeperTest.java
@@ -0,0 +1,88 @@
+package io.saltflow.serving;
+
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import at.favre.lib.crypto.bcrypt.BCrypt;
+import io.saltflow.amqp.AmqpError;
+import io.saltflow.amqp.Code;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Passwords and networks. */
+class DoorkeeperTest {
+  private static final Time NOW = new Time(0);
+  private final Doorkeeper door =
+      new Doorkeeper(
+          new AmqpSettings(
+              null,
+              Map.of(),
+              null,
+              List.of(
+                  new AmqpSettings.User(
+                      "u", BCrypt.withDefaults().hashToString(4, "p".toCharArray()), List.of("/"))),
+              List.of(
+                  new AmqpSettings.VirtualHost("/", List.of("10.1.0.0/16", "2001:db8::/32")),
+                  new AmqpSettings.VirtualHost("other", List.of("0.0.0.0/0"))),
+              List.of(),
+              Map.of()),
+          NOW);
+
+  private Code refused(String response, Time now) {
+    return assertThrows(AmqpError.class, () -> door.login("PLAIN", response, now)).code();
+  }
+
+  @Test
+  void onlyTheRightPasswordComesIn() throws AmqpError {
+    assertEquals("u", door.login("PLAIN", "\0u\0p", NOW));
+    assertEquals("u", door.login("PLAIN", "u\0u\0p", NOW));
+    assertEquals(Code.ACCESS_REFUSED, refused("\0u\0x", NOW));
+    assertEquals(Code.ACCESS_REFUSED, refused("\0v\0p", NOW));
+    assertEquals(Code.ACCESS_REFUSED, refused("other\0u\0p", NOW));
+    assertEquals(Code.ACCESS_REFUSED, refused("u p", NOW));
+    assertThrows(AmqpError.class, () -> door.login("ANONYMOUS", "", NOW));
+  }
+
+  /** Guessing is bounded, or the slow hash would keep a leader from its lease. */
+  @Test
+  void guessesAreFewASecondAndKnownUsersAreNotHeldUp() throws AmqpError {
+    door.login("PLAIN", "\0u\0p", NOW);
+    int tried = 0;
+    while (refused("\0u\0guess" + tried, NOW) == Code.ACCESS_REFUSED) {
+      tried++;
+    }
+    assertEquals(3, tried, "with the right one before, four in the first second");
+    assertEquals("u", door.login("PLAIN", "\0u\0p", NOW));
+    assertEquals(Code.ACCESS_REFUSED, refused("\0u\0guess", NOW.plus(Span.seconds(1))));
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "10.1.2.3, /, true",
+    "10.2.2.3, /, false",
+    "127.0.0.1, /, false",
+    "2001:db8::7, /, true",
+    "2001:db9::7, /, false",
+    "::ffff:10.1.2.3, /, true",
+    "10.1.2.3, other, false",
+    "10.1.2.3, none, false"
+  })
+  void hostsAreOpenToTheirNetworksAndUsers(String address, String host, boolean open)
+      throws UnknownHostException {
+    InetAddress from = InetAddress.getByName(address);
+    if (open) {
+      assertDoesNotThrow(() -> door.enter("u", host, from));
+    } else {
+      AmqpError e = assertThrows(AmqpError.class, () -> door.enter("u", host, from));
+      assertEquals(Code.NOT_ALLOWED, e.code());
+    }
+  }
+}
