Queues: the core in parts, fuzzing, pages, a load tool; deliveries not behind publishes

Cause: deliveries and ends waited in the record behind whatever a publisher poured in (none in 6 s while 1,500 messages of 1 KiB waited to be written); Avro's decoder set aside what a length claimed, on the mesh too (found by fuzzing: five bytes, two gigabytes); QueueCore had five ideas in one class.

Change: a batch takes changes of known messages and new ones, neither less than half; AvroInput checks lengths first; QueueCore is split into deliveries, endings, machine work, messages and recorder, its kept trace unchanged. Jazzer targets with their corpus, replayed by CorpusTest.

--- a/src/main/java/io/saltflow/protocol/Beat.java
+++ b/src/main/java/io/saltflow/protocol/Beat.java
@@ -4,10 +4,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import org.apache.avro.AvroRuntimeException;
-import org.apache.avro.io.BinaryDecoder;
 import org.apache.avro.io.BinaryEncoder;
-import org.apache.avro.io.DecoderFactory;
 import org.apache.avro.io.EncoderFactory;
 
 /**
@@ -46,24 +43,17 @@
   }
 
   public static Beat decode(byte[] frame) throws BadMessage {
-    try {
-      BinaryDecoder in = DecoderFactory.get().binaryDecoder(frame, null);
-      String host = in.readString();
-      Term term = new Term(in.readLong());
-      boolean leading = in.readBoolean();
-      long quiet = in.readLong();
-      List<Counts> jobs = new ArrayList<>();
-      for (long n = in.readArrayStart(); n != 0; n = in.arrayNext()) {
-        if (n < 0 || jobs.size() + n > MOST_JOBS) {
-          throw new BadMessage("a beat with too many jobs");
-        }
-        for (long i = 0; i < n; i++) {
-          jobs.add(new Counts(new JobId(in.readString()), in.readInt(), in.readInt()));
-        }
+    AvroInput in = new AvroInput(frame);
+    String host = in.text();
+    Term term = new Term(in.number());
+    boolean leading = in.flag();
+    long quiet = in.number();
+    List<Counts> jobs = new ArrayList<>();
+    for (long n = in.firstItems(MOST_JOBS); n != 0; n = in.nextItems(MOST_JOBS - jobs.size())) {
+      for (long i = 0; i < n; i++) {
+        jobs.add(new Counts(new JobId(in.text()), in.count(), in.count()));
       }
-      return new Beat(host, term, leading, quiet, jobs);
-    } catch (IOException | AvroRuntimeException e) {
-      throw new BadMessage("a beat that can't be read");
     }
+    return new Beat(host, term, leading, quiet, jobs);
   }
 }
--- /dev/null
+++ b/src/main/java/io/saltflow/queues/Context.java
@@ -0,0 +1,47 @@
+package io.saltflow.queues;
+
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.List;
+
+/** What the parts of the core share: when it is, what is wanted, and what is to be recorded. */
+final class Context {
+  final Recorder recorder;
+  Time now;
+  long wallMs;
+  private List<Effect> effects = new ArrayList<>();
+
+  Context(Recorder recorder) {
+    this.recorder = recorder;
+  }
+
+  void at(Time time, long wall) {
+    now = time;
+    wallMs = wall;
+  }
+
+  void want(Effect e) {
+    effects.add(e);
+  }
+
+  List<Effect> taken() {
+    List<Effect> out = effects;
+    effects = new ArrayList<>();
+    return out;
+  }
+
+  /** Records what can't be refused any more. */
+  void record(Entry entry, Runnable then) {
+    recorder.add(List.of(entry), then, null);
+  }
+
+  void confirm(Message m) {
+    m.tickets.forEach(t -> want(new Effect.Confirm(t)));
+    m.tickets.clear();
+  }
+
+  void refuse(Message m) {
+    m.tickets.forEach(t -> want(new Effect.Refuse(t, Refusal.NOT_NOW)));
+    m.tickets.clear();
+  }
+}
--- a/src/main/java/io/saltflow/queues/EntryCodec.java
+++ b/src/main/java/io/saltflow/queues/EntryCodec.java
@@ -1,15 +1,12 @@
 package io.saltflow.queues;
 
+import io.saltflow.protocol.AvroInput;
 import io.saltflow.protocol.BadMessage;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import org.apache.avro.AvroRuntimeException;
-import org.apache.avro.io.BinaryDecoder;
 import org.apache.avro.io.BinaryEncoder;
-import org.apache.avro.io.DecoderFactory;
 import org.apache.avro.io.EncoderFactory;
 
 /**
@@ -89,52 +86,40 @@
   }
 
   public static List<Entry> decode(byte[] bytes) throws BadMessage {
-    try {
-      BinaryDecoder in = DecoderFactory.get().binaryDecoder(bytes, null);
-      List<Entry> out = new ArrayList<>();
-      for (long n = in.readArrayStart(); n != 0; n = in.arrayNext()) {
-        if (n < 0 || out.size() + n > MOST_ENTRIES) {
-          throw new BadMessage("a batch with too many entries");
-        }
-        for (long i = 0; i < n; i++) {
-          out.add(read(in));
-        }
-      }
-      if (!in.isEnd()) {
-        throw new BadMessage("bytes after the entries of a batch");
+    AvroInput in = new AvroInput(bytes);
+    List<Entry> out = new ArrayList<>();
+    long n = in.firstItems(MOST_ENTRIES);
+    while (n != 0) {
+      for (long i = 0; i < n; i++) {
+        out.add(read(in));
       }
-      return out;
-    } catch (IOException | AvroRuntimeException e) {
-      throw new BadMessage("a batch that can't be read");
+      n = in.nextItems(MOST_ENTRIES - out.size());
     }
+    if (!in.atEnd()) {
+      throw new BadMessage("bytes after the entries of a batch");
+    }
+    return out;
   }
 
-  private static Entry read(BinaryDecoder in) throws IOException, BadMessage {
-    return switch (in.readIndex()) {
+  private static Entry read(AvroInput in) throws BadMessage {
+    return switch (in.index()) {
       case KEPT ->
           new Entry.Kept(
-              new MessageNo(in.readLong()),
-              new QueueId(in.readString(), in.readString()),
-              in.readString(),
-              in.readBoolean(),
-              in.readLong(),
-              in.readLong(),
-              in.readInt(),
-              in.readBoolean(),
-              bytes(in),
-              bytes(in));
-      case STARTED -> new Entry.Started(new MessageNo(in.readLong()), in.readInt());
-      case RETURNED -> new Entry.Returned(new MessageNo(in.readLong()), in.readInt());
-      case ENDED -> new Entry.Ended(new MessageNo(in.readLong()));
-      case KNOWN -> new Entry.Known(new Digest(in.readLong(), in.readLong()), in.readLong());
+              new MessageNo(in.number()),
+              new QueueId(in.text(), in.text()),
+              in.text(),
+              in.flag(),
+              in.number(),
+              in.number(),
+              in.count(),
+              in.flag(),
+              in.bytes(),
+              in.bytes());
+      case STARTED -> new Entry.Started(new MessageNo(in.number()), in.count());
+      case RETURNED -> new Entry.Returned(new MessageNo(in.number()), in.count());
+      case ENDED -> new Entry.Ended(new MessageNo(in.number()));
+      case KNOWN -> new Entry.Known(new Digest(in.number(), in.number()), in.number());
       default -> throw new BadMessage("an entry of an unknown kind");
     };
   }
-
-  private static byte[] bytes(BinaryDecoder in) throws IOException {
-    ByteBuffer buffer = in.readBytes(null);
-    byte[] out = new byte[buffer.remaining()];
-    buffer.get(out);
-    return out;
-  }
 }
--- a/src/main/java/io/saltflow/queues/Message.java
+++ b/src/main/java/io/saltflow/queues/Message.java
@@ -48,7 +48,6 @@
   boolean out;
 
   Consumer holder;
-  Time heldUntil = Time.NEVER;
   Time notBefore = Time.LONG_AGO;
   JobId job;
 
--- a/src/main/java/io/saltflow/queues/QueueState.java
+++ b/src/main/java/io/saltflow/queues/QueueState.java
@@ -49,8 +49,27 @@
     return waiting.isEmpty() ? null : waiting.firstEntry().getValue();
   }
 
+  /** What it uses, and would use, of its team's limit; null: nothing. */
+  Demand demand() {
+    boolean sizeless = policy.size().cores() <= 0 && policy.size().gpus() <= 0;
+    if (policy.team().isEmpty() || sizeless || policy.machines()) {
+      return null;
+    }
+    int wanted = wanted();
+    if (out == 0 && wanted == 0) {
+      return null;
+    }
+    long arrived = head() == null ? Message.NEVER : head().arrivedWallMs;
+    return new Demand(
+        policy.team(),
+        policy.priority(),
+        policy.size().times(out),
+        policy.size().times(wanted),
+        arrived);
+  }
+
   /** How many of the waiting messages could be taken now. */
-  int wanted() {
+  private int wanted() {
     int room = 0;
     for (Consumer c : free) {
       room += Math.min(c.limit - c.held.size(), c.share.limit - c.share.out);
--- a/src/main/java/io/saltflow/queues/Recorder.java
+++ b/src/main/java/io/saltflow/queues/Recorder.java
@@ -30,7 +30,15 @@
 
   private final Ring ring;
   private final Living living;
-  private final ArrayDeque<Unit> pending = new ArrayDeque<>();
+
+  /**
+   * What happens to messages that are recorded, and new ones. They are independent of each other: a
+   * message's first entry is durable before it has another. Deliveries and ends would else wait
+   * behind whatever a publisher pours in.
+   */
+  private final ArrayDeque<Unit> changes = new ArrayDeque<>();
+
+  private final ArrayDeque<Unit> publishes = new ArrayDeque<>();
   private List<Unit> inFlight;
   private Batch batch;
 
@@ -40,11 +48,16 @@
   }
 
   void add(List<Entry> entries, Runnable recorded, Runnable dropped) {
-    pending.add(new Unit(entries, recorded, dropped));
+    Unit u = new Unit(entries, recorded, dropped);
+    queueOf(u).add(u);
+  }
+
+  private ArrayDeque<Unit> queueOf(Unit u) {
+    return u.dropped == null ? changes : publishes;
   }
 
   boolean hasPending() {
-    return batch == null && !pending.isEmpty();
+    return batch == null && !(changes.isEmpty() && publishes.isEmpty());
   }
 
   /** The number of the batch under way. */
@@ -54,17 +67,14 @@
 
   /** Units that are not on their way and can be refused are. */
   void drop() {
-    for (Unit u : new ArrayList<>(pending)) {
-      if (u.dropped != null) {
-        pending.remove(u);
-        u.dropped.run();
-      }
+    while (!publishes.isEmpty()) {
+      publishes.poll().dropped.run();
     }
   }
 
   /**
-   * At least one unit, further ones up to so many bytes, and in what is left of these what still
-   * lives of the oldest batch, if the log has grown too long. Null: nothing to record now.
+   * At least one unit, further ones up to about so many bytes, and in what is left of these what
+   * still lives of the oldest batch, if the log has grown too long. Null: nothing to record now.
    */
   Batch next(int mostBytes) {
     if (!hasPending()) {
@@ -73,14 +83,10 @@
     ring.trim();
     inFlight = new ArrayList<>();
     List<Entry> entries = new ArrayList<>();
-    int size = 0;
-    while (!pending.isEmpty()
-        && (inFlight.isEmpty() || size + pending.peek().size() <= mostBytes)) {
-      Unit u = pending.poll();
-      size += u.size();
-      inFlight.add(u);
-      entries.addAll(u.entries);
-    }
+    // Neither kind is starved by the other.
+    int size = take(changes, 0, publishes.isEmpty() ? mostBytes : mostBytes / 2, entries);
+    size = take(publishes, size, mostBytes, entries);
+    size = take(changes, size, mostBytes, entries);
     if (ring.tooLong(living.bytes())) {
       clean(entries, mostBytes - size);
     }
@@ -88,6 +94,17 @@
     return batch;
   }
 
+  private int take(ArrayDeque<Unit> from, int before, int mostBytes, List<Entry> entries) {
+    int size = before;
+    while (!from.isEmpty() && (inFlight.isEmpty() || size + from.peek().size() <= mostBytes)) {
+      Unit u = from.poll();
+      size += u.size();
+      inFlight.add(u);
+      entries.addAll(u.entries);
+    }
+    return size;
+  }
+
   private void clean(List<Entry> entries, int room) {
     int left = room;
     for (Object name : ring.oldest()) {
@@ -117,7 +134,7 @@
     batch = null;
     for (int i = units.size() - 1; i >= 0; i--) {
       if (!units.get(i).entries.isEmpty()) {
-        pending.addFirst(units.get(i));
+        queueOf(units.get(i)).addFirst(units.get(i));
       }
     }
   }
--- a/src/main/java/io/saltflow/serving/AmqpDesk.java
+++ b/src/main/java/io/saltflow/serving/AmqpDesk.java
@@ -61,8 +61,8 @@
 
   @Override
   public Status status(String queue) {
-    int[] counts = core.status(queue(queue));
-    return counts == null ? null : new Status(counts[0], counts[1]);
+    QueueCore.Status there = core.status(queue(queue));
+    return there == null ? null : new Status(there.waiting(), there.consumers());
   }
 
   @Override
--- /dev/null
+++ b/src/test/java/io/saltflow/amqp/FrameTarget.java
@@ -0,0 +1,42 @@
+package io.saltflow.amqp;
+
+import java.nio.ByteBuffer;
+import java.util.Map;
+
+/** Frames, methods and properties of whatever bytes come after a greeting. */
+public final class FrameTarget {
+  private static final int FRAME_MAX = 4096;
+
+  private FrameTarget() {}
+
+  public static void run(byte[] data) {
+    FrameReader reader = new FrameReader(FRAME_MAX);
+    try {
+      reader.next(ByteBuffer.wrap(Peer.greeting()));
+      ByteBuffer in = ByteBuffer.wrap(data);
+      for (Frame f = reader.next(in); f != null; f = reader.next(in)) {
+        if (f.type() == Frame.METHOD) {
+          again(Method.decode(f.payload()));
+        } else if (f.type() == Frame.HEADER) {
+          Properties.decode(f.payload());
+        }
+      }
+    } catch (AmqpError | FrameReader.NotAmqp e) {
+      // Refused, as it should be.
+    }
+  }
+
+  /** What was read can be written, unless a text was no text or a table the server never sends. */
+  private static void again(Method m) throws AmqpError {
+    boolean plain =
+        m.arguments().stream()
+            .noneMatch(a -> a instanceof Map<?, ?> || a.toString().indexOf('\ufffd') >= 0);
+    if (plain) {
+      Bytes out = new Bytes();
+      m.encode(out);
+      if (!Method.decode(out.buffer()).equals(m)) {
+        throw new IllegalStateException(m + " is not read as it was written");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/app/QueueLoad.java
@@ -0,0 +1,414 @@
+package io.saltflow.app;
+
+import com.rabbitmq.client.AMQP;
+import com.rabbitmq.client.Channel;
+import com.rabbitmq.client.Connection;
+import com.rabbitmq.client.ConnectionFactory;
+import com.rabbitmq.client.DefaultConsumer;
+import com.rabbitmq.client.Envelope;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Wire;
+import io.saltflow.serving.AmqpSettings;
+import io.saltflow.standin.CloudFront;
+import io.saltflow.standin.CloudStore;
+import io.saltflow.standin.StateFront;
+import io.saltflow.standin.StateStore;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Random;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Measures the AMQP front by a client library on loopback, with a state service that takes so many
+ * changes a second; bounded in time and count. Run by hand: {@code docs/PERFORMANCE.md} says how.
+ */
+public final class QueueLoad {
+  private static final MachineType TYPE =
+      new MachineType("box", new Size(8, 0, 32), 1, 1, 0.5, Span.seconds(15), List.of("a"));
+  private static final long SECONDS = 6;
+  private static final int WINDOW = 2000;
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private final List<Loop> loops = new ArrayList<>();
+  private final double writesPerS;
+  private final AmqpSettings queues;
+  private String outside;
+  private StateStore store;
+  private Node node;
+  private Loop nodeLoop;
+
+  private QueueLoad(double writesPerS) throws ConfigError {
+    this.writesPerS = writesPerS;
+    queues = QueueSettings.local().withListen(Addresses.parse("127.0.0.1:0"));
+  }
+
+  private void run(Loop loop) {
+    loops.add(loop);
+    Thread t =
+        new Thread(
+            () -> {
+              try {
+                loop.run();
+              } catch (IOException e) {
+                throw new IllegalStateException(e);
+              }
+            });
+    t.setDaemon(true);
+    t.start();
+  }
+
+  private void startOutside() throws IOException {
+    Loop loop = new Loop();
+    Root root = new Root();
+    double rps = Math.max(100, writesPerS);
+    store =
+        new StateStore(new StateStore.Limits(rps, writesPerS, 8, 8), (epoch, w) -> {}, loop.now());
+    StateFront state = new StateFront(root, loop, store);
+    CloudStore cloud = new CloudStore(List.of(TYPE), 0, 100, Span.seconds(1), "vm-", loop.now());
+    CloudFront cloudFront = new CloudFront(root, loop, cloud, (parent, rented) -> parent);
+    HttpServer server =
+        new HttpServer(
+            root,
+            loop,
+            Addresses.parse("127.0.0.1:0"),
+            64,
+            (method, target, body, answer) -> {
+              if (StateFront.serves(target)) {
+                state.handle(method, target, body, answer);
+              } else {
+                cloudFront.handle(method, target, body, answer);
+              }
+            });
+    outside = "127.0.0.1:" + server.port();
+    run(loop);
+  }
+
+  private void startNode(String name) throws Exception {
+    Config config =
+        Config.parse(
+            ConfigTest.SETTINGS
+                    .replace("10.9.9.9:1", outside)
+                    .replace("node-0", name)
+                    .replace("write_rps = 25.0", "write_rps = " + writesPerS)
+                    .replace("rps = 100.0", "rps = " + Math.max(100, writesPerS))
+                + "[settings.resources]\nsockets = 6000\n");
+    nodeLoop = new Loop();
+    node = new Node(nodeLoop, config, OperatorSettings.defaults(), queues, 1);
+    node.start();
+    run(nodeLoop);
+    for (int i = 0; i < 2000 && !ready(); i++) {
+      Thread.sleep(5);
+    }
+  }
+
+  private boolean ready() {
+    try {
+      connect().abort();
+      return true;
+    } catch (Exception e) {
+      return false;
+    }
+  }
+
+  private Connection connect() throws Exception {
+    ConnectionFactory f = new ConnectionFactory();
+    f.setHost("127.0.0.1");
+    f.setPort(node.amqpPort());
+    f.setAutomaticRecoveryEnabled(false);
+    f.setRequestedHeartbeat(0);
+    return f.newConnection();
+  }
+
+  private void end() {
+    loops.forEach(Loop::stop);
+  }
+
+  /** Publishes for a while over so many connections, each message as soon as there is room. */
+  private String publish(int connections, int size, int outstanding) throws Exception {
+    Histogram latency = new ConcurrentHistogram(TimeUnit.SECONDS.toMicros(60), 3);
+    AtomicLong refused = new AtomicLong();
+    long heapBefore = heap();
+    List<Connection> open = new ArrayList<>();
+    List<Thread> threads = new ArrayList<>();
+    for (int i = 0; i < connections; i++) {
+      open.add(connect());
+    }
+    long heap = heap() - heapBefore;
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(SECONDS);
+    int window = Math.max(1, outstanding / connections);
+    long epoch = store.epoch();
+    for (Connection c : open) {
+      Thread t = new Thread(() -> publishUntil(c, until, window, size, latency, refused));
+      threads.add(t);
+      t.start();
+    }
+    for (Thread t : threads) {
+      t.join();
+    }
+    long changes = store.epoch() - epoch;
+    for (Connection c : open) {
+      c.abort();
+    }
+    return String.format(
+        "%5d connections %6d B: %7.0f confirms/s, p50 %6.1f ms, p99 %6.1f ms, %d refused, "
+            + "%.1f transactions/s, about %d KiB a connection (both ends)",
+        connections,
+        size,
+        latency.getTotalCount() / (double) SECONDS,
+        latency.getValueAtPercentile(50) / 1000.0,
+        latency.getValueAtPercentile(99) / 1000.0,
+        refused.get(),
+        changes / (double) SECONDS,
+        heap / connections / 1024);
+  }
+
+  private static long heap() throws InterruptedException {
+    for (int i = 0; i < 3; i++) {
+      System.gc();
+      Thread.sleep(50);
+    }
+    Runtime r = Runtime.getRuntime();
+    return r.totalMemory() - r.freeMemory();
+  }
+
+  private static void publishUntil(
+      Connection c, long until, int window, int size, Histogram latency, AtomicLong refused) {
+    try {
+      Channel ch = c.createChannel();
+      ch.confirmSelect();
+      Semaphore room = new Semaphore(window);
+      NavigableMap<Long, Long> sent = new ConcurrentSkipListMap<>();
+      ch.addConfirmListener(
+          (tag, multiple) -> answered(sent, tag, multiple, room, latency),
+          (tag, multiple) -> {
+            refused.incrementAndGet();
+            // As a client does that is refused: it comes back a little later.
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
+            answered(sent, tag, multiple, room, null);
+          });
+      byte[] body = body(size);
+      String prefix = Long.toHexString(System.identityHashCode(c)) + "-" + System.nanoTime() + "-";
+      for (long n = 0; System.nanoTime() < until; n++) {
+        if (!room.tryAcquire(200, TimeUnit.MILLISECONDS)) {
+          n--;
+          continue;
+        }
+        sent.put(ch.getNextPublishSeqNo(), System.nanoTime());
+        AMQP.BasicProperties p =
+            new AMQP.BasicProperties.Builder().messageId(prefix + n).deliveryMode(2).build();
+        ch.basicPublish("", "work", p, body);
+      }
+    } catch (Exception e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Text like a publishing tool's, of which about half is different each time. */
+  private static byte[] body(int size) {
+    StringBuilder text = new StringBuilder();
+    Random random = new Random(size);
+    while (text.length() < size) {
+      text.append("{\"chapter\": ").append(random.nextInt(1_000_000));
+      text.append(", \"hash\": \"").append(Long.toHexString(random.nextLong())).append("\"} ");
+    }
+    return text.substring(0, size).getBytes(StandardCharsets.US_ASCII);
+  }
+
+  private static void answered(
+      NavigableMap<Long, Long> sent,
+      long tag,
+      boolean multiple,
+      Semaphore room,
+      Histogram latency) {
+    NavigableMap<Long, Long> some =
+        multiple ? sent.headMap(tag, true) : sent.subMap(tag, true, tag, true);
+    for (Map.Entry<Long, Long> e = some.pollFirstEntry(); e != null; e = some.pollFirstEntry()) {
+      room.release();
+      if (latency != null) {
+        latency.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - e.getValue()));
+      }
+    }
+  }
+
+  /** Takes for a while what waits, acknowledging each. */
+  private String deliver(int prefetch) throws Exception {
+    AtomicLong taken = new AtomicLong();
+    Connection c = connect();
+    Channel ch = c.createChannel();
+    ch.basicQos(prefetch);
+    ch.basicConsume(
+        "work",
+        false,
+        new DefaultConsumer(ch) {
+          @Override
+          public void handleDelivery(
+              String tag, Envelope envelope, AMQP.BasicProperties properties, byte[] body)
+              throws IOException {
+            taken.incrementAndGet();
+            ch.basicAck(envelope.getDeliveryTag(), false);
+          }
+        });
+    Thread.sleep(TimeUnit.SECONDS.toMillis(SECONDS));
+    c.abort();
+    return String.format(
+        "prefetch %d: %.0f deliveries/s", prefetch, taken.get() / (double) SECONDS);
+  }
+
+  /** Jobs over HTTP, so many at a time, for as long as messages were published. */
+  private String submitNatively(int atOnce) throws Exception {
+    Loop loop = new Loop();
+    Root root = new Root();
+    HttpClient http =
+        new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + node.port()), atOnce, atOnce * 2);
+    Histogram latency = new Histogram(TimeUnit.SECONDS.toMicros(60), 3);
+    long[] next = {System.currentTimeMillis() * 1000};
+    Body job =
+        Body.of()
+            .with(Wire.CLASS, "c")
+            .with(Wire.TEAM, "red")
+            .with(Wire.SHAPE, Wire.SHAPE_ARRAY)
+            .with(Wire.PRIORITY, Wire.URGENCY_NORMAL)
+            .with(Wire.TASKS, 1)
+            .with(Wire.CORES, 1.0)
+            .with(Wire.GPUS, 0.0)
+            .with(Wire.MEMORY_GB, 1.0)
+            .with(Wire.IMAGE, "i")
+            .with(Wire.IMAGE_GB, 0.1)
+            .with(Wire.ONE_ZONE, false)
+            .with(Wire.SPREAD, false)
+            .with(Wire.SPOT, true)
+            .with(Wire.ESTIMATE_S, 60.0)
+            .with(Wire.CHECKPOINT_S, 0.0)
+            .with(Wire.SAVE_S, 0.0);
+    for (int i = 0; i < atOnce; i++) {
+      submitNext(http, loop, next, job, latency);
+    }
+    loop.after(Span.seconds(SECONDS), root, loop::pause);
+    loop.run();
+    root.cancel();
+    return String.format(
+        "native HTTP, %d at once: %.0f accepted/s, p50 %.1f ms, p99 %.1f ms",
+        atOnce,
+        latency.getTotalCount() / (double) SECONDS,
+        latency.getValueAtPercentile(50) / 1000.0,
+        latency.getValueAtPercentile(99) / 1000.0);
+  }
+
+  private static void submitNext(
+      HttpClient http, Loop loop, long[] next, Body job, Histogram latency) {
+    long at = System.nanoTime();
+    byte[] body = MsgPack.encode(job.with(Wire.ID, Wire.JOB_PREFIX + next[0]++));
+    http.call(
+        "POST",
+        Wire.PATH_JOBS,
+        body,
+        Span.seconds(10),
+        a -> {
+          if (a.status() == 201) {
+            latency.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - at));
+          }
+          submitNext(http, loop, next, job, latency);
+        });
+  }
+
+  /** Fills the queue, ends the leader, and waits for the next one's first delivery. */
+  private String takeOver(int waiting) throws Exception {
+    Connection c = connect();
+    Channel ch = c.createChannel();
+    ch.confirmSelect();
+    for (int i = 0; i < waiting; i++) {
+      AMQP.BasicProperties p = new AMQP.BasicProperties.Builder().messageId("t-" + i).build();
+      ch.basicPublish("", "work", p, ("page " + i).getBytes());
+    }
+    ch.waitForConfirmsOrDie(600_000);
+    Channel holds = c.createChannel();
+    holds.basicQos(2000);
+    holds.basicConsume("work", false, new DefaultConsumer(holds));
+    Thread.sleep(3000);
+    nodeLoop.stop();
+    Thread.sleep(200);
+    long ended = System.nanoTime();
+    startNode("next");
+    long leads = System.nanoTime();
+    Connection next = connect();
+    Channel then = next.createChannel();
+    CountDownLatch first = new CountDownLatch(1);
+    then.basicConsume(
+        "work",
+        false,
+        new DefaultConsumer(then) {
+          @Override
+          public void handleDelivery(
+              String tag, Envelope envelope, AMQP.BasicProperties properties, byte[] body) {
+            first.countDown();
+          }
+        });
+    first.await(60, TimeUnit.SECONDS);
+    long now = System.nanoTime();
+    next.abort();
+    return String.format(
+        "%d waiting, 2,000 of them out: served %.2f s after the end (lease 5 s), "
+            + "first delivery %.0f ms after that",
+        waiting, (leads - ended) / 1e9, (now - leads) / 1e6);
+  }
+
+  private static QueueLoad started(double writes) throws Exception {
+    QueueLoad load = new QueueLoad(writes);
+    load.startOutside();
+    load.startNode("node-0");
+    return load;
+  }
+
+  public static void main(String[] args) throws Exception {
+    double[] budgets =
+        args.length == 0 ? new double[] {25, 1000} : new double[] {Double.parseDouble(args[0])};
+    for (double writes : budgets) {
+      System.out.println("state service: " + writes + " changes a second, of which one node half");
+      for (int connections : new int[] {1, 100, 1000}) {
+        for (int size : new int[] {100, 1024, 16 * 1024}) {
+          if (connections == 1) {
+            QueueLoad quiet = started(writes);
+            System.out.println("one at a time: " + quiet.publish(1, size, 1));
+            quiet.end();
+          }
+          QueueLoad load = started(writes);
+          System.out.println(load.publish(connections, size, WINDOW));
+          if (connections == 1) {
+            System.out.println("      " + load.deliver(size == 100 ? 2000 : 200));
+          }
+          load.end();
+        }
+      }
+      QueueLoad load = started(writes);
+      System.out.println(load.submitNatively(16));
+      System.out.println(load.takeOver(10_000));
+      load.end();
+    }
+    System.exit(0);
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/fuzz/CorpusTest.java
@@ -0,0 +1,21 @@
+package io.saltflow.fuzz;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** What coverage-guided fuzzing kept, replayed: each input takes some way that no other takes. */
+class CorpusTest {
+  @Test
+  void everyInputIsTakenOrRefusedInOrder() throws IOException {
+    for (Map.Entry<String, Consumer<byte[]>> target : FuzzTargets.all().entrySet()) {
+      List<byte[]> inputs = Corpus.read(target.getKey());
+      assertFalse(inputs.isEmpty(), target.getKey());
+      inputs.forEach(target.getValue());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/fuzz/FuzzTargets.java
@@ -0,0 +1,114 @@
+package io.saltflow.fuzz;
+
+import io.saltflow.amqp.FrameTarget;
+import io.saltflow.amqp.SessionTarget;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Beat;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JobCodec;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.WorkerCodec;
+import io.saltflow.queues.EntryCodec;
+import io.saltflow.transport.HttpParser;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * What strangers' bytes reach, each as a function that may refuse its input and must do nothing
+ * else: no other exception, no endless loop, no memory that a claim alone sets aside. {@code
+ * docs/FUZZING.md} says how to run them; {@code CorpusTest} replays what was found.
+ */
+public final class FuzzTargets {
+  private FuzzTargets() {}
+
+  /** The targets by the names of their corpora. */
+  static Map<String, Consumer<byte[]>> all() {
+    Map<String, Consumer<byte[]>> out = new TreeMap<>();
+    out.put("frames", FrameTarget::run);
+    out.put("session", SessionTarget::run);
+    out.put("http", FuzzTargets::http);
+    out.put("msgpack", FuzzTargets::msgpack);
+    out.put("entries", FuzzTargets::entries);
+    out.put("beats", FuzzTargets::beats);
+    return out;
+  }
+
+  /** Requests and answers, cut in two where the first byte says. */
+  static void http(byte[] data) {
+    if (data.length == 0) {
+      return;
+    }
+    int cut = 1 + (data[0] & 0xff) % data.length;
+    HttpParser parser = new HttpParser((data[0] & 1) == 0, 64 * 1024);
+    try {
+      ByteBuffer first = ByteBuffer.wrap(data, 1, cut - 1);
+      boolean whole = parser.feed(first);
+      if (!whole && parser.feed(ByteBuffer.wrap(data, cut, data.length - cut))) {
+        whole = true;
+      }
+      if (whole && parser.body().length > data.length) {
+        throw new IllegalStateException("a body longer than what came");
+      }
+    } catch (HttpParser.Malformed e) {
+      // Refused, as it should be.
+    }
+  }
+
+  /** What is read is written and read again the same; jobs and reports are read from it. */
+  static void msgpack(byte[] data) {
+    Body body;
+    try {
+      body = MsgPack.decode(data);
+    } catch (BadMessage e) {
+      return;
+    }
+    try {
+      byte[] again = MsgPack.encode(body);
+      if (!Arrays.equals(again, MsgPack.encode(MsgPack.decode(again)))) {
+        throw new IllegalStateException("not read as it was written");
+      }
+    } catch (BadMessage e) {
+      throw new IllegalStateException("what was written can't be read", e);
+    }
+    try {
+      JobCodec.decode(body);
+    } catch (BadMessage e) {
+      // Refused.
+    }
+    try {
+      WorkerCodec.decodeReport(body);
+    } catch (BadMessage e) {
+      // Refused.
+    }
+    try {
+      WorkerCodec.decodeOrders(body);
+    } catch (BadMessage e) {
+      // Refused.
+    }
+  }
+
+  static void entries(byte[] data) {
+    try {
+      EntryCodec.encode(EntryCodec.decode(data));
+    } catch (BadMessage e) {
+      // Refused.
+    }
+  }
+
+  /** What comes to the mesh's port. */
+  static void beats(byte[] data) {
+    try {
+      Beat.decode(data).encode();
+    } catch (BadMessage e) {
+      // Refused.
+    }
+  }
+
+  /** The fuzzer's entry: the system property {@code target} names one of {@link #all}. */
+  public static void fuzzerTestOneInput(byte[] data) {
+    all().get(System.getProperty("target", "session")).accept(data);
+  }
+}
--- a/src/test/java/io/saltflow/queues/QueueWorld.java
+++ b/src/test/java/io/saltflow/queues/QueueWorld.java
@@ -256,7 +256,7 @@
 
   private void consumeAll() {
     for (QueueId queue : newest().core.queueIds()) {
-      if (newest().core.status(queue)[1] == 0) {
+      if (newest().core.status(queue).consumers() == 0) {
         consume(newest(), queue, 50);
       }
     }
