--- a/src/main/java/io/saltflow/app/Main.java
+++ b/src/main/java/io/saltflow/app/Main.java
@@ -71,6 +71,8 @@
         return 0;
       }
       case "serve", "check-config" -> {
+        // Before any library that logs is loaded, or its first line would fix another form.
+        setLogLevel(System.getenv("LOG_LEVEL"));
         return withConfig(command, Arrays.copyOfRange(args, 1, args.length), out, err);
       }
       case "hash-password" -> {
@@ -147,7 +149,6 @@
 
   private static void serve(Config config, OperatorSettings operator, AmqpSettings queues)
       throws IOException {
-    setLogLevel(System.getenv("LOG_LEVEL"));
     Loop loop = new Loop();
     Node node = new Node(loop, config, operator, queues, seed(config));
     node.start();
--- a/src/test/java/io/saltflow/app/QueueTakeoverTest.java
+++ b/src/test/java/io/saltflow/app/QueueTakeoverTest.java
@@ -1,6 +1,8 @@
 package io.saltflow.app;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -28,6 +30,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -73,6 +79,7 @@
   }
 
   @TempDir Path folder;
+  private final AtomicReference<Boolean> down = new AtomicReference<>(false);
   private final List<Running> running = new ArrayList<>();
   private final Map<Integer, Running> nodes = new TreeMap<>();
   private String outside;
@@ -101,6 +108,8 @@
               }
             });
     outside = "127.0.0.1:" + server.port();
+    // The store belongs to its loop's thread: a test only says what it wants.
+    loop.every(Span.millis(5), root, () -> store.setDown(down.get(), loop.now()));
     running.add(new Running(loop, root));
     queues = QueueSettings.local().withListen(Addresses.parse("127.0.0.1:0"));
   }
@@ -172,6 +181,41 @@
     return null;
   }
 
+  /**
+   * Nothing can be recorded for a while: publishers are told, refused at once, and welcome again;
+   * what they publish again under the same id is taken once.
+   */
+  @Test
+  void anOutageOfTheStateServiceRefusesAndLosesNothing() throws Exception {
+    node("only");
+    Connection c = connectToLeader();
+    Channel ch = c.createChannel();
+    ch.confirmSelect();
+    BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    c.addBlockedListener(told::add, () -> told.add("unblocked"));
+    publish(ch, "work", "before");
+    assertTrue(ch.waitForConfirms(10_000));
+    down.set(true);
+    assertEquals("nothing can be recorded now", told.poll(20, TimeUnit.SECONDS));
+    for (int i = 0; i < 3; i++) {
+      publish(ch, "work", "during");
+      assertFalse(ch.waitForConfirms(2_000), "refused at once, not held");
+    }
+    down.set(false);
+    assertEquals("unblocked", told.poll(20, TimeUnit.SECONDS));
+    boolean taken = false;
+    for (int i = 0; i < 100 && !taken; i++) {
+      publish(ch, "work", "during");
+      taken = ch.waitForConfirms(10_000);
+    }
+    publish(ch, "work", "during");
+    assertTrue(ch.waitForConfirms(10_000));
+    assertEquals("before", new String(ch.basicGet("work", true).getBody()));
+    assertEquals("during", new String(ch.basicGet("work", true).getBody()));
+    assertNull(ch.basicGet("work", true));
+    c.abort();
+  }
+
   @Test
   void clientsFindTheNextLeaderAndNothingIsLostOrRepeated() throws Exception {
     node("first");
--- /dev/null
+++ b/src/test/java/io/saltflow/serving/TemplatesTest.java
@@ -0,0 +1,88 @@
+package io.saltflow.serving;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.queues.JobMaker;
+import io.saltflow.queues.QueueId;
+import io.saltflow.queues.QueuePolicy;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Messages as jobs: by description, and by a template's parameters. */
+class TemplatesTest {
+  private static final QueueId PLAIN = new QueueId("/", "plain");
+  private static final QueueId PASSES = new QueueId("/", "passes");
+  private static final JobId ID = new JobId("req-7");
+
+  private final Templates templates =
+      new Templates(
+          Map.of(
+              PASSES,
+              "{\"cores\": \"${cores}\", \"expectS\": 5, \"bundle\": \"pass-${lang}-${n}\"}"));
+
+  private JobSpec make(QueueId queue, String body) throws JobMaker.BadJob {
+    QueuePolicy policy =
+        new QueuePolicy(
+            queue,
+            true,
+            "class",
+            "team",
+            Priority.HIGH,
+            new Size(2, 0, 0),
+            3,
+            Span.millis(0),
+            true,
+            Span.seconds(1),
+            null,
+            null,
+            10,
+            null,
+            false);
+    return templates.make(policy, ID, body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** What the queue says holds for all its messages, whatever these say. */
+  @Test
+  void aDescriptionIsTakenUnderItsQueuesTeamAndPriority() throws JobMaker.BadJob {
+    JobSpec job = make(PLAIN, "{\"expectS\": 3, \"crew\": \"other\", \"urgency\": \"critical\"}");
+    assertEquals(ID, job.id());
+    assertEquals("team", job.team());
+    assertEquals(Priority.HIGH, job.priority());
+    assertEquals(2, job.size().cores(), "the queue's, when the message names none");
+  }
+
+  @Test
+  void parametersKeepTheirTypeAloneAndAreFilledIntoTexts() throws JobMaker.BadJob {
+    JobSpec job = make(PASSES, "{\"cores\": 1.5, \"lang\": \"kk$1\", \"n\": 12, \"more\": true}");
+    assertEquals(1.5, job.size().cores());
+    assertEquals("pass-kk$1-12", job.image());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "plain  | not json | it is not JSON",
+        "plain  | [1] | a map of fields is required",
+        "plain  | {\"cores\": 1} | expectS: is missing",
+        "plain  | {\"expectS\": 1, \"x\": 1} | unknown field 'x'",
+        "plain  | {\"expectS\": -1} | expectS: out of range",
+        "passes | {\"cores\": 1, \"lang\": \"kk\"} | parameter 'n' is missing",
+        "passes | {\"cores\": \"many\", \"lang\": \"kk\", \"n\": 1} | cores: a number is required",
+        "passes | {\"cores\": {}, \"lang\": \"kk\", \"n\": 1} | parameter 'cores' is missing"
+      })
+  void whatMakesNoJobSaysWhy(String queue, String body, String why) {
+    JobMaker.BadJob e =
+        assertThrows(JobMaker.BadJob.class, () -> make(new QueueId("/", queue), body));
+    assertEquals("no job can be made of it: " + why, e.getMessage());
+  }
+}
