Queues: the record's length is judged by bytes before packing; one timer for late admissions

Cause: a log of well-packed batches was let grow to twelve times what was alive in it, which a takeover has to read; and while machine types were unknown each waiting message had a timer of its own.

--- a/src/main/java/io/saltflow/bookkeeping/Chunks.java
+++ b/src/main/java/io/saltflow/bookkeeping/Chunks.java
@@ -39,7 +39,7 @@
   }
 
   /** Bytes that one text holds, packed. */
-  public int bytesEach() {
+  private int bytesEach() {
     return textBytes / 4 * 3;
   }
 
--- a/src/main/java/io/saltflow/queues/EntryCodec.java
+++ b/src/main/java/io/saltflow/queues/EntryCodec.java
@@ -33,6 +33,10 @@
     return e instanceof Entry.Known ? 32 : 24;
   }
 
+  static int size(List<Entry> entries) {
+    return entries.stream().mapToInt(EntryCodec::size).sum();
+  }
+
   /** The array of entries that the schema describes. */
   public static byte[] encode(List<Entry> entries) {
     try {
--- a/src/main/java/io/saltflow/queues/QueueCore.java
+++ b/src/main/java/io/saltflow/queues/QueueCore.java
@@ -46,13 +46,9 @@
   private final Map<QueueId, QueueState> queues = new TreeMap<>();
   private boolean taking = true;
 
-  /**
-   * @param chunkBytes what one key of the record holds: the unit in which its length is counted
-   */
   public QueueCore(
       Collection<QueuePolicy> policies,
       Limits limits,
-      int chunkBytes,
       Room room,
       JobMaker jobs,
       ResultForm form,
@@ -60,7 +56,7 @@
     this.limits = limits;
     this.term = term;
     policies.forEach(p -> queues.put(p.id(), new QueueState(p)));
-    ring = new Ring(chunkBytes);
+    ring = new Ring();
     messages =
         new Messages(ring, new Remembered(limits.remembered(), limits.rememberedFor(), ring));
     recorder = new Recorder(ring, messages);
@@ -79,7 +75,7 @@
 
   /** One batch of the record, in order and before {@link #begin}. */
   public void replay(long number, int chunks, List<Entry> entries) {
-    ring.recorded(number, chunks);
+    ring.recorded(number, chunks, EntryCodec.size(entries));
     for (Entry e : entries) {
       if (e instanceof Entry.Kept k) {
         replayKept(k, number);
--- a/src/main/java/io/saltflow/queues/Recorder.java
+++ b/src/main/java/io/saltflow/queues/Recorder.java
@@ -24,7 +24,7 @@
    */
   private record Unit(List<Entry> entries, Runnable recorded, Runnable dropped) {
     int size() {
-      return entries.stream().mapToInt(EntryCodec::size).sum();
+      return EntryCodec.size(entries);
     }
   }
 
@@ -120,7 +120,7 @@
 
   /** The batch is durable. */
   void recorded(int chunks) {
-    ring.recorded(batch.number(), chunks);
+    ring.recorded(batch.number(), chunks, EntryCodec.size(batch.entries()));
     List<Unit> units = inFlight;
     inFlight = null;
     units.forEach(u -> u.recorded.run());
--- a/src/main/java/io/saltflow/queues/Ring.java
+++ b/src/main/java/io/saltflow/queues/Ring.java
@@ -19,15 +19,14 @@
   /** The log may be so many times as long as what is alive in it. */
   private static final int SLACK = 3;
 
-  private final int chunkBytes;
+  /** A batch in so many chunks, of so many bytes before they were packed. */
+  private record Length(int chunks, long bytes) {}
+
   private final TreeMap<Long, Set<Object>> alive = new TreeMap<>();
-  private final TreeMap<Long, Integer> chunks = new TreeMap<>();
+  private final TreeMap<Long, Length> lengths = new TreeMap<>();
   private long next = 1;
-  private long used;
-
-  Ring(int chunkBytes) {
-    this.chunkBytes = chunkBytes;
-  }
+  private long usedChunks;
+  private long usedBytes;
 
   long next() {
     return next;
@@ -39,10 +38,11 @@
   }
 
   /** A batch was recorded, or is found recorded. */
-  void recorded(long number, int size) {
+  void recorded(long number, int chunks, long bytes) {
     next = number + 1;
-    chunks.put(number, size);
-    used += size;
+    lengths.put(number, new Length(chunks, bytes));
+    usedChunks += chunks;
+    usedBytes += bytes;
   }
 
   /** What is named is alive in that batch, and no more in the one before (0: there was none). */
@@ -60,16 +60,18 @@
 
   /** Lets go of the batches before the tail; not in the middle of one, whose own may come yet. */
   void trim() {
-    Map.Entry<Long, Integer> oldest = chunks.firstEntry();
+    Map.Entry<Long, Length> oldest = lengths.firstEntry();
     while (oldest != null && oldest.getKey() < tail()) {
-      used -= chunks.pollFirstEntry().getValue();
-      oldest = chunks.firstEntry();
+      Length gone = lengths.pollFirstEntry().getValue();
+      usedChunks -= gone.chunks;
+      usedBytes -= gone.bytes;
+      oldest = lengths.firstEntry();
     }
   }
 
-  /** Whether the log is longer than it need be, for so many bytes that are alive. */
+  /** Whether the log is longer than it need be, for so many bytes that are alive, unpacked. */
   boolean tooLong(long aliveBytes) {
-    return used > Math.max(FEW, SLACK * (aliveBytes / chunkBytes + 1));
+    return usedChunks > FEW && usedBytes > SLACK * aliveBytes;
   }
 
   /** What is alive in the oldest batch. */
@@ -78,6 +80,6 @@
   }
 
   long usedChunks() {
-    return used;
+    return usedChunks;
   }
 }
--- a/src/main/java/io/saltflow/serving/QueueDuty.java
+++ b/src/main/java/io/saltflow/serving/QueueDuty.java
@@ -52,6 +52,7 @@
   private boolean ready;
   private boolean broken;
   private boolean pumping;
+  private boolean admitsLater;
   private boolean refusing;
 
   /**
@@ -85,7 +86,6 @@
                 b.remembered(),
                 b.rememberedFor(),
                 node.skew()),
-            chunks.bytesEach(),
             this::mayStart,
             new Templates(settings.templates()),
             new JsonResults(),
@@ -192,9 +192,23 @@
     }
   }
 
+  /** A while later; asked for by many messages, it happens once. */
+  private void admitLater() {
+    if (!admitsLater) {
+      admitsLater = true;
+      loop.after(
+          AGAIN,
+          this,
+          () -> {
+            admitsLater = false;
+            admit();
+          });
+    }
+  }
+
   private void admit() {
     if (!node.typesKnown().getAsBoolean()) {
-      loop.after(AGAIN, this, this::admit);
+      admitLater();
       return;
     }
     while (asking.size() < JOBS_AT_ONCE && !toAdmit.isEmpty()) {
@@ -215,7 +229,7 @@
             asking.remove(a.message());
             if (outcome instanceof JobStore.Outcome.Unknown) {
               toAdmit.add(a);
-              loop.after(AGAIN, this, this::admit);
+              admitLater();
               return;
             }
             if (outcome instanceof JobStore.Outcome.TooLarge) {
--- a/src/test/java/io/saltflow/bookkeeping/QueueBooksTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/QueueBooksTest.java
@@ -139,7 +139,6 @@
                     null,
                     false)),
             new QueueCore.Limits(100 << 20, 32 * 1024, 10_000, Span.seconds(60), Span.millis(0)),
-            chunks.bytesEach(),
             (queue, arrived) -> true,
             (queue, id, body) -> null,
             FORM,
--- a/src/test/java/io/saltflow/queues/QueueCoreTest.java
+++ b/src/test/java/io/saltflow/queues/QueueCoreTest.java
@@ -41,7 +41,6 @@
     return new QueueCore(
         policies,
         new QueueCore.Limits(100_000, 1000, 100, Span.seconds(60), Span.millis(10)),
-        6000,
         (queue, arrived) -> room.mayStart(queue, arrived),
         (queue, id, body) -> null,
         QueueWorld.FORM,
--- a/src/test/java/io/saltflow/queues/QueueWorld.java
+++ b/src/test/java/io/saltflow/queues/QueueWorld.java
@@ -104,7 +104,6 @@
           new QueueCore(
               policies(),
               new QueueCore.Limits(1 << 20, 1 << 16, 50, Span.seconds(1000), SKEW),
-              CHUNK,
               (queue, arrived) -> true,
               (queue, id, body) -> null,
               FORM,
