--- a/src/main/java/io/saltflow/app/Local.java
+++ b/src/main/java/io/saltflow/app/Local.java
@@ -70,7 +70,13 @@
       log.restore(state, loop.now());
     }
     InetSocketAddress outside = serveOutside(random, options);
-    node = new Node(loop, config(options.http(), outside), operator, queues, random.nextLong());
+    node =
+        new Node(
+            loop,
+            config(options.http(), outside),
+            operator,
+            new Node.Extras(queues, true),
+            random.nextLong());
   }
 
   /** The state service and the cloud on one port; the machines report to the node once it is up. */
--- a/src/main/java/io/saltflow/app/Main.java
+++ b/src/main/java/io/saltflow/app/Main.java
@@ -19,9 +19,13 @@
   private static final String USAGE =
       """
       usage: saltflow serve --config FILE [--settings FILE] [--queues FILE [--amqp ADDR:PORT]]
+                            [--services]
              saltflow check-config --config FILE [--settings FILE] [--queues FILE]
              saltflow local [--http ADDR:PORT] [--amqp ADDR:PORT] [--machines N] [--data DIR]
                             [--settings FILE] [--queues FILE]
+             saltflow service apply FILE | list | show NAME  [--server ADDR:PORT] [--json]
+             saltflow rollout start NAME IMAGE [--plan FILE]  [--server ADDR:PORT] [--json]
+             saltflow rollout status|watch|pause|resume|approve|abort NAME
              saltflow hash-password
              saltflow submit FILE|-  [--server ADDR:PORT] [--json] [--wait SECONDS]
              saltflow status|watch|cancel ID  [--server ADDR:PORT] [--json] [--wait SECONDS]
@@ -34,11 +38,14 @@
       status        say where a job stands
       watch         say so again and again until it is over
       cancel        cancel it
+      service       set services up, and show them
+      rollout       bring a version of a service out in steps, each held until its gate passes
       hash-password read a password and print its hash for a queues file
 
         --config FILE      the platform's settings (TOML)
         --settings FILE    the operators' own settings (JSON)
         --queues FILE      AMQP work queues (JSON); without it serve has none
+        --services         serve services and their roll-outs (local always does)
         --amqp ADDR:PORT   where AMQP clients reach it (local: 127.0.0.1:5672)
         --http ADDR:PORT   where users reach local (127.0.0.1:8080; port 0: any free one)
         --machines N       how many stand-in machines there are (4)
@@ -48,7 +55,7 @@
         --wait SECONDS     how long to ask again when there is no answer (60)
 
       Exit codes: 0 in order, 1 refused, 2 wrong use or settings, 3 no answer, 4 no such job,
-      5 the watched job was cancelled.
+      5 the watched job was cancelled, or the watched roll-out did not come to serve.
 
       LOG_LEVEL (error, info, debug) sets how much is logged to standard error.""";
 
@@ -78,6 +85,10 @@
       case "hash-password" -> {
         return HashPassword.run(System.in, out, err);
       }
+      case "service", "rollout" -> {
+        setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
+        return new ServiceCommands(out, err).run(command, Arrays.copyOfRange(args, 1, args.length));
+      }
       case "local" -> {
         setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
         return LocalCommand.run(Arrays.copyOfRange(args, 1, args.length), out, err);
@@ -101,7 +112,8 @@
             .addOption(Option.builder().longOpt("config").hasArg().required().build())
             .addOption(Option.builder().longOpt("settings").hasArg().build())
             .addOption(Option.builder().longOpt("queues").hasArg().build())
-            .addOption(Option.builder().longOpt("amqp").hasArg().build());
+            .addOption(Option.builder().longOpt("amqp").hasArg().build())
+            .addOption(Option.builder().longOpt("services").build());
     try {
       CommandLine line = new DefaultParser().parse(options, args);
       if (!line.getArgList().isEmpty()) {
@@ -121,7 +133,7 @@
         out.println("the settings of " + config.host() + " are in order");
         return 0;
       }
-      serve(config, operator, queues);
+      serve(config, operator, new Node.Extras(queues, line.hasOption("services")));
       return 0;
     } catch (ParseException | ConfigError e) {
       err.println("saltflow: " + e.getMessage());
@@ -147,10 +159,10 @@
     }
   }
 
-  private static void serve(Config config, OperatorSettings operator, AmqpSettings queues)
+  private static void serve(Config config, OperatorSettings operator, Node.Extras extras)
       throws IOException {
     Loop loop = new Loop();
-    Node node = new Node(loop, config, operator, queues, seed(config));
+    Node node = new Node(loop, config, operator, extras, seed(config));
     node.start();
     loop.run();
   }
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -16,6 +16,8 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
+import io.saltflow.services.ServiceDuty;
+import io.saltflow.services.ServiceNode;
 import io.saltflow.serving.AmqpFront;
 import io.saltflow.serving.AmqpSettings;
 import io.saltflow.serving.QueueNode;
@@ -59,22 +61,30 @@
   private final Map<String, Heard> siblings = new HashMap<>();
   private Map<JobId, Beat.Counts> counts = new HashMap<>();
   private final AmqpFront amqp;
+  private final ServiceApi serviceApi;
+  private ServiceDuty services;
   private LeaderDuty duty;
 
   private record Heard(Beat beat, Time at) {}
 
   Node(Loop loop, Config config, OperatorSettings operator, long seed) throws IOException {
-    this(loop, config, operator, null, seed);
+    this(loop, config, operator, new Extras(null, false), seed);
   }
 
   /**
+   * What is served beside the platform's protocol.
+   *
    * @param queues the AMQP front and its queues; null: not served
+   * @param services whether services and their roll-outs are served
    */
-  Node(Loop loop, Config config, OperatorSettings operator, AmqpSettings queues, long seed)
+  record Extras(AmqpSettings queues, boolean services) {}
+
+  Node(Loop loop, Config config, OperatorSettings operator, Extras extras, long seed)
       throws IOException {
     super(null);
     this.loop = loop;
     this.config = config;
+    AmqpSettings queues = extras.queues();
     UniformRandomProvider random = new SplitMix64(seed);
     policy = operator.policy(config);
     authority = new Authority(operator.leaderLease(), policy.keepAfterSync());
@@ -111,6 +121,7 @@
     // Of the sockets that the platform gives, AMQP clients may have a quarter.
     int clients =
         queues == null ? 0 : Math.min(queues.bounds().connections(), config.sockets() / 4);
+    serviceApi = extras.services() ? new ServiceApi(() -> services, leadership::leader) : null;
     server =
         new HttpServer(
             this,
@@ -139,6 +150,17 @@
         () -> leadership.stepDown("the leader's key is another's", Span.millis(0)));
   }
 
+  private ServiceNode serviceNode() {
+    return new ServiceNode(
+        authority,
+        state,
+        jobs,
+        config.valueKb(),
+        System::currentTimeMillis,
+        users::neverRuns,
+        () -> leadership.stepDown("the leader's key is another's", Span.millis(0)));
+  }
+
   private LeaderBooks.Limits limits() {
     return new LeaderBooks.Limits(config.txnOps(), config.valueKb(), config.stateWriteRps());
   }
@@ -190,6 +212,7 @@
         duty.cancel();
         duty = null;
       }
+      services = null;
       if (amqp != null) {
         amqp.deposed();
       }
@@ -198,6 +221,10 @@
 
   /** The records have been read. */
   private void leads(LeaderDuty ready) {
+    if (serviceApi != null) {
+      services = new ServiceDuty(ready, loop, serviceNode(), ready.leader());
+      services.start();
+    }
     if (amqp != null) {
       amqp.lead(ready, ready.leader());
     }
@@ -328,6 +355,9 @@
       on("POST", method, answer, () -> answer.accept(workers.checkin(body, loop.now())));
     } else if (path.equals(Wire.PATH_JOBS)) {
       on("POST", method, answer, () -> users.submit(body, answer));
+    } else if (serviceApi != null
+        && (path.equals(Wire.PATH_SERVICES) || path.startsWith(Wire.PATH_SERVICES + "/"))) {
+      serviceApi.handle(method, path, body, answer);
     } else if (path.equals(Wire.PATH_HEALTH)) {
       on("GET", method, answer, () -> answer.accept(HttpReply.empty(healthy() ? 200 : 503)));
     } else if (path.startsWith(Wire.PATH_JOBS + "/")) {
--- a/src/main/java/io/saltflow/app/UserApi.java
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -78,7 +78,10 @@
       unlessKnown(id, Replies.comeBack("machine types are not known yet", 1), bounded);
       return;
     }
-    String never = neverRuns(spec);
+    String never =
+        spec.jobClass().startsWith(Wire.SERVICE_CLASS)
+            ? Wire.CLASS + ": the class of a service, which is set up as such"
+            : neverRuns(spec);
     if (never != null) {
       unlessKnown(id, Replies.error(422, never), bounded);
       return;
--- a/src/main/java/io/saltflow/app/UserClient.java
+++ b/src/main/java/io/saltflow/app/UserClient.java
@@ -51,6 +51,14 @@
     return insist("POST", Wire.PATH_JOBS + "/" + id + Wire.END_CANCEL, NOTHING);
   }
 
+  Answer get(String path) throws IOException {
+    return insist("GET", path, NOTHING);
+  }
+
+  Answer post(String path, Body body) throws IOException {
+    return insist("POST", path, MsgPack.encode(body));
+  }
+
   /** What is answered 429, 503, 504 or not at all is asked again, until patience is over. */
   private Answer insist(String method, String path, byte[] body) throws IOException {
     Time until = loop.now().plus(patience);
@@ -58,7 +66,7 @@
       HttpClient.Answer a = call(method, path, body);
       boolean last =
           switch (a.status()) {
-            case 200, 201, 400, 404, 413, 422 -> true;
+            case 200, 201, 400, 404, 409, 413, 422 -> true;
             default -> false;
           };
       Span pause =
--- a/src/main/java/io/saltflow/bookkeeping/Keys.java
+++ b/src/main/java/io/saltflow/bookkeeping/Keys.java
@@ -12,6 +12,7 @@
   static final String FLEET = "fleet/";
   static final String PROGRESS = "progress/";
   static final String QUEUES = "queues/";
+  static final String SERVICES = "services/";
 
   private Keys() {}
 
--- a/src/main/java/io/saltflow/coordination/Answers.java
+++ b/src/main/java/io/saltflow/coordination/Answers.java
@@ -99,6 +99,7 @@
           || !mayStart(job, accounted)
           || job.done.get(a.index())
           || job.present.containsKey(a.index())
+          || (job.service() && job.present.size() >= job.wantedTasks())
           || !job.spec.size().fitsIn(m.free())
           || !use.mayLaunch(job)
           || !Placement.allowed(job, m)) {
--- a/src/main/java/io/saltflow/coordination/Backlog.java
+++ b/src/main/java/io/saltflow/coordination/Backlog.java
@@ -41,8 +41,8 @@
         continue;
       }
       if (job.spec.daemon()) {
-        work += cores * job.spec.tasks() * horizonS;
-        wanted += cores * job.spec.tasks();
+        work += cores * job.wantedTasks() * horizonS;
+        wanted += cores * job.wantedTasks();
         continue;
       }
       double runS = estimates.predict(job, 0).toSeconds();
--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -29,6 +29,9 @@
   private static final Size BEYOND_ANY_LIMIT = new Size(1e9, 1e9, 1e9);
 
   /** What the rest of the core is told. */
+  /** Why a replica was lost that nobody told to end. */
+  static final String BY_ITSELF = "it ended by itself";
+
   interface Events {
     void done(Job job, int index, Presence presence, Time now);
 
@@ -262,7 +265,7 @@
     switch (t.cause()) {
       case ERROR -> events.failed(job, index, m, now);
       case STOPPED -> events.stopped(p, t.saved(), now);
-      case DONE -> events.lost(p, "it ended by itself", now);
+      case DONE -> events.lost(p, BY_ITSELF, now);
       default -> events.refused(p, t.cause(), now);
     }
   }
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -6,8 +6,10 @@
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -15,6 +17,15 @@
 
 /** An accepted job that is not over, as the leader knows it. */
 public final class Job {
+  private static final int UNSAID = -1;
+  private static final int MOST_ENDS = 1000;
+
+  /** A task's end that nobody asked for; a lost machine is no failure of the task. */
+  public record End(String cause, boolean failure) {}
+
+  /** A service's tasks as this leader sees them: those it can't see are on silent machines. */
+  public record Replicas(int ready, int settled, int unseen, int present) {}
+
   final JobSpec spec;
   final long arrivedWallMs;
   final BitSet done;
@@ -55,6 +66,15 @@
   /** Its time is running out: it queues above its own priority. */
   boolean pressed;
 
+  /**
+   * How many of its tasks may be on machines: of a service's job what its record says, and until
+   * that is known (-1) none is started and none stopped.
+   */
+  private int most;
+
+  /** Ends of a service's tasks that nobody asked for, since they were last taken. */
+  private final List<End> ends = new ArrayList<>();
+
   boolean cancelled;
   boolean finishing;
   boolean dirty;
@@ -66,6 +86,7 @@
     this.maybeStartedBefore = maybeStarted;
     this.startRecorded = maybeStarted;
     this.spec = spec;
+    this.most = service() ? UNSAID : Integer.MAX_VALUE;
     this.arrivedWallMs = arrivedWallMs;
     this.done = done;
     this.taken = (BitSet) done.clone();
@@ -107,6 +128,69 @@
     return errors;
   }
 
+  /** Whether it is a version of a service, of which as many tasks run as its record says. */
+  boolean service() {
+    return spec.jobClass().startsWith(Wire.SERVICE_CLASS);
+  }
+
+  /** So many tasks may be on machines from now on. False: as before. */
+  boolean want(int tasks) {
+    boolean other = most != tasks;
+    most = tasks;
+    return other;
+  }
+
+  /** How many tasks it should have in all. */
+  int wantedTasks() {
+    return most == UNSAID ? present.size() : Math.min(spec.tasks(), most);
+  }
+
+  /** Those that are too many now: first what does not run yet, then what began last. */
+  List<Presence> surplus() {
+    if (most == UNSAID || present.size() <= most) {
+      return List.of();
+    }
+    List<Presence> staying = new ArrayList<>();
+    for (Presence p : present.values()) {
+      if (!p.stopping) {
+        staying.add(p);
+      }
+    }
+    staying.sort(
+        Comparator.comparing((Presence p) -> p.runningSince == null ? Time.NEVER : p.runningSince)
+            .thenComparing(p -> p.index));
+    return staying.subList(Math.min(most, staying.size()), staying.size());
+  }
+
+  void ended(String cause, boolean failure) {
+    if (service() && ends.size() < MOST_ENDS) {
+      ends.add(new End(cause, failure));
+    }
+  }
+
+  /** The ends since this was last asked. */
+  public List<End> takeEnds() {
+    List<End> out = List.copyOf(ends);
+    ends.clear();
+    return out;
+  }
+
+  /** How its tasks stand; settled are those that have been ready for that long. */
+  public Replicas replicas(Span settle, Time now) {
+    int ready = 0;
+    int settled = 0;
+    int unseen = 0;
+    for (Presence p : present.values()) {
+      if (p.machine.quiet) {
+        unseen++;
+      } else if (p.state == Presence.State.RUNNING && !p.stopping && p.runningSince != null) {
+        ready++;
+        settled += now.since(p.runningSince).compareTo(settle) >= 0 ? 1 : 0;
+      }
+    }
+    return new Replicas(ready, settled, unseen, present.size());
+  }
+
   boolean allDone() {
     return !spec.daemon() && done.cardinality() == spec.tasks();
   }
@@ -129,7 +213,7 @@
 
   /** Tasks that are neither done nor on a machine. */
   int pendingCount() {
-    return Math.max(0, spec.tasks() - done.cardinality() - present.size());
+    return Math.max(0, wantedTasks() - done.cardinality() - present.size());
   }
 
   void put(Presence p) {
@@ -160,6 +244,9 @@
 
   /** The next task to start from the given index on, or -1; tasks that wait out an error don't. */
   int nextPending(int from, Time now) {
+    if (service() && taken.cardinality() >= wantedTasks()) {
+      return -1;
+    }
     for (int i = taken.nextClearBit(from); i < spec.tasks(); i = taken.nextClearBit(i + 1)) {
       Time wait = notBefore.isEmpty() ? null : notBefore.get(i);
       if (wait == null || !now.before(wait)) {
@@ -170,7 +257,11 @@
   }
 
   /** How many tasks could start from the given index on, counted up to a limit. */
-  int countPending(int from, int most, Time now) {
+  int countPending(int from, int atMost, Time now) {
+    int most = service() ? Math.min(atMost, wantedTasks() - taken.cardinality()) : atMost;
+    if (most <= 0) {
+      return 0;
+    }
     if (notBefore.isEmpty()) {
       int before = from - taken.get(0, from).cardinality();
       return Math.min(most, spec.tasks() - taken.cardinality() - before);
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -318,6 +318,7 @@
       m.quiet = m.up && now.since(m.lastHeard).longerThan(policy.reportOverdue());
     }
     for (Job job : new ArrayList<>(jobs.values())) {
+      stopSurplus(job, now);
       forgetIfEmpty(job);
     }
     if (roundDue(now) || now.since(lastRound).compareTo(ROUND_EVERY) >= 0) {
@@ -352,6 +353,20 @@
     roundPause = policy.roundPause(items);
   }
 
+  /** A service's version may have so many tasks on machines; more are stopped, the latest first. */
+  public void want(JobId id, int tasks) {
+    Job job = jobs.get(id);
+    if (job != null && job.service() && job.want(tasks)) {
+      changed = true;
+    }
+  }
+
+  private static void stopSurplus(Job job, Time now) {
+    if (job.service()) {
+      job.surplus().forEach(p -> p.stop(now, Preemption.grace(p)));
+    }
+  }
+
   /** What the work queues use of the teams' limits, which they share with native jobs. */
   public void demands(List<Demand> demands) {
     use.messages(demands);
--- a/src/main/java/io/saltflow/coordination/Queue.java
+++ b/src/main/java/io/saltflow/coordination/Queue.java
@@ -82,7 +82,7 @@
       if (team == null || (team.cores() <= 0 && team.gpus() <= 0)) {
         continue;
       }
-      Size whole = job.spec.size().times(job.spec.tasks() - job.done.cardinality());
+      Size whole = job.spec.size().times(job.wantedTasks() - job.done.cardinality());
       Size sum = sums.getOrDefault(job.spec.team(), Size.ZERO).plus(whole);
       sums.put(job.spec.team(), sum);
       if (sum.cores() <= team.cores() && sum.gpus() <= team.gpus()) {
--- a/src/main/java/io/saltflow/coordination/TaskOutcomes.java
+++ b/src/main/java/io/saltflow/coordination/TaskOutcomes.java
@@ -10,6 +10,8 @@
 final class TaskOutcomes implements Fencing.Events {
   private static final Logger LOG = LoggerFactory.getLogger(TaskOutcomes.class);
 
+  private static final String ERROR = "error";
+
   private final Policy policy;
   private final Estimates estimates;
   private final Usage usage;
@@ -54,11 +56,16 @@
     job.errors++;
     job.errorMachines.add(m.id);
     changed = true;
+    job.ended(ERROR, true);
     // The task waits longer each time, so that a job that can't succeed does not loop hot.
     double waitS = job.failsEverywhere() ? Math.min(60, 2 * job.errors) : 0.5;
     job.notBefore.put(index, now.plus(Span.seconds(waitS)));
     if (job.failsEverywhere()) {
       LOG.info("{} fails wherever it is started ({} errors)", job.id(), job.errors);
+    } else if (job.service()) {
+      // A broken build fails wherever it is tried: its roll-out judges it, and the machines, which
+      // others' replicas may be on, are not to blame.
+      LOG.debug("{}/{} failed on {}", job.id(), index, m.id);
     } else if (++m.errorsInARow >= policy.faultyAfter() && !m.faulty) {
       m.faulty = true;
       account.happened("machines fail what they are given", m.id);
@@ -87,6 +94,7 @@
   @Override
   public void lost(Presence p, String why, Time now) {
     changed = true;
+    p.job.ended(why, why.equals(Fencing.BY_ITSELF));
     if (p.state != Presence.State.SENT) {
       account.happened("tasks are lost and start again: " + why, on(p));
     }
--- /dev/null
+++ b/src/main/java/io/saltflow/gates/Condition.java
@@ -0,0 +1,74 @@
+package io.saltflow.gates;
+
+import io.saltflow.protocol.Span;
+import java.util.List;
+
+/** What a gate's text means. */
+public sealed interface Condition {
+  record All(List<Condition> parts) implements Condition {}
+
+  record Any(List<Condition> parts) implements Condition {}
+
+  record Not(Condition part) implements Condition {}
+
+  /** A quantity beside a limit, in the quantity's unit (shares from 0 to 1, times in ms). */
+  record Compare(Quantity quantity, Operator operator, double limit) implements Condition {
+    @Override
+    public String toString() {
+      return quantity + " " + operator.text() + " " + Units.shown(quantity.unit(), limit);
+    }
+  }
+
+  /**
+   * A condition that must last.
+   *
+   * @param id its place among those of the gate: what is remembered of it goes by that
+   * @param steady it passes once it has been true for so long
+   * @param recovery once it was true and then false, it fails until it has been true for so long;
+   *     null: as at first
+   * @param withoutData unknown for longer than this counts as false; null: the gate's default
+   */
+  record Held(int id, Condition part, Span steady, Span recovery, Span withoutData)
+      implements Condition {}
+
+  /** How a quantity is compared. */
+  enum Operator {
+    LESS("<"),
+    AT_MOST("<="),
+    MORE(">"),
+    AT_LEAST(">="),
+    SAME("=="),
+    OTHER("!=");
+
+    private final String text;
+
+    Operator(String text) {
+      this.text = text;
+    }
+
+    String text() {
+      return text;
+    }
+
+    static Operator of(String text) {
+      for (Operator o : values()) {
+        if (o.text.equals(text)) {
+          return o;
+        }
+      }
+      throw new IllegalArgumentException(text);
+    }
+
+    boolean holds(double value, double limit) {
+      int c = Double.compare(value, limit);
+      return switch (this) {
+        case LESS -> c < 0;
+        case AT_MOST -> c <= 0;
+        case MORE -> c > 0;
+        case AT_LEAST -> c >= 0;
+        case SAME -> c == 0;
+        case OTHER -> c != 0;
+      };
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/gates/Gate.java
@@ -0,0 +1,240 @@
+package io.saltflow.gates;
+
+import io.saltflow.gates.grammar.GateLexer;
+import io.saltflow.gates.grammar.GateParser;
+import io.saltflow.protocol.Span;
+import java.util.ArrayList;
+import java.util.List;
+import org.antlr.v4.runtime.BaseErrorListener;
+import org.antlr.v4.runtime.CharStreams;
+import org.antlr.v4.runtime.CommonTokenStream;
+import org.antlr.v4.runtime.RecognitionException;
+import org.antlr.v4.runtime.Recognizer;
+import org.antlr.v4.runtime.Token;
+import org.antlr.v4.runtime.tree.TerminalNode;
+
+/**
+ * A health gate as an operator wrote it, read and typed: {@code ready >= 95% for 30s and
+ * failures(5m) < 2 and probe("/healthz").p99 < 200ms}.
+ */
+public final class Gate {
+  private static final int MOST_TEXT = 2000;
+  private static final int MOST_NESTED = 40;
+  private static final Span MOST_WINDOW = Span.seconds(3600);
+
+  private final String text;
+  private final Condition condition;
+  private final int helds;
+
+  private Gate(String text, Condition condition, int helds) {
+    this.text = text;
+    this.condition = condition;
+    this.helds = helds;
+  }
+
+  /** Reads a gate; the error points at the column. */
+  public static Gate parse(String text) throws GateError {
+    if (text.length() > MOST_TEXT) {
+      throw new GateError(MOST_TEXT + 1, "a gate is at most " + MOST_TEXT + " characters long");
+    }
+    nested(text);
+    FirstError errors = new FirstError();
+    GateLexer lexer = new GateLexer(CharStreams.fromString(text));
+    lexer.removeErrorListeners();
+    lexer.addErrorListener(errors);
+    GateParser parser = new GateParser(new CommonTokenStream(lexer));
+    parser.removeErrorListeners();
+    parser.addErrorListener(errors);
+    GateParser.GateContext tree = parser.gate();
+    if (errors.first != null) {
+      throw errors.first;
+    }
+    Builder builder = new Builder();
+    Condition condition = builder.either(tree.either());
+    return new Gate(text, condition, builder.helds);
+  }
+
+  /** The parser descends as deep as a text is nested, and negations nest as brackets do. */
+  private static void nested(String text) throws GateError {
+    int depth = 0;
+    for (int i = 0; i < text.length(); i++) {
+      depth += text.charAt(i) == '(' || text.startsWith("not", i) ? 1 : 0;
+      depth -= text.charAt(i) == ')' ? 1 : 0;
+      if (depth > MOST_NESTED) {
+        throw new GateError(i + 1, "nested too deeply");
+      }
+    }
+  }
+
+  Condition condition() {
+    return condition;
+  }
+
+  /** How many conditions of it must last. */
+  int helds() {
+    return helds;
+  }
+
+  /** Everything that it asks for: what has to be observed. */
+  public List<Quantity> quantities() {
+    List<Quantity> out = new ArrayList<>();
+    collect(condition, out);
+    return out;
+  }
+
+  private static void collect(Condition c, List<Quantity> out) {
+    if (c instanceof Condition.All all) {
+      all.parts().forEach(p -> collect(p, out));
+    } else if (c instanceof Condition.Any any) {
+      any.parts().forEach(p -> collect(p, out));
+    } else if (c instanceof Condition.Not not) {
+      collect(not.part(), out);
+    } else if (c instanceof Condition.Held held) {
+      collect(held.part(), out);
+    } else if (c instanceof Condition.Compare compare) {
+      out.add(compare.quantity());
+    }
+  }
+
+  @Override
+  public String toString() {
+    return text;
+  }
+
+  private static final class FirstError extends BaseErrorListener {
+    private GateError first;
+
+    @Override
+    public void syntaxError(
+        Recognizer<?, ?> recognizer,
+        Object symbol,
+        int line,
+        int column,
+        String message,
+        RecognitionException e) {
+      if (first == null) {
+        first = new GateError(column + 1, message);
+      }
+    }
+  }
+
+  /** From the tree of the text to its meaning. */
+  private static final class Builder {
+    private int helds;
+
+    Condition either(GateParser.EitherContext c) throws GateError {
+      List<Condition> parts = new ArrayList<>();
+      for (GateParser.BothContext b : c.both()) {
+        parts.add(both(b));
+      }
+      return parts.size() == 1 ? parts.get(0) : new Condition.Any(parts);
+    }
+
+    private Condition both(GateParser.BothContext c) throws GateError {
+      List<Condition> parts = new ArrayList<>();
+      for (GateParser.NegationContext n : c.negation()) {
+        parts.add(negation(n));
+      }
+      return parts.size() == 1 ? parts.get(0) : new Condition.All(parts);
+    }
+
+    private Condition negation(GateParser.NegationContext c) throws GateError {
+      return c.NOT() == null ? held(c.held()) : new Condition.Not(negation(c.negation()));
+    }
+
+    private Condition held(GateParser.HeldContext c) throws GateError {
+      Condition part = c.comparison() == null ? either(c.either()) : comparison(c.comparison());
+      // Each comparison is remembered, held for a time or not: it may be without data for too long.
+      if (c.comparison() == null
+          && c.steady() == null
+          && c.recovery() == null
+          && c.nodata() == null) {
+        return part;
+      }
+      return new Condition.Held(
+          helds++,
+          part,
+          c.steady() == null ? Span.millis(0) : span(c.steady().DURATION()),
+          c.recovery() == null ? null : span(c.recovery().DURATION()),
+          c.nodata() == null ? null : span(c.nodata().DURATION()));
+    }
+
+    private static Span span(TerminalNode duration) throws GateError {
+      Span span = Units.span(duration.getText());
+      if (span.longerThan(MOST_WINDOW)) {
+        throw new GateError(column(duration.getSymbol()), "an hour is the most that is kept");
+      }
+      return span;
+    }
+
+    private static int column(Token t) {
+      return t.getCharPositionInLine() + 1;
+    }
+
+    private Condition comparison(GateParser.ComparisonContext c) throws GateError {
+      Quantity quantity = quantity(c.quantity());
+      return new Condition.Compare(
+          quantity, Condition.Operator.of(c.COMPARE().getText()), limit(quantity, c.literal()));
+    }
+
+    private static double limit(Quantity quantity, GateParser.LiteralContext c) throws GateError {
+      TerminalNode literal =
+          switch (quantity.unit()) {
+            case SHARE -> c.PERCENT();
+            case COUNT -> c.NUMBER();
+            case TIME -> c.DURATION();
+          };
+      if (literal == null) {
+        throw new GateError(column(c.getStart()), quantity + " is " + quantity.unit().said());
+      }
+      return switch (quantity.unit()) {
+        case SHARE -> Double.parseDouble(literal.getText().replace("%", "")) / 100;
+        case COUNT -> Double.parseDouble(literal.getText());
+        case TIME -> Units.span(literal.getText()).ms();
+      };
+    }
+
+    private static Quantity quantity(GateParser.QuantityContext c) throws GateError {
+      Token name = c.NAME(0).getSymbol();
+      Measure measure = Measure.of(name.getText());
+      if (measure == null) {
+        throw new GateError(column(name), "nothing called '" + name.getText() + "' is observed");
+      }
+      if (c.argument().size() != measure.arguments().size()) {
+        throw new GateError(
+            column(name), measure.text() + " takes " + measure.arguments().size() + " arguments");
+      }
+      String text = "";
+      Span window = null;
+      for (int i = 0; i < c.argument().size(); i++) {
+        GateParser.ArgumentContext a = c.argument(i);
+        boolean wantsText = measure.arguments().get(i) == Measure.Argument.TEXT;
+        if (wantsText != (a.STRING() != null)) {
+          throw new GateError(
+              column(a.getStart()),
+              wantsText ? "a text in quotes is required" : "a time such as 5m is required");
+        }
+        if (wantsText) {
+          text = a.getText().substring(1, a.getText().length() - 1);
+        } else {
+          window = span(a.DURATION());
+        }
+      }
+      return new Quantity(measure, text, window, field(measure, c, name));
+    }
+
+    private static String field(Measure measure, GateParser.QuantityContext c, Token name)
+        throws GateError {
+      String field = c.NAME().size() > 1 ? c.NAME(1).getText() : "";
+      if (!measure.fields().contains(field) && !(field.isEmpty() && measure.fields().isEmpty())) {
+        Token at = c.NAME().size() > 1 ? c.NAME(1).getSymbol() : name;
+        throw new GateError(
+            column(at),
+            measure.fields().isEmpty()
+                ? measure.text() + " has no '" + field + "'"
+                : "one of " + String.join(", ", measure.fields()) + " is required");
+      }
+      return field;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/gates/Measure.java
@@ -0,0 +1,86 @@
+package io.saltflow.gates;
+
+import java.util.List;
+
+/** What can be asked of a service's replicas, with what, and in which unit the answer comes. */
+public enum Measure {
+  /** The part of the wanted replicas of the new version that are ready. */
+  READY("ready", Unit.SHARE, List.of(), List.of()),
+  /** Tasks that failed, or ended without being told to, within the window. */
+  FAILURES("failures", Unit.COUNT, List.of(Argument.WINDOW), List.of()),
+  /** Tasks that ended with that cause within the window. */
+  EXITS("exits", Unit.COUNT, List.of(Argument.TEXT, Argument.WINDOW), List.of()),
+  /** Replicas that had to be started again within the window. */
+  RESTARTS("restarts", Unit.COUNT, List.of(Argument.WINDOW), List.of()),
+  /** Since the step was complete. */
+  AGE("age", Unit.TIME, List.of(), List.of()),
+  /** What probes of a path found: times, or the part that was answered well. */
+  PROBE(
+      "probe",
+      Unit.TIME,
+      List.of(Argument.TEXT),
+      List.of("p50", "p90", "p99", "max", "ok", "count"));
+
+  /** In what a quantity is given. */
+  public enum Unit {
+    SHARE("a share, compare it with a percentage such as 95%"),
+    COUNT("a count, compare it with a number"),
+    TIME("a time, compare it with one such as 200ms");
+
+    private final String said;
+
+    Unit(String said) {
+      this.said = said;
+    }
+
+    String said() {
+      return said;
+    }
+  }
+
+  enum Argument {
+    TEXT,
+    WINDOW
+  }
+
+  private final String text;
+  private final Unit unit;
+  private final List<Argument> arguments;
+  private final List<String> fields;
+
+  Measure(String text, Unit unit, List<Argument> arguments, List<String> fields) {
+    this.text = text;
+    this.unit = unit;
+    this.arguments = arguments;
+    this.fields = fields;
+  }
+
+  String text() {
+    return text;
+  }
+
+  List<Argument> arguments() {
+    return arguments;
+  }
+
+  List<String> fields() {
+    return fields;
+  }
+
+  Unit unit(String field) {
+    if (field.equals("ok")) {
+      return Unit.SHARE;
+    }
+    return field.equals("count") ? Unit.COUNT : unit;
+  }
+
+  /** The measure of that name, or null. */
+  static Measure of(String text) {
+    for (Measure m : values()) {
+      if (m.text.equals(text)) {
+        return m;
+      }
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/gates/Quantity.java
@@ -0,0 +1,27 @@
+package io.saltflow.gates;
+
+import io.saltflow.protocol.Span;
+
+/**
+ * One thing that is asked for.
+ *
+ * @param text a path or a cause; empty: the measure takes none
+ * @param window how far back; null: the measure takes none
+ * @param field which of a probe's figures; empty: the measure has one only
+ */
+public record Quantity(Measure measure, String text, Span window, String field) {
+  public Measure.Unit unit() {
+    return measure.unit(field);
+  }
+
+  @Override
+  public String toString() {
+    StringBuilder out = new StringBuilder(measure.text());
+    if (!text.isEmpty() || window != null) {
+      out.append('(').append(text.isEmpty() ? "" : '"' + text + '"');
+      out.append(!text.isEmpty() && window != null ? ", " : "");
+      out.append(window == null ? "" : Units.time(window.ms())).append(')');
+    }
+    return out.append(field.isEmpty() ? "" : "." + field).toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/gates/Sightings.java
@@ -0,0 +1,147 @@
+package io.saltflow.gates;
+
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/**
+ * What was seen of the new version's replicas: a bounded window, the oldest forgotten first. A
+ * probe that could not be made is not seen at all.
+ */
+public final class Sightings implements Observations {
+  private static final int MOST_EVENTS = 4096;
+  private static final int MOST_PATHS = 16;
+  private static final Span KEPT = Span.seconds(3600);
+  private static final Span PROBES = Span.seconds(60);
+  private static final Span READY_FRESH = Span.seconds(15);
+  private static final long SLOWEST_MS = 600_000;
+
+  /** A replica's task ended. */
+  private record Exit(Time at, String cause, boolean failure) {}
+
+  /** A probe's answer; time negative: it was refused, or none came. */
+  private record Answer(Time at, long ms) {}
+
+  private final Map<String, ArrayDeque<Answer>> probes = new HashMap<>();
+  private final ArrayDeque<Exit> exits = new ArrayDeque<>();
+  private final ArrayDeque<Time> restarts = new ArrayDeque<>();
+  private final Histogram times = new Histogram(SLOWEST_MS, 2);
+  private Time completeSince;
+  private Time readyAt = Time.LONG_AGO;
+  private double ready;
+
+  /** So many of the wanted replicas are ready; wanted 0 says nothing. */
+  public void ready(int count, int wanted, Time now) {
+    if (wanted > 0) {
+      ready = count / (double) wanted;
+      readyAt = now;
+    }
+  }
+
+  /** A step is complete from now on; what was seen before it still counts. */
+  public void complete(Time now) {
+    completeSince = now;
+  }
+
+  public void exited(String cause, boolean failure, Time now) {
+    bounded(exits, new Exit(now, cause, failure));
+  }
+
+  public void restarted(Time now) {
+    bounded(restarts, now);
+  }
+
+  /** A probe that was made: answered well after so long, or (negative) not. */
+  public void probed(String path, long ms, Time now) {
+    ArrayDeque<Answer> of = probes.get(path);
+    if (of == null && probes.size() < MOST_PATHS) {
+      of = new ArrayDeque<>();
+      probes.put(path, of);
+    }
+    if (of != null) {
+      bounded(of, new Answer(now, ms));
+    }
+  }
+
+  private static <T> void bounded(ArrayDeque<T> list, T item) {
+    if (list.size() >= MOST_EVENTS) {
+      list.poll();
+    }
+    list.add(item);
+  }
+
+  /** Forgets what no gate can ask for any more. */
+  public void forget(Time now) {
+    Time from = new Time(now.ms() - KEPT.ms());
+    exits.removeIf(e -> e.at.before(from));
+    restarts.removeIf(t -> t.before(from));
+    probes.values().forEach(p -> p.removeIf(a -> a.at.before(from)));
+  }
+
+  @Override
+  public Double value(Quantity q, Time now) {
+    return switch (q.measure()) {
+      case READY -> now.since(readyAt).longerThan(READY_FRESH) ? null : ready;
+      case AGE -> completeSince == null ? null : (double) now.since(completeSince).ms();
+      case FAILURES -> count(q, now, true);
+      case EXITS -> count(q, now, false);
+      case RESTARTS ->
+          fresh(now)
+              ? (double) restarts.stream().filter(t -> within(t, q.window(), now)).count()
+              : null;
+      case PROBE -> probe(q, now);
+    };
+  }
+
+  /** Counts are known while the replicas are: silence is not the same as nothing having failed. */
+  private boolean fresh(Time now) {
+    return !now.since(readyAt).longerThan(READY_FRESH);
+  }
+
+  private static boolean within(Time at, Span window, Time now) {
+    return !now.since(at).longerThan(window);
+  }
+
+  private Double count(Quantity q, Time now, boolean failures) {
+    if (!fresh(now)) {
+      return null;
+    }
+    return (double)
+        exits.stream()
+            .filter(e -> within(e.at, q.window(), now))
+            .filter(e -> failures ? e.failure : e.cause.equals(q.text()))
+            .count();
+  }
+
+  private Double probe(Quantity q, Time now) {
+    times.reset();
+    int all = 0;
+    for (Answer a : probes.getOrDefault(q.text(), new ArrayDeque<>())) {
+      if (within(a.at, PROBES, now)) {
+        all++;
+        if (a.ms >= 0) {
+          times.recordValue(Math.min(a.ms, SLOWEST_MS));
+        }
+      }
+    }
+    if (q.field().equals("count")) {
+      return (double) all;
+    }
+    if (all == 0) {
+      return null;
+    }
+    if (q.field().equals("ok")) {
+      return times.getTotalCount() / (double) all;
+    }
+    double part = q.field().equals("max") ? 1 : Integer.parseInt(q.field().substring(1)) / 100.0;
+    // Those without an answer are slower than any: the percentile is over all that were made.
+    double rank = part * all;
+    if (rank > times.getTotalCount()) {
+      return Double.POSITIVE_INFINITY;
+    }
+    return (double) times.getValueAtPercentile(100 * rank / times.getTotalCount());
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/gates/Units.java
@@ -0,0 +1,46 @@
+package io.saltflow.gates;
+
+import io.saltflow.protocol.Span;
+
+/** Amounts as gates write them. */
+final class Units {
+  private Units() {}
+
+  /** A duration's milliseconds: {@code 200ms}, {@code 30s}, {@code 5m}, {@code 1h}. */
+  static Span span(String text) {
+    int unit = text.length() - (text.endsWith("ms") ? 2 : 1);
+    double number = Double.parseDouble(text.substring(0, unit));
+    double seconds =
+        switch (text.substring(unit)) {
+          case "ms" -> number / 1000;
+          case "s" -> number;
+          case "m" -> number * 60;
+          default -> number * 3600;
+        };
+    return Span.seconds(seconds);
+  }
+
+  static String time(double ms) {
+    if (ms >= 60_000 && ms % 60_000 == 0) {
+      return (long) (ms / 60_000) + "m";
+    }
+    if (ms >= 1000) {
+      return plain(ms / 1000) + "s";
+    }
+    return plain(ms) + "ms";
+  }
+
+  /** A value in its unit: shares from 0 to 1 as percentages, times in milliseconds. */
+  static String shown(Measure.Unit unit, double value) {
+    return switch (unit) {
+      case SHARE -> plain(value * 100) + "%";
+      case COUNT -> plain(value);
+      case TIME -> Double.isInfinite(value) ? "no answer" : time(value);
+    };
+  }
+
+  private static String plain(double value) {
+    double rounded = Math.round(value * 10) / 10.0;
+    return rounded == Math.rint(rounded) ? Long.toString((long) rounded) : Double.toString(rounded);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/gates/Watch.java
@@ -0,0 +1,135 @@
+package io.saltflow.gates;
+
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A gate's verdict over time. All that it remembers is since when each lasting condition has been
+ * as it is; a new leader begins to remember anew, so that nothing passes on what it has not seen.
+ */
+public final class Watch {
+  /** What a gate says at a moment, and in sentences why it does not pass. */
+  public record Verdict(Truth truth, List<String> reasons) {}
+
+  private static final class Memory {
+    Truth raw;
+    Time since;
+    boolean everTrue;
+
+    /** It was true and then false, and has not recovered since. */
+    boolean fell;
+  }
+
+  private final Gate gate;
+  private final Span withoutData;
+  private final Map<Integer, Memory> memories = new HashMap<>();
+
+  /**
+   * @param withoutData how long a condition may be without data before it counts as failing, where
+   *     the gate does not say
+   */
+  public Watch(Gate gate, Span withoutData) {
+    this.gate = gate;
+    this.withoutData = withoutData;
+  }
+
+  public Gate gate() {
+    return gate;
+  }
+
+  public Verdict look(Observations seen, Time now) {
+    List<String> reasons = new ArrayList<>();
+    Truth truth = eval(gate.condition(), seen, now, true, reasons);
+    return new Verdict(truth, truth == Truth.TRUE ? List.of() : reasons);
+  }
+
+  /**
+   * @param wanted which way the condition helps the gate: under a negation, what is true hinders
+   */
+  private Truth eval(
+      Condition c, Observations seen, Time now, boolean wanted, List<String> reasons) {
+    if (c instanceof Condition.All all) {
+      Truth t = Truth.TRUE;
+      for (Condition p : all.parts()) {
+        t = t.and(eval(p, seen, now, wanted, reasons));
+      }
+      return t;
+    }
+    if (c instanceof Condition.Any any) {
+      Truth t = Truth.FALSE;
+      for (Condition p : any.parts()) {
+        t = t.or(eval(p, seen, now, wanted, reasons));
+      }
+      return t;
+    }
+    if (c instanceof Condition.Not not) {
+      return eval(not.part(), seen, now, !wanted, reasons).not();
+    }
+    if (c instanceof Condition.Held held) {
+      return held(held, seen, now, wanted, reasons);
+    }
+    return compare((Condition.Compare) c, seen, now);
+  }
+
+  private static Truth compare(Condition.Compare c, Observations seen, Time now) {
+    Double value = seen.value(c.quantity(), now);
+    return value == null ? Truth.UNKNOWN : Truth.of(c.operator().holds(value, c.limit()));
+  }
+
+  private Truth held(
+      Condition.Held c, Observations seen, Time now, boolean wanted, List<String> reasons) {
+    List<String> inner = new ArrayList<>();
+    Truth raw = eval(c.part(), seen, now, wanted, inner);
+    Memory m = memories.computeIfAbsent(c.id(), id -> new Memory());
+    if (raw != m.raw) {
+      m.raw = raw;
+      m.since = now;
+    }
+    m.everTrue |= raw == Truth.TRUE;
+    m.fell |= m.everTrue && raw == Truth.FALSE;
+    Span lasted = now.since(m.since);
+    Truth out =
+        switch (raw) {
+          case FALSE -> Truth.FALSE;
+          case UNKNOWN -> {
+            Span patience = c.withoutData() == null ? withoutData : c.withoutData();
+            // Under a negation nothing may pass for want of data either.
+            yield lasted.longerThan(patience) ? (wanted ? Truth.FALSE : Truth.TRUE) : raw;
+          }
+          case TRUE -> {
+            boolean recovers = m.fell && c.recovery() != null;
+            boolean longEnough = lasted.compareTo(recovers ? c.recovery() : c.steady()) >= 0;
+            m.fell &= !longEnough;
+            yield longEnough ? Truth.TRUE : (recovers ? Truth.FALSE : Truth.UNKNOWN);
+          }
+        };
+    if (out != Truth.of(wanted)) {
+      reasons.addAll(inner);
+      if (inner.isEmpty()) {
+        reasons.add(sentence(c, raw, out, lasted, seen, now));
+      }
+    }
+    return out;
+  }
+
+  private static String sentence(
+      Condition.Held c, Truth raw, Truth out, Span lasted, Observations seen, Time now) {
+    String since = " for " + Units.time(lasted.ms());
+    if (raw == Truth.UNKNOWN) {
+      return c.part() + ": no data" + since;
+    }
+    String value = "";
+    if (c.part() instanceof Condition.Compare compare) {
+      Double v = seen.value(compare.quantity(), now);
+      value = v == null ? "" : ", it is " + Units.shown(compare.quantity().unit(), v);
+    }
+    if (raw == Truth.TRUE && out != Truth.TRUE) {
+      return c.part() + ": true" + since + " only" + value;
+    }
+    return c.part() + ": " + (raw == Truth.TRUE ? "true" : "false") + since + value;
+  }
+}
--- a/src/main/java/io/saltflow/protocol/Wire.java
+++ b/src/main/java/io/saltflow/protocol/Wire.java
@@ -4,8 +4,12 @@
 public final class Wire {
   public static final String JOB_PREFIX = "req-";
 
+  /** What the classes of services' jobs begin with; no user's job may. */
+  public static final String SERVICE_CLASS = "service/";
+
   public static final String PATH_JOBS = "/submissions";
   public static final String END_CANCEL = "/withdraw";
+  public static final String PATH_SERVICES = "/services";
   public static final String PATH_HEALTH = "/healthz";
   public static final String PATH_CHECKIN = "/checkin";
   public static final String PATH_TYPES = "/flavors";
--- /dev/null
+++ b/src/main/java/io/saltflow/rollouts/Plan.java
@@ -0,0 +1,78 @@
+package io.saltflow.rollouts;
+
+import io.saltflow.gates.Gate;
+import io.saltflow.protocol.Span;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * How a service goes from one version to another.
+ *
+ * @param steps how many replicas are of the new version after each step
+ * @param surge how many replicas there may be beyond the service's own number
+ * @param mostUnavailable how many may be missing by the roll-out's own doing
+ * @param startsAtOnce how many replicas that are not ready yet there may be of the version that
+ *     grows
+ * @param settle a replica counts as ready once it has been so for this long: old ones are let go
+ *     for it, and it must not die right afterwards
+ * @param limit how long a step may take until its gate passes
+ * @param backLimit how long a roll-back may take
+ * @param gate what must hold for a step to be good
+ * @param stop what ends the roll-out at once; null: nothing but the limit does
+ */
+public record Plan(
+    List<Step> steps,
+    int surge,
+    int mostUnavailable,
+    int startsAtOnce,
+    Span settle,
+    Span limit,
+    Span backLimit,
+    Gate gate,
+    Gate stop) {
+
+  /**
+   * A step.
+   *
+   * @param count replicas of the new version, or a percentage of all
+   * @param percent whether it is a percentage
+   * @param approval whether somebody must approve of it before the next begins
+   */
+  public record Step(int count, boolean percent, boolean approval) {
+    /** How many of so many replicas; a percentage is rounded up, so that each step moves one. */
+    int of(int replicas) {
+      int n = percent ? (replicas * count + 99) / 100 : count;
+      return Math.min(replicas, n);
+    }
+  }
+
+  /** What can never work, in sentences. */
+  public List<String> faults(int replicas) {
+    List<String> out = new ArrayList<>();
+    if (surge + mostUnavailable < 1) {
+      out.add("surge and mostUnavailable are both 0: no replica could ever be replaced");
+    }
+    if (mostUnavailable >= replicas && replicas > 1) {
+      out.add("mostUnavailable is all of the replicas: the service may stop serving");
+    }
+    int before = 0;
+    for (int i = 0; i < steps.size(); i++) {
+      int target = steps.get(i).of(replicas);
+      if (target <= before) {
+        out.add("step " + (i + 1) + " moves nothing: " + target + " of " + replicas + " after it");
+      }
+      before = target;
+    }
+    if (before < replicas) {
+      out.add("the last step leaves " + (replicas - before) + " replicas of the old version");
+    }
+    if (startsAtOnce < 1) {
+      out.add("startsAtOnce is 0: nothing would ever start");
+    }
+    return out;
+  }
+
+  int target(int step, int replicas) {
+    return steps.get(step).of(replicas);
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/services/ServiceDuty.java
@@ -0,0 +1,434 @@
+package io.saltflow.services;
+
+import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.bookkeeping.ServiceBooks;
+import io.saltflow.coordination.Job;
+import io.saltflow.coordination.Leader;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
+import io.saltflow.rollouts.Command;
+import io.saltflow.rollouts.Machine;
+import io.saltflow.rollouts.Plan;
+import io.saltflow.rollouts.Rollout;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The leader's services during its term: each decision is recorded before it is acted upon. */
+public final class ServiceDuty extends Routine {
+  private static final Logger LOG = LoggerFactory.getLogger(ServiceDuty.class);
+  private static final Span AGAIN = Span.millis(300);
+  private static final Span LOOK = Span.seconds(1);
+  private static final int MOST_SERVICES = 500;
+  private static final int MOST_REPLICAS = 20_000;
+  private static final String NAME = "[a-z0-9][a-z0-9-]{0,60}";
+
+  private final Loop loop;
+  private final ServiceNode node;
+  private final Leader leader;
+  private final ServiceBooks books;
+  private final Map<String, LiveService> services = new TreeMap<>();
+  private boolean ready;
+
+  public ServiceDuty(Routine parent, Loop loop, ServiceNode node, Leader leader) {
+    super(parent);
+    this.loop = loop;
+    this.node = node;
+    this.leader = leader;
+    books =
+        new ServiceBooks(
+            this, loop, node.state(), node.authority(), node.valueKb(), node.onDeposed());
+  }
+
+  /** Reads the records; until then no service's task is started or stopped. */
+  public void start() {
+    books.inherit(
+        records -> {
+          if (cancelled()) {
+            return;
+          }
+          if (records == null) {
+            loop.after(AGAIN, this, this::start);
+            return;
+          }
+          records.forEach(this::inherited);
+          ready = true;
+          loop.every(LOOK, this, () -> services.values().forEach(this::look));
+        });
+  }
+
+  private void inherited(String name, Body record) {
+    try {
+      services.put(name, new LiveService(ServiceCodec.decode(record)));
+    } catch (BadMessage e) {
+      // Its jobs go on as they are: what can't be read is not taken for a service without replicas.
+      LOG.error("service {} can't be read: {}; it is left as it is", name, e.getMessage());
+    }
+  }
+
+  // ---- Deciding
+
+  private void look(LiveService live) {
+    if (live.writing) {
+      return;
+    }
+    reconcile(live);
+    Service s = live.service();
+    if (!s.rolling()) {
+      return;
+    }
+    Rollout next = live.next(leader, loop.now(), node.wallMs().getAsLong());
+    if (!next.equals(s.current().rollout())) {
+      record(live, moved(s, next), result -> {});
+    }
+  }
+
+  private static Service moved(Service s, Rollout next) {
+    Service.Current current = s.current().with(next);
+    return next.phase().over() ? s.ended(current, sentence(s, current)) : s.withCurrent(current);
+  }
+
+  private static String sentence(Service s, Service.Current c) {
+    String to = "Version " + c.to() + " (" + s.version(c.to()).image() + ")";
+    return switch (c.rollout().phase()) {
+      case DONE -> to + " took over from version " + c.from() + ".";
+      case ROLLED_BACK ->
+          to + " was taken back, version " + c.from() + " serves: " + c.rollout().reason();
+      default -> to + " and version " + c.from() + " are both in part: " + c.rollout().reason();
+    };
+  }
+
+  private interface Then {
+    void result(ServiceBooks.Result result);
+  }
+
+  private void record(LiveService live, Service next, Then then) {
+    live.writing = true;
+    Body body = ServiceCodec.encode(next);
+    books.write(
+        next.name(),
+        body,
+        MsgPack.encode(body).length,
+        result -> {
+          live.writing = false;
+          if (result == ServiceBooks.Result.RECORDED) {
+            tell(live.service(), next);
+            live.recorded(next);
+            reconcile(live);
+          }
+          then.result(result);
+        });
+  }
+
+  private static void tell(Service before, Service next) {
+    if (next.current() == null || next.current().equals(before.current())) {
+      return;
+    }
+    Rollout r = next.current().rollout();
+    if (r.phase().over()) {
+      LOG.info("{}: {}", next.name(), next.history().get(next.history().size() - 1));
+    } else {
+      LOG.info(
+          "{}: step {} of {}, {}: {} old and {} new replicas are wanted",
+          next.name(),
+          r.step() + 1,
+          next.current().plan().steps().size(),
+          r.phase(),
+          r.wantedOld(),
+          r.wantedNew());
+    }
+  }
+
+  // ---- Acting upon the record
+
+  /** As many tasks of each version as the record says; versions that are over are ended. */
+  private void reconcile(LiveService live) {
+    Service s = live.service();
+    for (Service.Version v : s.versions()) {
+      int wanted = s.wanted(v.number());
+      Job job = leader.job(live.jobOf(v));
+      if (job != null) {
+        leader.want(job.id(), wanted);
+        boolean needed =
+            s.rolling() && (v.number() == s.current().to() || v.number() == s.current().from());
+        if (wanted == 0 && !needed) {
+          node.jobs().cancel(job.id(), outcome -> {});
+        }
+      } else if (wanted > 0 && !live.admitting) {
+        admit(live, v);
+      }
+    }
+  }
+
+  private void admit(LiveService live, Service.Version v) {
+    live.admitting = true;
+    node.jobs()
+        .admit(
+            live.specOf(v),
+            node.wallMs().getAsLong(),
+            outcome -> {
+              live.admitting = false;
+              if (outcome instanceof JobStore.Outcome.TooLarge) {
+                LOG.error("{}: version {} is too large to be recorded", v.image(), v.number());
+              }
+            });
+  }
+
+  // ---- What operators ask for
+
+  private boolean refused(BiConsumer<Integer, Body> answer, LiveService live) {
+    if (!ready || (live != null && live.writing)) {
+      answer.accept(503, error("not now"));
+      return true;
+    }
+    return false;
+  }
+
+  private static Body error(String why) {
+    return Body.of().with(Wire.ERROR, why);
+  }
+
+  private void answer(ServiceBooks.Result result, String name, BiConsumer<Integer, Body> answer) {
+    switch (result) {
+      case RECORDED -> answer.accept(200, show(name));
+      case NOT_NOW -> answer.accept(503, error("not recorded"));
+      case TOO_LARGE -> answer.accept(422, error("the record would be too large"));
+    }
+  }
+
+  /** Sets a service up, or changes how many replicas it has. */
+  public void apply(Body request, BiConsumer<Integer, Body> answer) {
+    try {
+      String name = request.text("name");
+      LiveService there = services.get(name);
+      if (refused(answer, there)) {
+        return;
+      }
+      int replicas = replicas(request);
+      if (there != null) {
+        scale(there, request, replicas, answer);
+        return;
+      }
+      LiveService live = new LiveService(made(name, request, replicas));
+      String never = node.neverRuns().apply(live.specOf(live.service().version(1)));
+      if (never != null || services.size() >= MOST_SERVICES) {
+        answer.accept(422, error(never == null ? "too many services" : never));
+        return;
+      }
+      services.put(name, live);
+      record(
+          live,
+          live.service(),
+          result -> {
+            if (result != ServiceBooks.Result.RECORDED) {
+              services.remove(name);
+            }
+            answer(result, name, answer);
+          });
+    } catch (BadMessage e) {
+      answer.accept(400, error(e.getMessage()));
+    }
+  }
+
+  private static int replicas(Body request) throws BadMessage {
+    long n = request.integer("replicas");
+    if (n < 1 || n > MOST_REPLICAS) {
+      throw new BadMessage("replicas: from 1 to " + MOST_REPLICAS);
+    }
+    return (int) n;
+  }
+
+  private Service made(String name, Body b, int replicas) throws BadMessage {
+    if (!name.matches(NAME)) {
+      throw new BadMessage("name: small letters, digits and dashes");
+    }
+    Priority priority = Priority.of(b.textOr(Wire.PRIORITY, Wire.URGENCY_HIGH));
+    if (priority == null) {
+      throw new BadMessage(Wire.PRIORITY + ": unknown priority");
+    }
+    Service.Version first =
+        new Service.Version(1, b.text(Wire.IMAGE), by(b), node.wallMs().getAsLong(), 1);
+    return new Service(
+        name,
+        b.text(Wire.TEAM),
+        priority,
+        replicas,
+        new Size(b.amount(Wire.CORES), b.amountOr(Wire.GPUS, 0), b.amountOr(Wire.MEMORY_GB, 1)),
+        b.amountOr(Wire.IMAGE_GB, 0.1),
+        b.flagOr(Wire.SPOT, false),
+        List.of(first),
+        1,
+        null,
+        List.of());
+  }
+
+  private static String by(Body b) throws BadMessage {
+    return b.textOr("by", "somebody");
+  }
+
+  private void scale(LiveService live, Body request, int replicas, BiConsumer<Integer, Body> answer)
+      throws BadMessage {
+    Service s = live.service();
+    String image = request.textOr(Wire.IMAGE, s.version(s.serving()).image());
+    if (!image.equals(s.version(s.serving()).image())) {
+      answer.accept(422, error(Wire.IMAGE + ": another version is brought by a roll-out"));
+      return;
+    }
+    if (replicas > live.specOf(s.version(s.serving())).tasks()) {
+      answer.accept(422, error("replicas: more than four times as many at once"));
+      return;
+    }
+    Service.Current current =
+        s.rolling()
+            ? s.current()
+                .with(new Machine(s.current().plan()).scaled(s.current().rollout(), replicas))
+            : s.current();
+    record(live, s.scaled(replicas, current), result -> answer(result, s.name(), answer));
+  }
+
+  /** Begins a roll-out to an image, which is a new version unless it is known. */
+  public void begin(String name, Body request, BiConsumer<Integer, Body> answer) {
+    LiveService live = services.get(name);
+    if (refused(answer, live)) {
+      return;
+    }
+    if (live == null) {
+      answer.accept(404, error("no service '" + name + "'"));
+      return;
+    }
+    Service s = live.service();
+    try {
+      String image = request.text(Wire.IMAGE);
+      if (s.rolling()) {
+        boolean same = s.version(s.current().to()).image().equals(image);
+        // A repetition whose answer was lost finds its roll-out under way.
+        answer.accept(same ? 200 : 409, same ? show(name) : error("a roll-out is under way"));
+        return;
+      }
+      String planText = request.textOr("plan", "{}");
+      Plan plan = Plans.checked(planText, s.replicas());
+      begin(live, image, by(request), planText, plan, answer);
+    } catch (BadMessage e) {
+      answer.accept(400, error(e.getMessage()));
+    }
+  }
+
+  private void begin(
+      LiveService live,
+      String image,
+      String by,
+      String planText,
+      Plan plan,
+      BiConsumer<Integer, Body> answer) {
+    Service s = live.service();
+    if (s.version(s.serving()).image().equals(image)) {
+      answer.accept(422, error(Wire.IMAGE + ": it serves already"));
+      return;
+    }
+    List<Service.Version> all = new ArrayList<>(s.versions());
+    Service.Version to = null;
+    for (Service.Version v : s.versions()) {
+      if (v.image().equals(image)) {
+        to = v.again();
+        all.set(all.indexOf(v), to);
+      }
+    }
+    long wall = node.wallMs().getAsLong();
+    if (to == null) {
+      int number = s.versions().stream().mapToInt(Service.Version::number).max().orElse(0) + 1;
+      to = new Service.Version(number, image, by, wall, 1);
+      all.add(to);
+    }
+    Service.Current current =
+        new Service.Current(
+            s.serving(), to.number(), planText, plan, Rollout.begin(s.replicas(), wall));
+    record(live, s.beginning(all, current), result -> answer(result, s.name(), answer));
+  }
+
+  /** Tells a roll-out something. */
+  public void command(String name, Command command, BiConsumer<Integer, Body> answer) {
+    LiveService live = services.get(name);
+    if (refused(answer, live)) {
+      return;
+    }
+    if (live == null || live.service().current() == null) {
+      answer.accept(404, error("no roll-out of '" + name + "'"));
+      return;
+    }
+    Service s = live.service();
+    Rollout r = s.current().rollout();
+    Rollout next = new Machine(s.current().plan()).told(r, command, node.wallMs().getAsLong());
+    if (next.equals(r)) {
+      answer.accept(200, show(name));
+    } else {
+      record(live, moved(s, next), result -> answer(result, name, answer));
+    }
+  }
+
+  // ---- What can be told
+
+  /** Whether services are known here. */
+  public boolean ready() {
+    return ready;
+  }
+
+  /** Null: there is none of that name. */
+  public Body show(String name) {
+    LiveService live = services.get(name);
+    if (live == null) {
+      return null;
+    }
+    Service s = live.service();
+    Time now = loop.now();
+    List<Object> versions = new ArrayList<>();
+    for (Service.Version v : s.versions()) {
+      Job.Replicas r = live.replicas(leader, v.number(), now);
+      versions.add(
+          Body.of()
+              .with("version", v.number())
+              .with(Wire.IMAGE, v.image())
+              .with("by", v.by())
+              .with("wanted", s.wanted(v.number()))
+              .with("ready", r.ready())
+              .with("unseen", r.unseen()));
+    }
+    Body out =
+        Body.of()
+            .with("name", s.name())
+            .with("replicas", s.replicas())
+            .with("serving", s.serving())
+            .with("versions", versions)
+            .with("history", s.history());
+    if (s.current() != null) {
+      Rollout r = s.current().rollout();
+      out.with("from", s.current().from())
+          .with("to", s.current().to())
+          .with("phase", r.phase().name().toLowerCase(Locale.ROOT))
+          .with("step", r.step() + 1)
+          .with("steps", s.current().plan().steps().size())
+          .with("sinceS", (node.wallMs().getAsLong() - r.sinceWallMs()) / 1000.0)
+          .with("reason", r.reason())
+          .with("waitsFor", s.rolling() ? live.waitsFor() : List.of());
+    }
+    return out;
+  }
+
+  public Body list() {
+    List<Object> out = new ArrayList<>();
+    services.keySet().forEach(name -> out.add(show(name)));
+    return Body.of().with("services", out);
+  }
+}
--- a/src/main/java/io/saltflow/standin/WorkerModel.java
+++ b/src/main/java/io/saltflow/standin/WorkerModel.java
@@ -212,7 +212,8 @@
     }
     t.state = Report.TaskState.RUNNING;
     t.runningSince = t.next;
-    boolean endless = t.spec.daemon() || t.spec.image().equals(HANG);
+    boolean fails = t.spec.image().equals(ERROR);
+    boolean endless = t.spec.image().equals(HANG) || (t.spec.daemon() && !fails);
     Span left = t.spec.estimate().minus(depot.progress(task));
     t.next = endless ? Time.NEVER : t.runningSince.plus(Span.millis(Math.max(0, left.ms())));
   }
--- a/src/test/java/io/saltflow/LayersTest.java
+++ b/src/test/java/io/saltflow/LayersTest.java
@@ -21,25 +21,41 @@
   private static final Pattern IMPURE =
       Pattern.compile("System\\.(nanoTime|currentTimeMillis)|Math\\.random|java\\.n(et|io)\\.");
   private static final Map<String, List<String>> MAY_USE =
-      Map.of(
-          "protocol", List.of(),
-          "transport", List.of("protocol"),
-          "coordination", List.of("protocol"),
-          "amqp", List.of("protocol"),
-          "queues", List.of("protocol"),
-          "bookkeeping", List.of("protocol", "transport", "coordination", "queues"),
-          "standin", List.of("protocol", "transport"),
-          "serving",
-              List.of("protocol", "transport", "coordination", "amqp", "queues", "bookkeeping"),
-          "app",
-              List.of(
-                  "protocol",
-                  "transport",
-                  "coordination",
-                  "queues",
-                  "bookkeeping",
-                  "serving",
-                  "standin"));
+      Map.ofEntries(
+          entry("protocol"),
+          entry("transport", "protocol"),
+          entry("coordination", "protocol"),
+          entry("amqp", "protocol"),
+          entry("queues", "protocol"),
+          entry("gates", "protocol"),
+          entry("rollouts", "protocol", "gates"),
+          entry("bookkeeping", "protocol", "transport", "coordination", "queues"),
+          entry("standin", "protocol", "transport"),
+          entry(
+              "serving", "protocol", "transport", "coordination", "amqp", "queues", "bookkeeping"),
+          entry(
+              "services",
+              "protocol",
+              "transport",
+              "coordination",
+              "gates",
+              "rollouts",
+              "bookkeeping"),
+          entry(
+              "app",
+              "protocol",
+              "transport",
+              "coordination",
+              "queues",
+              "rollouts",
+              "bookkeeping",
+              "serving",
+              "services",
+              "standin"));
+
+  private static Map.Entry<String, List<String>> entry(String layer, String... uses) {
+    return Map.entry(layer, List.of(uses));
+  }
 
   private static List<Path> sources(String layer) throws IOException {
     try (Stream<Path> files = Files.walk(MAIN.resolve(layer))) {
@@ -74,7 +90,7 @@
 
   @Test
   void theCoreIsPure() throws IOException {
-    for (String core : List.of("coordination", "queues", "amqp")) {
+    for (String core : List.of("coordination", "queues", "amqp", "gates", "rollouts")) {
       for (Path file : sources(core)) {
         String source = Files.readString(file).replace("java.nio.ByteBuffer", "bytes");
         source = source.replaceAll("java\\.nio\\.(BufferUnderflowException|charset)", "bytes");
--- a/src/test/java/io/saltflow/app/LocalTest.java
+++ b/src/test/java/io/saltflow/app/LocalTest.java
@@ -13,6 +13,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -98,6 +100,91 @@
     assertEquals(UserCommands.UNKNOWN, run("", "status", "req-8"));
   }
 
+  private int operate(String command, String... arguments) {
+    said.reset();
+    PrintStream out = new PrintStream(said, true, StandardCharsets.UTF_8);
+    List<String> all = new ArrayList<>(List.of(arguments));
+    all.addAll(List.of("--server", "127.0.0.1:" + local.port()));
+    return new ServiceCommands(out, out).run(command, all.toArray(new String[0]));
+  }
+
+  /**
+   * A broken build is taken back by its gate; the process is killed in mid roll-out and goes on.
+   */
+  @Test
+  void aServiceIsRolledOutAndABrokenBuildTakenBack() throws Exception {
+    Path service =
+        Files.writeString(
+            folder.resolve("service.json"),
+            "{\"name\": \"thumbs\", \"replicas\": 2, \"cores\": 1, \"bundle\": \"v1\"}");
+    Path plan =
+        Files.writeString(
+            folder.resolve("plan.json"),
+            "{\"settleS\": 0.5, \"limitS\": 60, \"gate\": \"ready >= 95% for 1s\","
+                + " \"stop\": \"failures(1m) >= 2\","
+                + " \"steps\": [{\"count\": 1, \"approval\": true}, {\"percent\": 100}]}");
+    Path data = folder.resolve("data");
+    start(data);
+    assertEquals(0, operate("service", "apply", service.toString()), said());
+    assertEquals(0, operate("rollout", "start", "thumbs", "v2", "--plan", plan.toString()), said());
+    awaitPhase("approval");
+    end();
+    start(data);
+    assertEquals(0, operate("rollout", "approve", "thumbs"), said());
+    assertEquals(0, operate("rollout", "watch", "thumbs"), said());
+    assertTrue(said().endsWith("version 2 (v2); roll-out to version 2: step 2 of 2, done"), said());
+    assertEquals(
+        0,
+        operate("rollout", "start", "thumbs", "stand-in/error", "--plan", plan.toString()),
+        said());
+    assertEquals(UserCommands.REFUSED, operate("rollout", "start", "thumbs", "v4"), said());
+    assertEquals(ServiceCommands.TAKEN_BACK, operate("rollout", "watch", "thumbs"), said());
+    assertTrue(said().contains("Step 1 was stopped: failures(1m) >= 2 held"), said());
+    assertEquals(0, operate("service", "show", "thumbs", "--json"));
+    assertTrue(said().contains("\"serving\":2"), said());
+    assertTrue(said().contains("Version 2 (v2) took over from version 1."), said());
+  }
+
+  private void awaitPhase(String phase) throws InterruptedException {
+    for (int i = 0; i < 600; i++) {
+      assertEquals(0, operate("rollout", "status", "thumbs"), said());
+      if (said().contains(", " + phase)) {
+        return;
+      }
+      Thread.sleep(50);
+    }
+    assertTrue(false, said());
+  }
+
+  @Test
+  void whatCanNeverRollOutIsRefusedWithItsReason() throws Exception {
+    start(null);
+    Path service =
+        Files.writeString(
+            folder.resolve("service.json"),
+            "{\"name\": \"a\", \"replicas\": 1, \"cores\": 1, \"bundle\": \"v1\"}");
+    assertEquals(0, operate("service", "apply", service.toString()), said());
+    assertEquals(UserCommands.UNKNOWN, operate("rollout", "start", "b", "v2"));
+    for (String[] bad :
+        new String[][] {
+          {"{\"surge\": 0}", "surge and mostUnavailable are both 0"},
+          {"{\"gate\": \"redy > 5%\"}", "plan: gate: column 1: nothing called 'redy'"},
+          {"{\"gate\": \"probe(\\\"/\\\").p99 < 1s\"}", "probes are not made yet"},
+          {"{\"steps\": [{\"count\": 1}, {\"count\": 1}]}", "step 2 moves nothing"},
+          {"{\"step\": 1}", "plan: $: property 'step' is not defined"},
+          {"{", "plan: not JSON"}
+        }) {
+      Path plan = Files.writeString(folder.resolve("plan.json"), bad[0]);
+      assertEquals(
+          UserCommands.REFUSED,
+          operate("rollout", "start", "a", "v2", "--plan", plan.toString()),
+          bad[0]);
+      assertTrue(said().contains(bad[1]), said());
+    }
+    assertEquals(UserCommands.USAGE, operate("rollout", "dance", "a"));
+    assertEquals(UserCommands.USAGE, operate("service", "apply", folder + "/none"));
+  }
+
   @Test
   void badInputIsNamed() throws IOException {
     assertEquals(UserCommands.USAGE, run("{\"cores\": 1}", "submit", "-"));
--- a/src/test/java/io/saltflow/app/QueueLoad.java
+++ b/src/test/java/io/saltflow/app/QueueLoad.java
@@ -24,6 +24,7 @@
 import io.saltflow.transport.Routine;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -64,7 +65,8 @@
 
   private QueueLoad(double writesPerS) throws ConfigError {
     this.writesPerS = writesPerS;
-    queues = QueueSettings.local().withListen(Addresses.parse("127.0.0.1:0"));
+    // As local's, with more room: how fast is asked here, not when a queue is full.
+    queues = QueueSettings.read(Path.of(System.getProperty("queues")));
   }
 
   private void run(Loop loop) {
@@ -118,7 +120,8 @@
                     .replace("rps = 100.0", "rps = " + Math.max(100, writesPerS))
                 + "[settings.resources]\nsockets = 6000\n");
     nodeLoop = new Loop();
-    node = new Node(nodeLoop, config, OperatorSettings.defaults(), queues, 1);
+    node =
+        new Node(nodeLoop, config, OperatorSettings.defaults(), new Node.Extras(queues, false), 1);
     node.start();
     run(nodeLoop);
     for (int i = 0; i < 2000 && !ready(); i++) {
--- a/src/test/java/io/saltflow/app/QueueTakeoverTest.java
+++ b/src/test/java/io/saltflow/app/QueueTakeoverTest.java
@@ -134,7 +134,13 @@
                     "[[siblings]]\nhost_name = \"x\"\nzone = \"a\"\naddr = \"127.0.0.1:9\"\n"
                         + "[endpoints]"));
     Loop loop = new Loop();
-    Node node = new Node(loop, config, OperatorSettings.read(ops), queues, name.hashCode());
+    Node node =
+        new Node(
+            loop,
+            config,
+            OperatorSettings.read(ops),
+            new Node.Extras(queues, false),
+            name.hashCode());
     node.start();
     int port = node.amqpPort();
     Running r = new Running(loop, node);
--- /dev/null
+++ b/src/test/java/io/saltflow/gates/GateTest.java
@@ -0,0 +1,177 @@
+package io.saltflow.gates;
+
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Gates: what they mean, when they pass, and what they say when they do not. */
+class GateTest {
+  private static final Span PATIENCE = Span.seconds(60);
+
+  private final Map<String, Double> seen = new HashMap<>();
+  private Time now = new Time(1_000_000);
+
+  private Watch watch(String text) throws GateError {
+    return new Watch(Gate.parse(text), PATIENCE);
+  }
+
+  private Truth look(Watch watch, double laterS) {
+    return verdict(watch, laterS).truth();
+  }
+
+  private Watch.Verdict verdict(Watch watch, double laterS) {
+    now = now.plus(Span.seconds(laterS));
+    return watch.look((quantity, at) -> seen.get(quantity.toString()), now);
+  }
+
+  @Test
+  void theExampleOfThePageIsRead() throws GateError {
+    Gate gate =
+        Gate.parse(
+            "ready >= 95% for 30s and failures(5m) < 2 and probe(\"/healthz\").p99 < 200ms"
+                + " and not exits(\"error\", 2m) > 0");
+    assertEquals(
+        List.of("ready", "failures(5m)", "probe(\"/healthz\").p99", "exits(\"error\", 2m)"),
+        gate.quantities().stream().map(Quantity::toString).toList());
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '\0',
+      value = {
+        "1  | redy > 5% | nothing called 'redy' is observed",
+        "10 | ready >= 95 | ready is a share, compare it with a percentage",
+        "16 | failures(5m) < 2% | failures(5m) is a count",
+        "1  | failures < 2 | failures takes 1 arguments",
+        "10 | failures(\"x\") < 2 | a time such as 5m is required",
+        "7  | exits(5m, \"x\") > 0 | a text in quotes is required",
+        "1  | probe(\"/x\") < 5ms | one of p50, p90, p99, max, ok, count is required",
+        "13 | probe(\"/x\").p75 < 5ms | one of p50, p90, p99, max, ok, count is required",
+        "7  | ready.x > 5% | ready has no 'x'",
+        "17 | probe(\"/x\").ok > 200ms | probe(\"/x\").ok is a share",
+        "10 | failures(2h) < 1 | an hour is the most that is kept",
+        "20 | ready > 5% and not | mismatched input '<EOF>'",
+        "7  | ready $ 5% | mismatched input '$'",
+        "12 | ready > 5% for | missing DURATION"
+      })
+  void errorsPointAtTheColumn(int column, String text, String why) {
+    GateError e = assertThrows(GateError.class, () -> Gate.parse(text));
+    assertTrue(e.getMessage().contains(why), e.getMessage());
+  }
+
+  /** A text that is nested without end must not end the leader's stack. */
+  @Test
+  void depthAndLengthAreBounded() {
+    assertThrows(GateError.class, () -> Gate.parse("(".repeat(900) + "ready > 1%"));
+    assertThrows(GateError.class, () -> Gate.parse("not ".repeat(400) + "ready > 1%"));
+    assertThrows(GateError.class, () -> Gate.parse("ready > 1% and ".repeat(200) + "ready > 1%"));
+    assertDoesNotThrow(() -> Gate.parse("not ".repeat(30) + "ready > 1%"));
+  }
+
+  @Test
+  void aConditionMustLast() throws GateError {
+    Watch w = watch("ready >= 95% for 30s");
+    seen.put("ready", 0.5);
+    assertEquals(Truth.FALSE, look(w, 0));
+    seen.put("ready", 0.95);
+    assertEquals(Truth.UNKNOWN, look(w, 1));
+    assertEquals(Truth.UNKNOWN, look(w, 29.9));
+    assertEquals(List.of("ready >= 95%: true for 29.9s only, it is 95%"), verdict(w, 0).reasons());
+    assertEquals(Truth.TRUE, look(w, 0.1));
+    seen.put("ready", 0.9);
+    Watch.Verdict fell = verdict(w, 1);
+    assertEquals(Truth.FALSE, fell.truth());
+    assertEquals(List.of("ready >= 95%: false for 0ms, it is 90%"), fell.reasons());
+  }
+
+  /** A check that flaps does not pass until it has been steady for as long as the gate says. */
+  @Test
+  void flappingFailsUntilItHasRecovered() throws GateError {
+    Watch w = watch("probe(\"/\").ok >= 99% for 5s recovers for 20s");
+    String ok = "probe(\"/\").ok";
+    for (int i = 0; i < 10; i++) {
+      seen.put(ok, 1.0);
+      assertEquals(i == 0 ? Truth.UNKNOWN : Truth.FALSE, look(w, 3));
+      seen.put(ok, 0.5);
+      assertEquals(Truth.FALSE, look(w, 3));
+    }
+    seen.put(ok, 1.0);
+    assertEquals(Truth.FALSE, look(w, 3));
+    assertEquals(Truth.FALSE, look(w, 19.9));
+    assertEquals(Truth.TRUE, look(w, 0.1));
+  }
+
+  @Test
+  void missingDataHoldsAndThenFailsAndNeverPasses() throws GateError {
+    Watch w = watch("ready >= 95% without data for 10s and not failures(1m) > 3");
+    assertEquals(Truth.UNKNOWN, look(w, 0));
+    assertEquals(Truth.UNKNOWN, look(w, 10));
+    Watch.Verdict late = verdict(w, 0.1);
+    assertEquals(Truth.FALSE, late.truth());
+    assertEquals("ready >= 95%: no data for 10.1s", late.reasons().get(0));
+    seen.put("ready", 1.0);
+    assertEquals(Truth.UNKNOWN, look(w, 1), "the other is not known yet");
+    assertEquals(Truth.FALSE, look(w, 60), "nor has it been for a minute");
+    seen.put("failures(1m)", 0.0);
+    assertEquals(Truth.TRUE, look(w, 1));
+    seen.put("failures(1m)", 4.0);
+    assertEquals(List.of("failures(1m) > 3: true for 0ms, it is 4"), verdict(w, 1).reasons());
+  }
+
+  @Test
+  void whatIsKnownDecidesWhereItCan() throws GateError {
+    seen.put("ready", 1.0);
+    assertEquals(Truth.TRUE, look(watch("ready > 5% or age > 1s"), 0));
+    assertEquals(Truth.UNKNOWN, look(watch("ready > 5% and age > 1s"), 0));
+    seen.put("ready", 0.0);
+    assertEquals(Truth.FALSE, look(watch("(ready > 5% and age > 1s) or ready == 50%"), 0));
+    assertEquals(Truth.TRUE, look(watch("not (ready > 5%) and ready != 3%"), 0));
+  }
+
+  @Test
+  void sightingsAreCountedWithinTheirWindow() throws GateError {
+    Sightings s = new Sightings();
+    Quantity failures = Gate.parse("failures(1m) < 1").quantities().get(0);
+    Quantity errors = Gate.parse("exits(\"error\", 1m) < 1").quantities().get(0);
+    assertEquals(null, s.value(failures, now), "nobody has looked yet");
+    s.ready(3, 4, now);
+    assertEquals(0.75, s.value(Gate.parse("ready > 1%").quantities().get(0), now));
+    s.exited("error", true, now);
+    s.exited("lost", true, now);
+    assertEquals(2.0, s.value(failures, now));
+    assertEquals(1.0, s.value(errors, now));
+    now = now.plus(Span.seconds(61));
+    assertEquals(null, s.value(failures, now), "silence is not health");
+    s.ready(4, 4, now);
+    assertEquals(0.0, s.value(failures, now));
+  }
+
+  /** A probe without an answer is slower than any; one that could not be made says nothing. */
+  @Test
+  void percentilesCountWhatWasNotAnswered() throws GateError {
+    Sightings s = new Sightings();
+    Quantity p50 = Gate.parse("probe(\"/\").p50 < 1s").quantities().get(0);
+    Quantity p99 = Gate.parse("probe(\"/\").p99 < 1s").quantities().get(0);
+    Quantity ok = Gate.parse("probe(\"/\").ok > 1%").quantities().get(0);
+    assertEquals(null, s.value(p50, now));
+    for (int i = 1; i <= 98; i++) {
+      s.probed("/", i, now);
+    }
+    s.probed("/", -1, now);
+    s.probed("/", -1, now);
+    assertEquals(50, s.value(p50, now), 1);
+    assertEquals(Double.POSITIVE_INFINITY, s.value(p99, now));
+    assertEquals(0.98, s.value(ok, now));
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/rollouts/ExplorationTest.java
@@ -0,0 +1,310 @@
+package io.saltflow.rollouts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.gates.Gate;
+import io.saltflow.gates.GateError;
+import io.saltflow.gates.Truth;
+import io.saltflow.gates.Watch;
+import io.saltflow.protocol.Span;
+import io.saltflow.rollouts.Rollout.Phase;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Every interleaving of a roll-out in small bounds: two versions, three replicas; leaders that
+ * crash before and after each write and before each act, a cut that hides replicas, a drain, new
+ * replicas that come up or fail, gates that say anything, steps that are late or not, and an abort.
+ */
+class ExplorationTest {
+  private static final int REPLICAS = 3;
+
+  /**
+   * The whole small world.
+   *
+   * @param record what is durable
+   * @param actedOld what the machines were last told to hold
+   * @param faults crashes, cuts and drains that are left, one of each
+   * @param hidden a cut hides the new version's replicas from the leader
+   */
+  private record State(
+      Rollout record,
+      int actedOld,
+      int actedNew,
+      int readyOld,
+      int readyNew,
+      int faults,
+      boolean hidden,
+      boolean aborted) {}
+
+  private static final int CRASH = 1;
+  private static final int CUT = 2;
+  private static final int DRAIN = 4;
+
+  private static Plan plan(int surge, int mostUnavailable) throws GateError {
+    return new Plan(
+        List.of(new Plan.Step(1, false, false), new Plan.Step(100, true, false)),
+        surge,
+        mostUnavailable,
+        2,
+        Span.seconds(1),
+        Span.seconds(10),
+        Span.seconds(10),
+        Gate.parse("ready >= 95%"),
+        Gate.parse("failures(1m) > 0"));
+  }
+
+  private final Map<State, List<State>> edges = new HashMap<>();
+  private final List<String> faults = new ArrayList<>();
+  private Plan plan;
+  private Machine machine;
+
+  /** What a planted mistake makes of a decision. */
+  private UnaryOperator<Rollout> mistake = r -> r;
+
+  private void explore(int surge, int mostUnavailable) throws GateError {
+    edges.clear();
+    faults.clear();
+    plan = plan(surge, mostUnavailable);
+    machine = new Machine(plan);
+    State first =
+        new State(
+            Rollout.begin(REPLICAS, 0),
+            REPLICAS,
+            0,
+            REPLICAS,
+            0,
+            CRASH | CUT | DRAIN,
+            false,
+            false);
+    ArrayDeque<State> open = new ArrayDeque<>(List.of(first));
+    edges.put(first, List.of());
+    while (!open.isEmpty()) {
+      State s = open.poll();
+      List<State> next = successors(s);
+      edges.put(s, next);
+      for (State n : next) {
+        if (!edges.containsKey(n)) {
+          edges.put(n, List.of());
+          open.add(n);
+        }
+      }
+    }
+  }
+
+  private List<State> successors(State s) {
+    List<State> out = new ArrayList<>();
+    world(s, out);
+    leader(s, out);
+    return out;
+  }
+
+  /** What happens by itself. */
+  private static void world(State s, List<State> out) {
+    if (s.readyOld < s.actedOld) {
+      out.add(ready(s, s.readyOld + 1, s.readyNew));
+    }
+    if (s.readyNew < s.actedNew) {
+      out.add(ready(s, s.readyOld, s.readyNew + 1));
+    }
+    if (s.readyNew > 0) {
+      // A bad build dies whenever it likes.
+      out.add(ready(s, s.readyOld, s.readyNew - 1));
+    }
+    if ((s.faults & DRAIN) != 0 && s.readyOld > 0) {
+      State drained = ready(s, s.readyOld - 1, s.readyNew);
+      out.add(with(drained, s.faults & ~DRAIN, s.hidden));
+    }
+    if ((s.faults & CUT) != 0) {
+      out.add(with(s, s.faults & ~CUT, true));
+    }
+    if (s.hidden) {
+      out.add(with(s, s.faults, false));
+    }
+    // A leader that crashes loses nothing but its memory, and the record is all that there is.
+    if (s.actedOld != s.record.wantedOld() || s.actedNew != s.record.wantedNew()) {
+      out.add(acted(s));
+    }
+  }
+
+  private static State ready(State s, int old, int fresh) {
+    return new State(s.record, s.actedOld, s.actedNew, old, fresh, s.faults, s.hidden, s.aborted);
+  }
+
+  private static State with(State s, int faults, boolean hidden) {
+    return new State(
+        s.record, s.actedOld, s.actedNew, s.readyOld, s.readyNew, faults, hidden, s.aborted);
+  }
+
+  /** The machines are told; those that are not ready go first. */
+  private static State acted(State s) {
+    int old = s.record.wantedOld();
+    int fresh = s.record.wantedNew();
+    return new State(
+        s.record,
+        old,
+        fresh,
+        Math.min(s.readyOld, old),
+        Math.min(s.readyNew, fresh),
+        s.faults,
+        s.hidden,
+        s.aborted);
+  }
+
+  private void leader(State s, List<State> out) {
+    boolean behind = s.actedOld != s.record.wantedOld() || s.actedNew != s.record.wantedNew();
+    if (behind) {
+      // It acts upon a record before it decides again.
+      return;
+    }
+    int seenNew = s.hidden ? 0 : s.readyNew;
+    for (Truth gate : Truth.values()) {
+      boolean healthy = seenNew == s.record.wantedNew() && seenNew > 0;
+      if (gate == Truth.TRUE && !healthy) {
+        continue;
+      }
+      for (Truth stop : new Truth[] {Truth.FALSE, Truth.TRUE}) {
+        for (long elapsed : new long[] {0, 20_000}) {
+          Seen seen =
+              new Seen(
+                  s.readyOld,
+                  0,
+                  seenNew,
+                  s.hidden ? s.actedNew : 0,
+                  new Watch.Verdict(gate, List.of("it is so")),
+                  new Watch.Verdict(stop, List.of()),
+                  null,
+                  s.record.sinceWallMs() + elapsed);
+          decided(s, mistake.apply(machine.next(s.record, seen)), out);
+        }
+      }
+    }
+    if (!s.aborted) {
+      Rollout told = machine.told(s.record, Command.ABORT, 0);
+      State after = decide(s, told);
+      out.add(
+          new State(
+              after.record,
+              s.actedOld,
+              s.actedNew,
+              s.readyOld,
+              s.readyNew,
+              s.faults,
+              s.hidden,
+              true));
+    }
+  }
+
+  private void decided(State s, Rollout next, List<State> out) {
+    if (next.equals(s.record)) {
+      return;
+    }
+    check(s, next);
+    out.add(decide(s, next));
+    if ((s.faults & CRASH) != 0) {
+      // It crashes before the write, or after it: the next leader finds either record.
+      out.add(with(s, s.faults & ~CRASH, s.hidden));
+      out.add(with(decide(s, next), s.faults & ~CRASH, s.hidden));
+    }
+  }
+
+  /** Times are left out of the states, or there would be no end of them. */
+  private static State decide(State s, Rollout next) {
+    Rollout timeless =
+        new Rollout(
+            next.replicas(),
+            next.step(),
+            next.phase(),
+            next.resumes(),
+            next.wantedOld(),
+            next.wantedNew(),
+            0,
+            "");
+    return new State(
+        timeless, s.actedOld, s.actedNew, s.readyOld, s.readyNew, s.faults, s.hidden, s.aborted);
+  }
+
+  private void check(State s, Rollout next) {
+    if (next.wantedOld() + next.wantedNew() > REPLICAS + plan.surge()) {
+      faults.add("more than the surge: " + s + " -> " + next);
+    }
+    int floor = REPLICAS - plan.mostUnavailable();
+    int after = Math.min(s.readyOld, next.wantedOld()) + Math.min(s.readyNew, next.wantedNew());
+    if (after < Math.min(floor, s.readyOld + s.readyNew)) {
+      faults.add("under the floor: " + s + " -> " + next);
+    }
+    int steps = Math.abs(next.step() - s.record.step());
+    boolean moved =
+        next.wantedOld() != s.record.wantedOld() || next.wantedNew() != s.record.wantedNew();
+    if (steps > 1 || (steps == 1 && moved)) {
+      faults.add("two moves at once: " + s + " -> " + next);
+    }
+  }
+
+  /** States from which some way leads to one version serving in full. */
+  private Set<State> canServe() {
+    Map<State, List<State>> backwards = new HashMap<>();
+    edges.forEach(
+        (s, list) ->
+            list.forEach(n -> backwards.computeIfAbsent(n, x -> new ArrayList<>()).add(s)));
+    ArrayDeque<State> open = new ArrayDeque<>();
+    Set<State> good = new HashSet<>();
+    for (State s : edges.keySet()) {
+      boolean old = s.record.phase() == Phase.ROLLED_BACK && s.readyOld == REPLICAS;
+      boolean fresh = s.record.phase() == Phase.DONE && s.readyNew == REPLICAS;
+      boolean stuck = s.record.phase() == Phase.STUCK && s.readyOld + s.readyNew >= REPLICAS;
+      if ((old || fresh || stuck) && good.add(s)) {
+        open.add(s);
+      }
+    }
+    while (!open.isEmpty()) {
+      for (State before : backwards.getOrDefault(open.poll(), List.of())) {
+        if (good.add(before)) {
+          open.add(before);
+        }
+      }
+    }
+    return good;
+  }
+
+  @Test
+  void everyStateLeadsToAVersionThatServesAndNoMoveGoesTooFar() throws GateError {
+    int all = 0;
+    for (int[] bounds : new int[][] {{1, 0}, {0, 1}, {1, 1}, {2, 1}}) {
+      explore(bounds[0], bounds[1]);
+      assertEquals(List.of(), faults);
+      Set<State> lost = new HashSet<>(edges.keySet());
+      lost.removeAll(canServe());
+      assertTrue(lost.isEmpty(), lost.size() + " lost, such as " + lost.stream().findFirst());
+      all += edges.size();
+      System.out.println(
+          "surge " + bounds[0] + ", unavailable " + bounds[1] + ": " + edges.size() + " states");
+    }
+    assertTrue(all > 5000, "states: " + all);
+  }
+
+  /** The exploration can fail: mistakes that are easily made are found. */
+  @Test
+  void plantedMistakesAreFound() throws GateError {
+    mistake = r -> r.wantedOld() == 2 && r.wantedNew() == 1 ? r.wanting(1, 1) : r;
+    explore(1, 0);
+    assertFalse(faults.isEmpty(), "an old replica too many is let go");
+    mistake = r -> r.phase() == Phase.BACK ? r.wanting(REPLICAS, REPLICAS) : r;
+    explore(1, 0);
+    assertFalse(faults.isEmpty(), "a roll-back that takes more room than there is");
+    mistake = r -> r.phase() == Phase.BACK ? r.wanting(r.wantedOld(), 1) : r;
+    explore(1, 1);
+    Set<State> lost = new HashSet<>(edges.keySet());
+    lost.removeAll(canServe());
+    assertFalse(lost.isEmpty() && faults.isEmpty(), "a roll-back that never ends");
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/rollouts/Night.java
@@ -0,0 +1,290 @@
+package io.saltflow.rollouts;
+
+import io.saltflow.gates.Gate;
+import io.saltflow.gates.GateError;
+import io.saltflow.gates.Sightings;
+import io.saltflow.gates.Watch;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * One night of one service, in simulated seconds and by one seed: a build that is sound or broken
+ * in some way goes out to its replicas, while probes get lost and machines are drained.
+ */
+final class Night {
+  /** What is wrong with the new build. */
+  enum Build {
+    SOUND,
+    /** Its replicas die some seconds after they start. */
+    CRASHES,
+    /** They answer, but ten times more slowly. */
+    SLOW,
+    /** They die after 25 to 35 s, about when a gate has seen enough. */
+    LATE,
+    /** They are broken in one zone of three. */
+    ONE_ZONE,
+    /** They are well until half of the replicas are new. */
+    CROWD,
+    /** They are well and ill by turns. */
+    FLAPS
+  }
+
+  /** How the build goes out. */
+  enum Way {
+    GATED,
+    FIXED_DELAY,
+    ALL_AT_ONCE
+  }
+
+  static final int REPLICAS = 20;
+  private static final int SECONDS = 2400;
+  private static final int BOOT_S = 8;
+  private static final int PROBE_EVERY_S = 5;
+  private static final int FIXED_DELAY_S = 60;
+  private static final int SETTLE_S = 20;
+  private static final int ZONES = 3;
+  private static final int FLOOR = REPLICAS - 1;
+  private static final double LOST_PROBES = 0.05;
+
+  private static final class Replica {
+    final boolean fresh;
+    final int zone;
+    int readyAt;
+    int diesAt;
+
+    /** What ends it is no fault of its build. */
+    boolean sound;
+
+    Replica(boolean fresh, int zone) {
+      this.fresh = fresh;
+      this.zone = zone;
+    }
+  }
+
+  private final SplittableRandom random;
+  private final Build build;
+  private final List<Replica> replicas = new ArrayList<>();
+  private final List<Integer> lost = new ArrayList<>();
+  private final Sightings sightings = new Sightings();
+  private Rollout rollout = Rollout.begin(REPLICAS, 0);
+  private int now;
+
+  /** Seconds in which a replica was broken or missing, summed over replicas. */
+  long spoiledSeconds;
+
+  /** Seconds in which fewer were ready than the plan's floor, machines lost just before aside. */
+  int underFloorSeconds;
+
+  Night(long seed, Build build) {
+    random = new SplittableRandom(seed);
+    this.build = build;
+    for (int i = 0; i < REPLICAS; i++) {
+      Replica r = new Replica(false, i % ZONES);
+      r.diesAt = Integer.MAX_VALUE;
+      replicas.add(r);
+    }
+  }
+
+  static Plan plan() throws GateError {
+    return new Plan(
+        List.of(
+            new Plan.Step(1, false, false),
+            new Plan.Step(20, true, false),
+            new Plan.Step(50, true, false),
+            new Plan.Step(100, true, false)),
+        2,
+        1,
+        4,
+        Span.seconds(SETTLE_S),
+        Span.seconds(240),
+        Span.seconds(600),
+        Gate.parse(
+            "ready >= 95% for 40s recovers for 60s and failures(2m) < 2"
+                + " and probe(\"/\").p90 < 200ms for 20s and probe(\"/\").count >= 3"),
+        Gate.parse("failures(2m) >= 3 or probe(\"/\").p50 > 1s for 30s"));
+  }
+
+  Rollout rollout() {
+    return rollout;
+  }
+
+  void run(Way way) throws GateError {
+    Plan plan = plan();
+    Machine machine = new Machine(plan);
+    Watch gate = new Watch(plan.gate(), Span.seconds(60));
+    Watch stop = new Watch(plan.stop(), Span.seconds(3600));
+    int stepOf = 0;
+    for (now = 1; now <= SECONDS; now++) {
+      live();
+      hold(true, rollout.wantedNew());
+      hold(false, rollout.wantedOld());
+      spoil();
+      if (now % PROBE_EVERY_S != 0) {
+        continue;
+      }
+      observe();
+      if (way != Way.GATED) {
+        ungated(way);
+      } else if (!rollout.phase().over()) {
+        Rollout next = machine.next(rollout, seen(gate, stop));
+        if (next.step() != stepOf) {
+          // Each step is judged by itself.
+          stepOf = next.step();
+          gate = new Watch(plan.gate(), Span.seconds(60));
+        }
+        rollout = next;
+      }
+    }
+  }
+
+  private Seen seen(Watch gate, Watch stop) {
+    Time at = time();
+    return new Seen(
+        settled(false),
+        0,
+        settled(true),
+        0,
+        gate.look(sightings, at),
+        stop.look(sightings, at),
+        null,
+        now * 1000L);
+  }
+
+  private Time time() {
+    return new Time(now * 1000L);
+  }
+
+  /** Steps by the clock alone, or everything as fast as replicas start. */
+  private void ungated(Way way) {
+    int target = REPLICAS;
+    if (way == Way.FIXED_DELAY) {
+      int[] steps = {1, REPLICAS / 5, REPLICAS / 2, REPLICAS};
+      target = steps[Math.min(steps.length - 1, now / FIXED_DELAY_S)];
+    }
+    rollout = rollout.wanting(REPLICAS - target, target);
+    if (target == REPLICAS && ready(true) == REPLICAS) {
+      rollout = rollout.phase(Rollout.Phase.DONE, 0, now * 1000L);
+    }
+  }
+
+  private int ready(boolean fresh) {
+    return readySince(fresh, now);
+  }
+
+  private int settled(boolean fresh) {
+    return readySince(fresh, now - SETTLE_S);
+  }
+
+  private int readySince(boolean fresh, int then) {
+    return (int) replicas.stream().filter(r -> r.fresh == fresh && r.readyAt <= then).count();
+  }
+
+  /** Replicas die, and machines are drained now and then; what is wanted is started again. */
+  private void live() {
+    for (Replica r : List.copyOf(replicas)) {
+      if (r.diesAt <= now) {
+        replicas.remove(r);
+        if (r.sound) {
+          lost.add(now);
+        }
+        if (r.fresh) {
+          sightings.exited("error", true, time());
+        }
+      }
+    }
+    if (random.nextInt(1200) == 0 && !replicas.isEmpty()) {
+      // A drained machine is nobody's failure.
+      replicas.remove(random.nextInt(replicas.size()));
+      lost.add(now);
+    }
+  }
+
+  private void hold(boolean fresh, int wanted) {
+    List<Replica> mine = new ArrayList<>(replicas.stream().filter(r -> r.fresh == fresh).toList());
+    for (int n = mine.size(); n < wanted; n++) {
+      Replica r = new Replica(fresh, emptiest(fresh));
+      r.readyAt = now + BOOT_S;
+      r.diesAt = now + BOOT_S + lifetime(r);
+      replicas.add(r);
+    }
+    // Those that are not ready go first.
+    mine.sort((a, b) -> b.readyAt - a.readyAt);
+    for (int i = 0; i < mine.size() - wanted; i++) {
+      replicas.remove(mine.get(i));
+    }
+  }
+
+  /** Replicas are spread: the next goes to the zone that has the fewest. */
+  private int emptiest(boolean fresh) {
+    int[] count = new int[ZONES];
+    replicas.stream().filter(r -> r.fresh == fresh).forEach(r -> count[r.zone]++);
+    int zone = 0;
+    for (int z = 1; z < ZONES; z++) {
+      zone = count[z] < count[zone] ? z : zone;
+    }
+    return zone;
+  }
+
+  private int recentlyLost() {
+    lost.removeIf(at -> now - at > BOOT_S + PROBE_EVERY_S + 1);
+    return lost.size();
+  }
+
+  private int lifetime(Replica r) {
+    int sound = 5_000 + random.nextInt(50_000);
+    int life = r.fresh ? lifetime(r, sound) : sound;
+    r.sound = life == sound;
+    return life;
+  }
+
+  private int lifetime(Replica r, int sound) {
+    return switch (build) {
+      case CRASHES -> 3 + random.nextInt(10);
+      case LATE -> 25 + random.nextInt(10);
+      case ONE_ZONE -> r.zone == 0 ? 10 + random.nextInt(10) : sound;
+      default -> sound;
+    };
+  }
+
+  private boolean broken(Replica r) {
+    if (!r.fresh) {
+      return false;
+    }
+    return switch (build) {
+      case SOUND, CRASHES, LATE, ONE_ZONE -> false;
+      case SLOW -> true;
+      case CROWD -> rollout.wantedNew() > REPLICAS / 2;
+      case FLAPS -> now / 20 % 2 == 0;
+    };
+  }
+
+  private void spoil() {
+    int well = 0;
+    for (Replica r : replicas) {
+      if (r.readyAt <= now && !broken(r)) {
+        well++;
+      }
+    }
+    spoiledSeconds += Math.max(0, REPLICAS - well);
+    underFloorSeconds += ready(true) + ready(false) < FLOOR - recentlyLost() ? 1 : 0;
+  }
+
+  private void observe() {
+    sightings.ready(ready(true), rollout.wantedNew(), time());
+    for (Replica r : replicas) {
+      if (r.fresh && r.readyAt <= now && random.nextDouble() >= LOST_PROBES) {
+        long ms = 20 + random.nextInt(60);
+        sightings.probed("/", broken(r) ? ms * 10 + 300 : ms, time());
+      }
+    }
+    sightings.forget(time());
+  }
+
+  /** Whether the new version ended up serving. */
+  boolean wentOut() {
+    return rollout.phase() == Rollout.Phase.DONE;
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/rollouts/NightsTest.java
@@ -0,0 +1,77 @@
+package io.saltflow.rollouts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.gates.GateError;
+import java.util.EnumMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Seeded nights of sound and broken builds, with gates, by a fixed delay, and all at once. Run as a
+ * program it prints the figures of {@code docs/PERFORMANCE.md}.
+ */
+class NightsTest {
+  /** What came of many nights; replica-minutes, and seconds under the floor, are a night's. */
+  private record Sum(int nights, double spoiledMinutes, int wentOut, int underFloorS) {}
+
+  private static Sum nights(Night.Build build, Night.Way way, int count) throws GateError {
+    long spoiled = 0;
+    int out = 0;
+    int under = 0;
+    for (int seed = 0; seed < count; seed++) {
+      Night night = new Night(seed, build);
+      night.run(way);
+      spoiled += night.spoiledSeconds;
+      out += night.wentOut() ? 1 : 0;
+      under += night.underFloorSeconds;
+    }
+    return new Sum(count, spoiled / 60.0 / count, out, under / count);
+  }
+
+  @Test
+  void brokenBuildsAreTakenBackAndSoundOnesGoOut() throws GateError {
+    for (Night.Build build : Night.Build.values()) {
+      Sum gated = nights(build, Night.Way.GATED, 40);
+      Sum atOnce = nights(build, Night.Way.ALL_AT_ONCE, 40);
+      if (build == Night.Build.SOUND) {
+        assertTrue(gated.wentOut >= 38, "false roll-backs: " + gated);
+      } else {
+        assertEquals(0, gated.wentOut, build + ": the old version serves at the end");
+        assertTrue(gated.spoiledMinutes * 2 < atOnce.spoiledMinutes, build + ": " + gated);
+      }
+    }
+  }
+
+  /** The reason is for people to read: which step, which gate, what was seen, since when. */
+  @Test
+  void whyItStoppedIsSaidPlainly() throws GateError {
+    Night slow = new Night(1, Night.Build.SLOW);
+    slow.run(Night.Way.GATED);
+    assertEquals(Rollout.Phase.ROLLED_BACK, slow.rollout().phase());
+    assertTrue(
+        slow.rollout()
+            .reason()
+            .matches(
+                "Step 1 did not pass its gate within 240.0 s: probe\\(\"/\"\\)\\.p90 < 200ms: false"
+                    + " for .*, it is .*s\\."),
+        slow.rollout().reason());
+    Night crashes = new Night(1, Night.Build.CRASHES);
+    crashes.run(Night.Way.GATED);
+    assertTrue(
+        crashes.rollout().reason().startsWith("Step 1 was stopped: failures(2m) >= 3"),
+        crashes.rollout().reason());
+  }
+
+  public static void main(String[] args) throws GateError {
+    int count = args.length > 0 ? Integer.parseInt(args[0]) : 500;
+    for (Night.Build build : Night.Build.values()) {
+      Map<Night.Way, Sum> sums = new EnumMap<>(Night.Way.class);
+      for (Night.Way way : Night.Way.values()) {
+        sums.put(way, nights(build, way, count));
+      }
+      System.out.println(build + " " + sums);
+    }
+  }
+}
