--- a/src/main/java/io/saltflow/gates/Watch.java
+++ b/src/main/java/io/saltflow/gates/Watch.java
@@ -12,7 +12,7 @@
  * as it is; a new leader begins to remember anew, so that nothing passes on what it has not seen.
  */
 public final class Watch {
-  /** What a gate says at a moment, and in sentences why it does not pass. */
+  /** What a gate says at a moment: why it does not pass, or what is seen when it does. */
   public record Verdict(Truth truth, List<String> reasons) {}
 
   private static final class Memory {
@@ -44,7 +44,16 @@
   public Verdict look(Observations seen, Time now) {
     List<String> reasons = new ArrayList<>();
     Truth truth = eval(gate.condition(), seen, now, true, reasons);
-    return new Verdict(truth, truth == Truth.TRUE ? List.of() : reasons);
+    return new Verdict(truth, truth == Truth.TRUE ? values(seen, now) : reasons);
+  }
+
+  private List<String> values(Observations seen, Time now) {
+    List<String> out = new ArrayList<>();
+    for (Quantity q : gate.quantities()) {
+      Double v = seen.value(q, now);
+      out.add(q + (v == null ? " is not known" : " is " + Units.shown(q.unit(), v)));
+    }
+    return out;
   }
 
   /**
--- a/src/main/java/io/saltflow/rollouts/Machine.java
+++ b/src/main/java/io/saltflow/rollouts/Machine.java
@@ -106,7 +106,15 @@
   }
 
   private Rollout stopped(Rollout r, Seen seen) {
-    return backWith(r, seen, named(r) + " was stopped: " + plan.stop() + " held.");
+    return backWith(
+        r,
+        seen,
+        named(r)
+            + " was stopped: "
+            + plan.stop()
+            + "; "
+            + String.join(", ", seen.stop().reasons())
+            + ".");
   }
 
   private static Rollout backWith(Rollout r, Seen seen, String why) {
@@ -169,6 +177,11 @@
     if (grown > grows) {
       return forth ? r.wanting(shrinks, grown) : r.wanting(grown, shrinks);
     }
+    int back = Math.min(shrinkTo, r.replicas() + plan.surge() - grows);
+    if (back > shrinks) {
+      // The service was made larger: the version that goes has its part of that, too.
+      return forth ? r.wanting(back, grows) : r.wanting(grows, back);
+    }
     int floor = r.replicas() - plan.mostUnavailable();
     int idle = Math.max(0, shrinks - readyShrinking - unseenShrinking);
     int spare = Math.max(0, readyShrinking + readyGrowing - floor);
--- a/src/main/java/io/saltflow/services/LiveService.java
+++ b/src/main/java/io/saltflow/services/LiveService.java
@@ -3,6 +3,7 @@
 import io.saltflow.coordination.Job;
 import io.saltflow.coordination.Leader;
 import io.saltflow.gates.Sightings;
+import io.saltflow.gates.Truth;
 import io.saltflow.gates.Watch;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
@@ -156,6 +157,7 @@
 
   /** Why the gate does not pass now; empty: it passes, or none is looked at. */
   List<String> waitsFor() {
-    return lastVerdict == null ? List.of() : lastVerdict.reasons();
+    boolean waits = lastVerdict != null && lastVerdict.truth() != Truth.TRUE;
+    return waits ? lastVerdict.reasons() : List.of();
   }
 }
--- /dev/null
+++ b/src/test/java/io/saltflow/rollouts/MachineTest.java
@@ -0,0 +1,145 @@
+package io.saltflow.rollouts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.coordination.Traces;
+import io.saltflow.gates.Gate;
+import io.saltflow.gates.GateError;
+import io.saltflow.gates.Truth;
+import io.saltflow.gates.Watch;
+import io.saltflow.protocol.Span;
+import io.saltflow.rollouts.Rollout.Phase;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Roll-outs move by move, for people to read. */
+class MachineTest {
+  private static final Watch.Verdict PASS = new Watch.Verdict(Truth.TRUE, List.of());
+  private static final Watch.Verdict FAIL =
+      new Watch.Verdict(Truth.FALSE, List.of("ready >= 95%: false for 9s, it is 50%"));
+
+  private final List<String> lines = new ArrayList<>();
+  private final Machine machine = new Machine(plan());
+  private Rollout rollout = Rollout.begin(4, 0);
+  private long wallMs;
+  private String oldGone;
+
+  private static Plan plan() {
+    try {
+      return new Plan(
+          List.of(
+              new Plan.Step(1, false, true),
+              new Plan.Step(50, true, false),
+              new Plan.Step(100, true, false)),
+          1,
+          0,
+          2,
+          Span.seconds(5),
+          Span.seconds(60),
+          Span.seconds(60),
+          Gate.parse("ready >= 95%"),
+          null);
+    } catch (GateError e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private boolean step(int readyOld, int readyNew, Watch.Verdict gate) {
+    wallMs += 1000;
+    Seen seen = new Seen(readyOld, 0, readyNew, 0, gate, null, oldGone, wallMs);
+    Rollout next = machine.next(rollout, seen);
+    boolean moved = !next.equals(rollout);
+    rollout = next;
+    if (moved) {
+      say(readyOld + " and " + readyNew + " ready");
+    }
+    return moved;
+  }
+
+  private void say(String what) {
+    lines.add(
+        String.format(
+            "%-18s -> step %d, %s: %d old, %d new%s",
+            what,
+            rollout.step() + 1,
+            rollout.phase(),
+            rollout.wantedOld(),
+            rollout.wantedNew(),
+            rollout.reason().isEmpty() ? "" : "; " + rollout.reason()));
+  }
+
+  /** All that is wanted is ready, at once. */
+  private void healthy(Watch.Verdict gate, int most) {
+    for (int i = 0; i < most && step(rollout.wantedOld(), rollout.wantedNew(), gate); i++) {
+      assertTrue(i < 99);
+    }
+  }
+
+  private void tell(Command command) {
+    rollout = machine.told(rollout, command, wallMs);
+    say(command.toString());
+  }
+
+  @Test
+  void aRollOutAndItsWayBackAreKept() throws IOException {
+    lines.add("# a sound version, approved after its first replica, scaled on the way");
+    healthy(PASS, 99);
+    tell(Command.APPROVE);
+    healthy(PASS, 2);
+    tell(Command.PAUSE);
+    healthy(PASS, 99);
+    tell(Command.RESUME);
+    rollout = machine.scaled(rollout, 6);
+    say("scaled to 6");
+    healthy(PASS, 99);
+    lines.add("# one whose gate does not pass with half of the replicas");
+    rollout = Rollout.begin(4, wallMs);
+    healthy(PASS, 99);
+    tell(Command.APPROVE);
+    healthy(FAIL, 99);
+    wallMs += 60_000;
+    healthy(FAIL, 99);
+    tell(Command.APPROVE);
+    lines.add("# an abort that races the last step, and the old image gone at the roll-back");
+    rollout = new Rollout(4, 2, Phase.MOVING, null, 1, 4, wallMs, "");
+    tell(Command.ABORT);
+    step(1, 4, PASS);
+    oldGone = "its image is gone";
+    step(1, 3, PASS);
+    lines.add("# a step that is never complete: there is no room for the surge");
+    oldGone = null;
+    rollout = Rollout.begin(4, wallMs);
+    step(4, 0, FAIL);
+    wallMs += 60_000;
+    step(4, 0, FAIL);
+    healthy(FAIL, 99);
+    Traces.check("roll-outs", lines);
+  }
+
+  @Test
+  void whatCanNeverWorkIsSaid() throws GateError {
+    Plan p = plan();
+    Plan none =
+        new Plan(
+            List.of(new Plan.Step(2, false, false), new Plan.Step(10, true, false)),
+            0,
+            0,
+            0,
+            p.settle(),
+            p.limit(),
+            p.backLimit(),
+            p.gate(),
+            null);
+    assertEquals(List.of(), p.faults(4));
+    assertEquals(
+        List.of(
+            "surge and mostUnavailable are both 0: no replica could ever be replaced",
+            "step 2 moves nothing: 1 of 4 after it",
+            "the last step leaves 3 replicas of the old version",
+            "startsAtOnce is 0: nothing would ever start"),
+        none.faults(4));
+  }
+}
