Tests share what is around controllers; a refusal's cause is asked in one place

Need: the same stand-in wiring stood in three tests, and the same look at a refused transaction in two books.

--- a/src/main/java/io/saltflow/bookkeeping/QueueBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/QueueBooks.java
@@ -6,7 +6,6 @@
 import io.saltflow.protocol.Budget;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
-import io.saltflow.protocol.Wire;
 import io.saltflow.queues.Batch;
 import io.saltflow.queues.Entry;
 import io.saltflow.queues.EntryCodec;
@@ -242,11 +241,7 @@
 
   /** A guard failed: we lead no more, or an earlier try of the same was carried out after all. */
   private void refused(StateClient.Answer a, Batch batch, List<String> parts, List<Slot> to) {
-    if (a.body() == null || !(a.body().get(Wire.FAILED) instanceof List<?> failed)) {
-      loop.after(AGAIN, this, () -> write(batch, parts, to));
-      return;
-    }
-    if (failed.contains(Keys.LEADER)) {
+    if (a.refusedFor(Keys.LEADER)) {
       deposed = true;
       onDeposed.run();
       return;
--- a/src/main/java/io/saltflow/bookkeeping/ServiceBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/ServiceBooks.java
@@ -4,12 +4,10 @@
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
-import io.saltflow.protocol.Wire;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -107,9 +105,7 @@
    * nobody else writes it: an earlier try of the same write was carried out after all.
    */
   private void refused(StateClient.Answer a, String name, Consumer<Result> then) {
-    if (a.body() != null
-        && a.body().get(Wire.FAILED) instanceof List<?> failed
-        && failed.contains(Keys.LEADER)) {
+    if (a.refusedFor(Keys.LEADER)) {
       onDeposed.run();
       then.accept(Result.NOT_NOW);
       return;
--- a/src/main/java/io/saltflow/bookkeeping/StateClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -48,6 +48,14 @@
       return status == 200;
     }
 
+    /** Whether a transaction was refused for that key: it was not of the guarded version. */
+    public boolean refusedFor(String key) {
+      return status == 409
+          && body != null
+          && body.get(Wire.FAILED) instanceof List<?> failed
+          && failed.contains(key);
+    }
+
     public long revision() {
       return body != null && body.get(Wire.REVISION) instanceof Long n ? n : 0;
     }
--- a/src/test/java/io/saltflow/amqp/SessionTest.java
+++ b/src/test/java/io/saltflow/amqp/SessionTest.java
@@ -162,6 +162,17 @@
     assertEquals(List.of(), c.acks(List.of(6L)), "once each");
   }
 
+  @Test
+  void aConsumerThatTheServerEndsIsTold() {
+    Peer peer = new Peer().open();
+    peer.feed(
+        Peer.method(1, Kind.BASIC_CONSUME, 0L, "q", "me", false, false, false, false, Map.of()));
+    peer.session.cancelled(1, "me");
+    peer.session.flush();
+    assertEquals("<- 1 BASIC_CANCEL [me, true]", peer.lines.get(peer.lines.size() - 1));
+    assertFalse(peer.deliver("me"));
+  }
+
   @Test
   void publishersHearThatNothingIsTakenAndWhenItIsAgain() {
     Peer peer = new Peer().open();
--- a/src/test/java/io/saltflow/app/NodeTest.java
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -7,13 +7,8 @@
 
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
-import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.MsgPack;
-import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
-import io.saltflow.standin.CloudFront;
-import io.saltflow.standin.CloudStore;
-import io.saltflow.standin.StateFront;
 import io.saltflow.standin.StateStore;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.HttpClient;
@@ -22,7 +17,6 @@
 import io.saltflow.transport.Routine;
 import java.io.IOException;
 import java.util.Arrays;
-import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -37,8 +31,6 @@
     }
   }
 
-  private static final MachineType TYPE =
-      new MachineType("box", new Size(8, 0, 32), 1, 1, 0.5, Span.seconds(15), List.of("a"));
   private static final StateStore.Limits LIMITS = new StateStore.Limits(1000, 1000, 8, 8);
 
   private final Root root = new Root();
@@ -57,9 +49,9 @@
   @BeforeEach
   void start() throws IOException, ConfigError {
     loop = new Loop();
-    state = new StateStore(LIMITS, (epoch, writes) -> {}, loop.now());
-    HttpServer outside = new HttpServer(root, loop, Addresses.parse("127.0.0.1:0"), 64, outside());
-    String at = "127.0.0.1:" + outside.port();
+    Outside around = new Outside(loop, LIMITS);
+    state = around.store;
+    String at = around.serve(loop, forgetful(around.handler()));
     config = Config.parse(ConfigTest.SETTINGS.replace("10.9.9.9:1", at));
     node = new Node(loop, config, OperatorSettings.defaults(), 1);
     node.start();
@@ -74,18 +66,11 @@
     assertEquals(201, status);
   }
 
-  /** The state service, and a cloud that has nothing to rent. */
-  private HttpServer.Handler outside() {
-    StateFront stateFront = new StateFront(root, loop, state);
-    CloudStore cloud = new CloudStore(List.of(TYPE), 0, 100, Span.seconds(1), "vm-", loop.now());
-    CloudFront cloudFront = new CloudFront(root, loop, cloud, (parent, rented) -> parent);
+  /** One answer of the state service may be lost. */
+  private HttpServer.Handler forgetful(HttpServer.Handler outside) {
     return (method, target, sent, answer) -> {
-      if (!StateFront.serves(target)) {
-        cloudFront.handle(method, target, sent, answer);
-        return;
-      }
       boolean watched = loseAnswerFor != null && state.value(loseAnswerFor) == null;
-      stateFront.handle(
+      outside.handle(
           method,
           target,
           sent,
--- /dev/null
+++ b/src/test/java/io/saltflow/app/Outside.java
@@ -0,0 +1,50 @@
+package io.saltflow.app;
+
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.standin.CloudFront;
+import io.saltflow.standin.CloudStore;
+import io.saltflow.standin.StateFront;
+import io.saltflow.standin.StateStore;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.List;
+
+/** What is around controllers in tests: a state service, and a cloud with nothing to rent. */
+final class Outside extends Routine {
+  private static final MachineType TYPE =
+      new MachineType("box", new Size(8, 0, 32), 1, 1, 0.5, Span.seconds(15), List.of("a"));
+
+  final StateStore store;
+  private final StateFront state;
+  private final CloudFront cloud;
+
+  Outside(Loop loop, StateStore.Limits limits) {
+    super(null);
+    store = new StateStore(limits, (epoch, writes) -> {}, loop.now());
+    state = new StateFront(this, loop, store);
+    CloudStore none = new CloudStore(List.of(TYPE), 0, 100, Span.seconds(1), "vm-", loop.now());
+    cloud = new CloudFront(this, loop, none, (parent, rented) -> parent);
+  }
+
+  /** Both on one address. */
+  HttpServer.Handler handler() {
+    return (method, target, body, answer) -> {
+      if (StateFront.serves(target)) {
+        state.handle(method, target, body, answer);
+      } else {
+        cloud.handle(method, target, body, answer);
+      }
+    };
+  }
+
+  /** Where it can be reached. */
+  String serve(Loop loop, HttpServer.Handler with) throws IOException {
+    HttpServer server = new HttpServer(this, loop, Addresses.parse("127.0.0.1:0"), 64, with);
+    return "127.0.0.1:" + server.port();
+  }
+}
--- a/src/test/java/io/saltflow/app/QueueLoad.java
+++ b/src/test/java/io/saltflow/app/QueueLoad.java
@@ -7,19 +7,13 @@
 import com.rabbitmq.client.DefaultConsumer;
 import com.rabbitmq.client.Envelope;
 import io.saltflow.protocol.Body;
-import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.MsgPack;
-import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Wire;
 import io.saltflow.serving.AmqpSettings;
-import io.saltflow.standin.CloudFront;
-import io.saltflow.standin.CloudStore;
-import io.saltflow.standin.StateFront;
 import io.saltflow.standin.StateStore;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.HttpClient;
-import io.saltflow.transport.HttpServer;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
 import java.io.IOException;
@@ -44,8 +38,6 @@
  * changes a second; bounded in time and count. Run by hand: {@code docs/PERFORMANCE.md} says how.
  */
 public final class QueueLoad {
-  private static final MachineType TYPE =
-      new MachineType("box", new Size(8, 0, 32), 1, 1, 0.5, Span.seconds(15), List.of("a"));
   private static final long SECONDS = 6;
   private static final int WINDOW = 2000;
 
@@ -86,27 +78,10 @@
 
   private void startOutside() throws IOException {
     Loop loop = new Loop();
-    Root root = new Root();
     double rps = Math.max(100, writesPerS);
-    store =
-        new StateStore(new StateStore.Limits(rps, writesPerS, 8, 8), (epoch, w) -> {}, loop.now());
-    StateFront state = new StateFront(root, loop, store);
-    CloudStore cloud = new CloudStore(List.of(TYPE), 0, 100, Span.seconds(1), "vm-", loop.now());
-    CloudFront cloudFront = new CloudFront(root, loop, cloud, (parent, rented) -> parent);
-    HttpServer server =
-        new HttpServer(
-            root,
-            loop,
-            Addresses.parse("127.0.0.1:0"),
-            64,
-            (method, target, body, answer) -> {
-              if (StateFront.serves(target)) {
-                state.handle(method, target, body, answer);
-              } else {
-                cloudFront.handle(method, target, body, answer);
-              }
-            });
-    outside = "127.0.0.1:" + server.port();
+    Outside around = new Outside(loop, new StateStore.Limits(rps, writesPerS, 8, 8));
+    store = around.store;
+    outside = around.serve(loop, around.handler());
     run(loop);
   }
 
--- a/src/test/java/io/saltflow/app/QueueTakeoverTest.java
+++ b/src/test/java/io/saltflow/app/QueueTakeoverTest.java
@@ -11,16 +11,10 @@
 import com.rabbitmq.client.Connection;
 import com.rabbitmq.client.ConnectionFactory;
 import com.rabbitmq.client.GetResponse;
-import io.saltflow.protocol.MachineType;
-import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
 import io.saltflow.serving.AmqpSettings;
-import io.saltflow.standin.CloudFront;
-import io.saltflow.standin.CloudStore;
-import io.saltflow.standin.StateFront;
 import io.saltflow.standin.StateStore;
 import io.saltflow.transport.Addresses;
-import io.saltflow.transport.HttpServer;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
 import java.io.IOException;
@@ -41,15 +35,6 @@
 
 /** Two controllers, each with its own thread: clients at the one that leads, and the other. */
 class QueueTakeoverTest {
-  private static final MachineType TYPE =
-      new MachineType("box", new Size(8, 0, 32), 1, 1, 0.5, Span.seconds(15), List.of("a"));
-
-  private static final class Root extends Routine {
-    Root() {
-      super(null);
-    }
-  }
-
   /** Something that runs on a thread of its own until it is stopped. */
   private static final class Running {
     final Loop loop;
@@ -88,29 +73,11 @@
   @BeforeEach
   void start() throws Exception {
     Loop loop = new Loop();
-    Root root = new Root();
-    StateStore store =
-        new StateStore(new StateStore.Limits(1000, 100, 8, 8), (epoch, writes) -> {}, loop.now());
-    StateFront state = new StateFront(root, loop, store);
-    CloudStore cloud = new CloudStore(List.of(TYPE), 0, 100, Span.seconds(1), "vm-", loop.now());
-    CloudFront cloudFront = new CloudFront(root, loop, cloud, (parent, rented) -> parent);
-    HttpServer server =
-        new HttpServer(
-            root,
-            loop,
-            Addresses.parse("127.0.0.1:0"),
-            64,
-            (method, target, body, answer) -> {
-              if (StateFront.serves(target)) {
-                state.handle(method, target, body, answer);
-              } else {
-                cloudFront.handle(method, target, body, answer);
-              }
-            });
-    outside = "127.0.0.1:" + server.port();
+    Outside around = new Outside(loop, new StateStore.Limits(1000, 100, 8, 8));
+    outside = around.serve(loop, around.handler());
     // The store belongs to its loop's thread: a test only says what it wants.
-    loop.every(Span.millis(5), root, () -> store.setDown(down.get(), loop.now()));
-    running.add(new Running(loop, root));
+    loop.every(Span.millis(5), around, () -> around.store.setDown(down.get(), loop.now()));
+    running.add(new Running(loop, around));
     queues = QueueSettings.local().withListen(Addresses.parse("127.0.0.1:0"));
   }
 
--- /dev/null
+++ b/src/test/java/io/saltflow/app/UserClientTest.java
@@ -0,0 +1,59 @@
+package io.saltflow.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpReply;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A user asks again where PROTOCOL says so, and nowhere else. */
+class UserClientTest {
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private int asked;
+
+  private UserClient.Answer answerTo(List<HttpReply> replies) throws IOException {
+    Loop loop = new Loop();
+    Root root = new Root();
+    ArrayDeque<HttpReply> left = new ArrayDeque<>(replies);
+    HttpServer server =
+        new HttpServer(
+            root,
+            loop,
+            Addresses.parse("127.0.0.1:0"),
+            4,
+            (method, target, body, answer) -> {
+              asked++;
+              answer.accept(left.poll());
+            });
+    UserClient client =
+        new UserClient(loop, Addresses.parse("127.0.0.1:" + server.port()), Span.seconds(20));
+    UserClient.Answer a = client.submit(Body.of());
+    client.cancel();
+    root.cancel();
+    return a;
+  }
+
+  @Test
+  void whatCannotBeTakenNowIsAskedAgainAndRefusalsAreNot() throws IOException {
+    byte[] taken = MsgPack.encode(Body.of().with("id", "req-1"));
+    HttpReply busy = new HttpReply(503, new byte[0], 1);
+    assertEquals(201, answerTo(List.of(busy, HttpReply.of(201, taken))).status());
+    assertEquals(2, asked);
+    assertEquals(422, answerTo(List.of(HttpReply.empty(422))).status());
+    assertEquals(3, asked);
+  }
+}
