Roll-outs: a step begins in windows of a calendar, by the wall clock of a zone

Change: a pure function of time of day, zone and calendar; a phase that waits for it before each step. A step that has begun goes on, and so does a roll-back. Skipped hours do not open, repeated ones open twice.

--- a/src/main/java/io/saltflow/rollouts/Machine.java
+++ b/src/main/java/io/saltflow/rollouts/Machine.java
@@ -20,6 +20,7 @@
   /** The next record; the same one when there is nothing to do yet. */
   public Rollout next(Rollout r, Seen seen) {
     return switch (r.phase()) {
+      case WAITING -> waiting(r, seen);
       case MOVING -> moving(r, seen);
       case CHECKING -> checking(r, seen);
       case APPROVAL, PAUSED -> stops(r, seen) ? stopped(r, seen) : r;
@@ -28,6 +29,17 @@
     };
   }
 
+  /**
+   * A step begins when a window is open, and goes on when it closes: a service is not left between
+   * two versions for the sake of the clock. A clock that is set back changes nothing.
+   */
+  private Rollout waiting(Rollout r, Seen seen) {
+    if (stops(r, seen)) {
+      return stopped(r, seen);
+    }
+    return plan.windows().open(seen.wallMs()) ? r.phase(Phase.MOVING, r.step(), seen.wallMs()) : r;
+  }
+
   private Rollout moving(Rollout r, Seen seen) {
     if (stops(r, seen)) {
       return stopped(r, seen);
@@ -90,7 +102,7 @@
     boolean last = r.step() + 1 == plan.steps().size();
     return last
         ? r.phase(Phase.DONE, r.step(), seen.wallMs())
-        : r.phase(Phase.MOVING, r.step() + 1, seen.wallMs());
+        : r.phase(Phase.WAITING, r.step() + 1, seen.wallMs());
   }
 
   private static String named(Rollout r) {
@@ -211,7 +223,7 @@
         }
         yield last
             ? r.phase(Phase.DONE, r.step(), wallMs)
-            : r.phase(Phase.MOVING, r.step() + 1, wallMs);
+            : r.phase(Phase.WAITING, r.step() + 1, wallMs);
       }
       case ABORT ->
           r.phase() == Phase.BACK
--- a/src/main/java/io/saltflow/rollouts/Plan.java
+++ b/src/main/java/io/saltflow/rollouts/Plan.java
@@ -18,6 +18,7 @@
  * @param limit how long a step may take until its gate passes
  * @param backLimit how long a roll-back may take
  * @param gate what must hold for a step to be good
+ * @param windows when a step may begin
  * @param stop what ends the roll-out at once; null: nothing but the limit does
  */
 public record Plan(
@@ -29,7 +30,8 @@
     Span limit,
     Span backLimit,
     Gate gate,
-    Gate stop) {
+    Gate stop,
+    Windows windows) {
 
   /**
    * A step.
--- a/src/main/java/io/saltflow/rollouts/Rollout.java
+++ b/src/main/java/io/saltflow/rollouts/Rollout.java
@@ -29,6 +29,8 @@
     MOVING,
     /** The step's gate is looked at. */
     CHECKING,
+    /** The step may not begin before a window opens. */
+    WAITING,
     /** Somebody must approve. */
     APPROVAL,
     PAUSED,
@@ -48,7 +50,7 @@
 
   /** A roll-out that has not moved anything yet. */
   public static Rollout begin(int replicas, long wallMs) {
-    return new Rollout(replicas, 0, Phase.MOVING, null, replicas, 0, wallMs, "");
+    return new Rollout(replicas, 0, Phase.WAITING, null, replicas, 0, wallMs, "");
   }
 
   Rollout wanting(int old, int fresh) {
--- a/src/main/java/io/saltflow/services/Plans.java
+++ b/src/main/java/io/saltflow/services/Plans.java
@@ -14,11 +14,20 @@
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Span;
 import io.saltflow.rollouts.Plan;
+import io.saltflow.rollouts.Windows;
 import java.io.IOException;
 import java.io.InputStream;
+import java.time.DateTimeException;
+import java.time.DayOfWeek;
+import java.time.LocalDate;
+import java.time.LocalTime;
+import java.time.ZoneId;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Set;
+import java.util.TreeSet;
 
 /** Plans as operators write them: JSON by a schema, every field of which has a default. */
 public final class Plans {
@@ -70,7 +79,8 @@
         Span.seconds(node.path("limitS").asDouble(600)),
         Span.seconds(node.path("backLimitS").asDouble(600)),
         gate("gate", node.path("gate").asText(GATE)),
-        node.has("stop") ? gate("stop", node.get("stop").asText()) : null);
+        node.has("stop") ? gate("stop", node.get("stop").asText()) : null,
+        windows(node.path("windows")));
   }
 
   private static void check(JsonNode node) throws BadMessage {
@@ -86,6 +96,37 @@
     }
   }
 
+  private static Windows windows(JsonNode node) throws BadMessage {
+    if (node.isMissingNode()) {
+      return Windows.ALWAYS;
+    }
+    try {
+      List<Windows.Span> spans = new ArrayList<>();
+      for (JsonNode s : node.path("times")) {
+        spans.add(
+            new Windows.Span(
+                LocalTime.parse(s.get("from").asText()), LocalTime.parse(s.get("until").asText())));
+      }
+      Set<DayOfWeek> days = EnumSet.noneOf(DayOfWeek.class);
+      node.path("days")
+          .forEach(d -> days.add(DayOfWeek.valueOf(d.asText().toUpperCase(Locale.ROOT))));
+      return new Windows(
+          ZoneId.of(node.get("zone").asText()),
+          spans,
+          days.isEmpty() ? EnumSet.allOf(DayOfWeek.class) : days,
+          dates(node.path("closed")),
+          dates(node.path("opened")));
+    } catch (DateTimeException e) {
+      throw new BadMessage("plan: windows: " + e.getMessage());
+    }
+  }
+
+  private static Set<LocalDate> dates(JsonNode list) {
+    Set<LocalDate> out = new TreeSet<>();
+    list.forEach(d -> out.add(LocalDate.parse(d.asText())));
+    return out;
+  }
+
   private static Gate gate(String field, String text) throws BadMessage {
     try {
       Gate gate = Gate.parse(text);
--- a/src/test/java/io/saltflow/rollouts/ExplorationTest.java
+++ b/src/test/java/io/saltflow/rollouts/ExplorationTest.java
@@ -60,7 +60,8 @@
         Span.seconds(10),
         Span.seconds(10),
         Gate.parse("ready >= 95%"),
-        Gate.parse("failures(1m) > 0"));
+        Gate.parse("failures(1m) > 0"),
+        Windows.ALWAYS);
   }
 
   private final Map<State, List<State>> edges = new HashMap<>();
--- a/src/test/java/io/saltflow/rollouts/MachineTest.java
+++ b/src/test/java/io/saltflow/rollouts/MachineTest.java
@@ -41,7 +41,8 @@
           Span.seconds(60),
           Span.seconds(60),
           Gate.parse("ready >= 95%"),
-          null);
+          null,
+          Windows.ALWAYS);
     } catch (GateError e) {
       throw new IllegalStateException(e);
     }
@@ -132,7 +133,8 @@
             p.limit(),
             p.backLimit(),
             p.gate(),
-            null);
+            null,
+            Windows.ALWAYS);
     assertEquals(List.of(), p.faults(4));
     assertEquals(
         List.of(
--- a/src/test/java/io/saltflow/rollouts/Night.java
+++ b/src/test/java/io/saltflow/rollouts/Night.java
@@ -104,7 +104,8 @@
         Gate.parse(
             "ready >= 95% for 40s recovers for 60s and failures(2m) < 2"
                 + " and probe(\"/\").p90 < 200ms for 20s and probe(\"/\").count >= 3"),
-        Gate.parse("failures(2m) >= 3 or probe(\"/\").p50 > 1s for 30s"));
+        Gate.parse("failures(2m) >= 3 or probe(\"/\").p50 > 1s for 30s"),
+        Windows.ALWAYS);
   }
 
   Rollout rollout() {
--- /dev/null
+++ b/src/test/java/io/saltflow/rollouts/WindowsTest.java
@@ -0,0 +1,110 @@
+package io.saltflow.rollouts;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.gates.Gate;
+import io.saltflow.gates.GateError;
+import io.saltflow.gates.Truth;
+import io.saltflow.gates.Watch;
+import io.saltflow.protocol.Span;
+import io.saltflow.rollouts.Rollout.Phase;
+import java.time.DayOfWeek;
+import java.time.Instant;
+import java.time.LocalDate;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Windows on the wall clocks of zones, through days on which these are set. */
+class WindowsTest {
+  private static Windows windows(String zone, String from, String until, Set<DayOfWeek> days) {
+    return new Windows(
+        ZoneId.of(zone),
+        List.of(new Windows.Span(LocalTime.parse(from), LocalTime.parse(until))),
+        days,
+        Set.of(LocalDate.of(2026, 12, 31)),
+        Set.of(LocalDate.of(2026, 12, 6)));
+  }
+
+  private static boolean open(Windows w, String instant) {
+    return w.open(Instant.parse(instant).toEpochMilli());
+  }
+
+  @Test
+  void opensByTheWallClockOfItsZoneAndByItsCalendar() {
+    Set<DayOfWeek> weekdays = EnumSet.range(DayOfWeek.MONDAY, DayOfWeek.FRIDAY);
+    Windows almaty = windows("Asia/Almaty", "19:00", "23:00", weekdays);
+    assertTrue(open(almaty, "2026-12-01T14:00:00Z"), "19:00 on a Tuesday there");
+    assertFalse(open(almaty, "2026-12-01T13:59:59Z"));
+    assertFalse(open(almaty, "2026-12-01T18:00:00Z"), "its end is not part of it");
+    assertFalse(open(almaty, "2026-12-05T15:00:00Z"), "a Saturday");
+    assertTrue(open(almaty, "2026-12-06T15:00:00Z"), "a Sunday that is opened");
+    assertFalse(open(almaty, "2026-12-31T15:00:00Z"), "a Thursday that is closed");
+  }
+
+  @Test
+  void nightsBelongToTheDayOnWhichTheyBegin() {
+    Windows night = windows("UTC", "22:00", "02:00", EnumSet.of(DayOfWeek.FRIDAY));
+    assertTrue(open(night, "2026-12-04T22:30:00Z"));
+    assertTrue(open(night, "2026-12-05T01:30:00Z"), "Saturday's first hours are Friday's night");
+    assertFalse(open(night, "2026-12-05T22:30:00Z"));
+    assertFalse(open(night, "2026-12-04T01:30:00Z"));
+  }
+
+  /** Berlin's clocks skip from 2 to 3 on 28 March 2027, and show 2 to 3 twice on 31 October. */
+  @Test
+  void aSkippedHourDoesNotOpenAndARepeatedOneOpensTwice() {
+    Windows two = windows("Europe/Berlin", "02:00", "03:00", EnumSet.allOf(DayOfWeek.class));
+    for (int minute = 0; minute < 180; minute++) {
+      String instant = Instant.parse("2027-03-28T00:00:00Z").plusSeconds(60L * minute).toString();
+      assertFalse(open(two, instant), instant);
+    }
+    assertTrue(open(two, "2027-10-31T00:30:00Z"));
+    assertTrue(open(two, "2027-10-31T01:30:00Z"), "the same hour on the wall again");
+    assertFalse(open(two, "2027-10-31T02:00:00Z"));
+  }
+
+  /** A step waits for its window, ends outside of it, and a clock that steps changes nothing. */
+  @Test
+  void stepsBeginInWindowsOnlyAndAreNotBrokenOff() throws GateError {
+    Windows w = windows("UTC", "20:00", "21:00", EnumSet.allOf(DayOfWeek.class));
+    Plan plan =
+        new Plan(
+            List.of(new Plan.Step(1, false, false), new Plan.Step(2, false, false)),
+            1,
+            0,
+            2,
+            Span.seconds(5),
+            Span.seconds(60),
+            Span.seconds(60),
+            Gate.parse("ready >= 95%"),
+            null,
+            w);
+    Machine machine = new Machine(plan);
+    long before = Instant.parse("2026-12-01T19:00:00Z").toEpochMilli();
+    long inside = Instant.parse("2026-12-01T20:59:59Z").toEpochMilli();
+    long after = Instant.parse("2026-12-01T21:00:01Z").toEpochMilli();
+    Rollout r = Rollout.begin(2, before);
+    assertEquals(Phase.WAITING, machine.next(r, seen(2, 0, before)).phase());
+    r = machine.next(r, seen(2, 0, inside));
+    assertEquals(Phase.MOVING, r.phase());
+    r = machine.next(r, seen(2, 0, after));
+    assertEquals(1, r.wantedNew(), "begun inside, it goes on");
+    r = machine.next(r, seen(2, 1, before));
+    assertEquals(1, r.wantedOld(), "the clock was set back");
+    r = machine.next(r, seen(1, 1, after));
+    r = machine.next(r, seen(1, 1, after));
+    assertEquals(Phase.WAITING, r.phase(), "the next step waits for tomorrow");
+    assertEquals(r, machine.next(r, seen(1, 1, after + 3_600_000)), "however long");
+    assertEquals(Phase.BACK, machine.told(r, Command.ABORT, after).phase());
+  }
+
+  private static Seen seen(int old, int fresh, long wallMs) {
+    return new Seen(old, 0, fresh, 0, new Watch.Verdict(Truth.TRUE, List.of()), null, null, wallMs);
+  }
+}
