--- /dev/null
+++ b/src/test/java/io/saltflow/bookkeeping/ServiceBooksTest.java
@@ -0,0 +1,132 @@
+package io.saltflow.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.coordination.Authority;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Term;
+import io.saltflow.standin.StateFront;
+import io.saltflow.standin.StateStore;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Services' records before a state service that loses answers and elects others. */
+class ServiceBooksTest {
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private final Root root = new Root();
+  private Loop loop;
+  private StateStore store;
+  private StateClient state;
+  private int loseAnswers;
+  private int deposed;
+
+  @BeforeEach
+  void start() throws IOException {
+    loop = new Loop();
+    store = new StateStore(new StateStore.Limits(100, 100, 8, 8), (epoch, w) -> {}, loop.now());
+    StateFront front = new StateFront(root, loop, store);
+    HttpServer server =
+        new HttpServer(
+            root,
+            loop,
+            Addresses.parse("127.0.0.1:0"),
+            8,
+            (method, target, body, answer) -> {
+              boolean lose = target.startsWith("/multi") && loseAnswers > 0 && loseAnswers-- > 0;
+              front.handle(method, target, body, lose ? reply -> {} : answer);
+            });
+    HttpClient http =
+        new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + server.port()), 4, 16);
+    state = new StateClient(root, loop, http, http, 100, 100);
+  }
+
+  @AfterEach
+  void end() {
+    root.cancel();
+  }
+
+  /** Another leader, whose key is new. */
+  private ServiceBooks lead(long term) throws BadMessage {
+    Body txn = new Txn().put(Keys.LEADER, Body.of().with("term", term)).body();
+    Object epoch = store.commit(MsgPack.decode(MsgPack.encode(txn))).body().get("epoch");
+    Authority authority = new Authority(Span.seconds(5), Span.seconds(5));
+    authority.won(new Term(term), new Stamp((Long) epoch), loop.now());
+    return new ServiceBooks(root, loop, state, authority, 8, () -> deposed++);
+  }
+
+  private void await(Object[] box) throws IOException {
+    for (int i = 0; i < 10_000 && box[0] == null; i++) {
+      loop.after(Span.millis(1), root, loop::pause);
+      loop.run();
+    }
+    assertTrue(box[0] != null);
+  }
+
+  private ServiceBooks.Result write(ServiceBooks books, String value, int bytes)
+      throws IOException {
+    Object[] box = new Object[1];
+    books.write("thumbs", Body.of().with("is", value), bytes, r -> box[0] = r);
+    await(box);
+    return (ServiceBooks.Result) box[0];
+  }
+
+  private Map<?, ?> read(ServiceBooks books) throws IOException {
+    Object[] box = new Object[1];
+    books.inherit(m -> box[0] = m);
+    await(box);
+    return (Map<?, ?>) box[0];
+  }
+
+  private Object recorded() {
+    return store.value("services/thumbs").data().get("is");
+  }
+
+  @Test
+  void twoLeadersCannotBothMove() throws Exception {
+    ServiceBooks first = lead(1);
+    assertEquals(ServiceBooks.Result.RECORDED, write(first, "step 1", 10));
+    ServiceBooks second = lead(2);
+    assertEquals(1, read(second).size());
+    assertEquals(ServiceBooks.Result.NOT_NOW, write(first, "step 2 of the first", 10));
+    assertEquals(1, deposed, "and it knows why");
+    assertEquals("step 1", recorded());
+    assertEquals(ServiceBooks.Result.RECORDED, write(second, "step 2", 10));
+    assertEquals("step 2", recorded());
+  }
+
+  /** The write was carried out and its answer lost: it is not carried out again, nor given up. */
+  @Test
+  void aLostAnswerIsCleared() throws Exception {
+    ServiceBooks books = lead(1);
+    assertEquals(ServiceBooks.Result.RECORDED, write(books, "one", 10));
+    loseAnswers = 1;
+    long before = store.epoch();
+    assertEquals(ServiceBooks.Result.RECORDED, write(books, "two", 10));
+    assertEquals(before + 1, store.epoch(), "once");
+    assertEquals(ServiceBooks.Result.RECORDED, write(books, "three", 10), "the version is known");
+    assertEquals("three", recorded());
+  }
+
+  @Test
+  void whatIsTooLargeIsSaidBeforeItIsSent() throws Exception {
+    assertEquals(ServiceBooks.Result.TOO_LARGE, write(lead(1), "x", 7000));
+  }
+}
