--- a/src/main/java/io/saltflow/bookkeeping/QueueBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/QueueBooks.java
@@ -217,7 +217,10 @@
             // It may have been carried out, or may yet be: only the same again is harmless.
             case 0 -> loop.after(AGAIN, this, () -> write(batch, parts, to));
             default -> {
-              LOG.debug("batch {} is not taken: status {}", batch.number(), a.status());
+              if (a.status() == 400) {
+                // No batch should ever be malformed: without a word it would be tried for ever.
+                LOG.error("batch {} of {} keys is refused as malformed", batch.number(), to.size());
+              }
               writing = false;
               core.notRecorded();
               loop.after(AGAIN, this, this::flush);
