Roll-outs: undo and history; going on waits for users' writes, going back does not

Need: fifty roll-outs at once would have their moves stand in line with users' submissions; and the way back should be one command.

--- a/src/main/java/io/saltflow/app/Main.java
+++ b/src/main/java/io/saltflow/app/Main.java
@@ -25,7 +25,7 @@
                             [--settings FILE] [--queues FILE]
              saltflow service apply FILE | list | show NAME  [--server ADDR:PORT] [--json]
              saltflow rollout start NAME IMAGE [--plan FILE]  [--server ADDR:PORT] [--json]
-             saltflow rollout status|watch|pause|resume|approve|abort NAME
+             saltflow rollout status|watch|pause|resume|approve|abort|undo|history NAME
              saltflow hash-password
              saltflow submit FILE|-  [--server ADDR:PORT] [--json] [--wait SECONDS]
              saltflow status|watch|cancel ID  [--server ADDR:PORT] [--json] [--wait SECONDS]
--- a/src/main/java/io/saltflow/app/ServiceCommands.java
+++ b/src/main/java/io/saltflow/app/ServiceCommands.java
@@ -85,11 +85,13 @@
         return told(client.get(path(words)));
       }
       case "rollout start" -> {
-        Body request = Body.of().with(Wire.IMAGE, word(words, 2, "an image")).with("by", by);
-        if (line.hasOption("plan")) {
-          request.with("plan", text(line.getOptionValue("plan")));
-        }
-        return told(client.post(path(words) + "/rollout", request));
+        return start(path(words), word(words, 2, "an image"), by, line);
+      }
+      case "rollout undo" -> {
+        return undo(path(words), by, line);
+      }
+      case "rollout history" -> {
+        return history(client.get(path(words)));
       }
       case "rollout watch" -> {
         return watch(path(words));
@@ -207,6 +209,46 @@
     return s.toString();
   }
 
+  private int start(String path, String image, String by, CommandLine line)
+      throws IOException, ConfigError {
+    Body request = Body.of().with(Wire.IMAGE, image).with("by", by);
+    if (line.hasOption("plan")) {
+      request.with("plan", text(line.getOptionValue("plan")));
+    }
+    return told(client.post(path + "/rollout", request));
+  }
+
+  /** Rolls out again what the last roll-out replaced. */
+  private int undo(String path, String by, CommandLine line) throws IOException, ConfigError {
+    UserClient.Answer a = client.get(path);
+    if (a.status() != 200) {
+      return failed(a);
+    }
+    try {
+      for (Body v : a.body().get("phase") == null ? List.<Body>of() : a.body().maps("versions")) {
+        if (v.integer("version") == a.body().integer("from")) {
+          return start(path, v.text(Wire.IMAGE), by, line);
+        }
+      }
+    } catch (BadMessage e) {
+      throw new ConfigError("the answer can't be read: " + e.getMessage());
+    }
+    throw new ConfigError("there is no roll-out to undo");
+  }
+
+  private int history(UserClient.Answer a) {
+    if (a.status() != 200) {
+      return failed(a);
+    }
+    try {
+      a.body().texts("history").forEach(out::println);
+      return 0;
+    } catch (BadMessage e) {
+      err.println("saltflow: the answer can't be read: " + e.getMessage());
+      return UserCommands.NO_ANSWER;
+    }
+  }
+
   private int watch(String path) throws IOException {
     String last = "";
     while (true) {
--- a/src/main/java/io/saltflow/bookkeeping/ServiceBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/ServiceBooks.java
@@ -69,8 +69,13 @@
         });
   }
 
-  /** Replaces a record; one write of a name at a time. */
-  public void write(String name, Body record, int bytes, Consumer<Result> then) {
+  /**
+   * Replaces a record; one write of a name at a time.
+   *
+   * @param urgent somebody waits for it, or a service is being taken back; else users' writes go
+   *     first
+   */
+  public void write(String name, Body record, int bytes, boolean urgent, Consumer<Result> then) {
     if (bytes > valueBytes) {
       then.accept(Result.TOO_LARGE);
       return;
@@ -79,7 +84,7 @@
     Stamp before = versions.getOrDefault(name, Stamp.ABSENT);
     Txn txn = new Txn().guard(Keys.LEADER, authority.stamp()).guard(key, before).put(key, record);
     state.commit(
-        StateClient.Rank.USER,
+        urgent ? StateClient.Rank.USER : StateClient.Rank.BOOKS,
         txn,
         TRY,
         a -> {
@@ -91,7 +96,7 @@
             then.accept(Result.RECORDED);
           } else if (a.status() == 0) {
             // It may have been carried out, or may yet be: only the same again is harmless.
-            loop.after(AGAIN, this, () -> write(name, record, bytes, then));
+            loop.after(AGAIN, this, () -> write(name, record, bytes, urgent, then));
           } else if (a.status() == 409) {
             refused(a, name, then);
           } else {
--- a/src/main/java/io/saltflow/services/ServiceDuty.java
+++ b/src/main/java/io/saltflow/services/ServiceDuty.java
@@ -92,7 +92,9 @@
     }
     Rollout next = live.next(leader, loop.now(), node.wallMs().getAsLong());
     if (!next.equals(s.current().rollout())) {
-      record(live, moved(s, next), result -> {});
+      // Going on can wait for users' writes; going back can't.
+      boolean onward = next.phase() != Rollout.Phase.BACK && !next.phase().over();
+      record(live, moved(s, next), !onward, result -> {});
     }
   }
 
@@ -116,12 +118,17 @@
   }
 
   private void record(LiveService live, Service next, Then then) {
+    record(live, next, true, then);
+  }
+
+  private void record(LiveService live, Service next, boolean urgent, Then then) {
     live.writing = true;
     Body body = ServiceCodec.encode(next);
     books.write(
         next.name(),
         body,
         MsgPack.encode(body).length,
+        urgent,
         result -> {
           live.writing = false;
           if (result == ServiceBooks.Result.RECORDED) {
--- a/src/test/java/io/saltflow/app/LocalTest.java
+++ b/src/test/java/io/saltflow/app/LocalTest.java
@@ -142,7 +142,10 @@
     assertTrue(said().contains("Step 1 was stopped: failures(1m) >= 2; failures(1m) is 2"), said());
     assertEquals(0, operate("service", "show", "thumbs", "--json"));
     assertTrue(said().contains("\"serving\":2"), said());
-    assertTrue(said().contains("Version 2 (v2) took over from version 1."), said());
+    assertEquals(0, operate("rollout", "history", "thumbs"));
+    assertTrue(said().startsWith("Version 2 (v2) took over from version 1."), said());
+    assertEquals(UserCommands.REFUSED, operate("rollout", "undo", "thumbs"), "it was taken back");
+    assertTrue(said().contains("it serves already"), said());
   }
 
   private void awaitPhase(String phase) throws InterruptedException {
--- a/src/test/java/io/saltflow/bookkeeping/ServiceBooksTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/ServiceBooksTest.java
@@ -83,7 +83,7 @@
   private ServiceBooks.Result write(ServiceBooks books, String value, int bytes)
       throws IOException {
     Object[] box = new Object[1];
-    books.write("thumbs", Body.of().with("is", value), bytes, r -> box[0] = r);
+    books.write("thumbs", Body.of().with("is", value), bytes, true, r -> box[0] = r);
     await(box);
     return (ServiceBooks.Result) box[0];
   }
