Read once more: an age that begins once, one job-id scheme, no schema at a takeover

Cause, found by reading the whole change: a step's `age` began anew at every look, so a gate on it never passed (mended, with a test that fails without). Without change of behaviour: a message's digest is made once instead of at each use; plans are held against their schema when they are new and not for each service at a takeover; ids made of 128 bits are made in one place; a field and a method that nothing read are gone.

--- a/src/main/java/io/saltflow/bookkeeping/QueueBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/QueueBooks.java
@@ -66,7 +66,6 @@
   private final Runnable onRecorded;
   private final Runnable onDeposed;
   private final List<Slot> slots = new ArrayList<>();
-  private long tail;
   private boolean writing;
   private boolean deposed;
   private long written;
@@ -130,7 +129,7 @@
     if (found.isEmpty()) {
       return;
     }
-    tail = found.lastEntry().getValue().values().iterator().next().integer(TAIL);
+    long tail = found.lastEntry().getValue().values().iterator().next().integer(TAIL);
     long expected = tail;
     for (Map.Entry<Long, Map<Long, Body>> batch : found.tailMap(tail, true).entrySet()) {
       // What is missing is never taken for absence: messages were confirmed by it.
@@ -234,7 +233,6 @@
       s.batch = batch.number();
       s.version = version;
     }
-    tail = batch.tail();
     written += to.size();
     batches++;
     writing = false;
--- a/src/main/java/io/saltflow/gates/Gate.java
+++ b/src/main/java/io/saltflow/gates/Gate.java
@@ -24,12 +24,10 @@
 
   private final String text;
   private final Condition condition;
-  private final int helds;
 
-  private Gate(String text, Condition condition, int helds) {
+  private Gate(String text, Condition condition) {
     this.text = text;
     this.condition = condition;
-    this.helds = helds;
   }
 
   /** Reads a gate; the error points at the column. */
@@ -51,7 +49,7 @@
     }
     Builder builder = new Builder();
     Condition condition = builder.either(tree.either());
-    return new Gate(text, condition, builder.helds);
+    return new Gate(text, condition);
   }
 
   /** The parser descends as deep as a text is nested, and negations nest as brackets do. */
@@ -70,11 +68,6 @@
     return condition;
   }
 
-  /** How many conditions of it must last. */
-  int helds() {
-    return helds;
-  }
-
   /** Everything that it asks for: what has to be observed. */
   public List<Quantity> quantities() {
     List<Quantity> out = new ArrayList<>();
--- a/src/main/java/io/saltflow/gates/Sightings.java
+++ b/src/main/java/io/saltflow/gates/Sightings.java
@@ -41,9 +41,19 @@
     }
   }
 
-  /** A step is complete from now on; what was seen before it still counts. */
+  /** Another step has begun, and is not complete yet. */
+  public void begun() {
+    completeSince = null;
+  }
+
+  /**
+   * The step is complete; what was seen before still counts. Told at every look, so only the first
+   * says since when: a gate on {@code age} would else never pass.
+   */
   public void complete(Time now) {
-    completeSince = now;
+    if (completeSince == null) {
+      completeSince = now;
+    }
   }
 
   public void exited(String cause, boolean failure, Time now) {
--- a/src/main/java/io/saltflow/protocol/JobId.java
+++ b/src/main/java/io/saltflow/protocol/JobId.java
@@ -1,8 +1,19 @@
 package io.saltflow.protocol;
 
+import java.math.BigInteger;
+import java.nio.ByteBuffer;
+
 /** A job's id, chosen by its user: always {@code req-} and digits. */
 public record JobId(String text) implements Comparable<JobId> {
   private static final int MAX_LENGTH = 64;
+  private static final int BITS = 128;
+
+  /** An id made of 128 bits: the same for whoever makes it of the same. */
+  public static JobId of(long high, long low) {
+    byte[] bytes = ByteBuffer.allocate(BITS / 8).putLong(high).putLong(low).array();
+    // One bit more, or ids would differ in length.
+    return new JobId(Wire.JOB_PREFIX + new BigInteger(1, bytes).setBit(BITS));
+  }
 
   public static boolean valid(String text) {
     if (!text.startsWith(Wire.JOB_PREFIX) || text.length() > MAX_LENGTH) {
--- a/src/main/java/io/saltflow/queues/MachineWork.java
+++ b/src/main/java/io/saltflow/queues/MachineWork.java
@@ -2,16 +2,11 @@
 
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
-import io.saltflow.protocol.Wire;
-import java.math.BigInteger;
-import java.nio.ByteBuffer;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** Messages that become jobs on rented machines, and how these end. */
 final class MachineWork {
-  private static final int ID_BITS = 128;
-
   private final Context context;
   private final Messages messages;
   private final Endings endings;
@@ -43,10 +38,7 @@
   private static JobId idOf(Message m) {
     QueueId queue = m.queue.policy.id();
     Digest d = Digest.of("job", queue.vhost(), queue.name(), m.id);
-    byte[] bytes = ByteBuffer.allocate(ID_BITS / 8).putLong(d.high()).putLong(d.low()).array();
-    // One bit more, or ids would differ in length.
-    BigInteger number = new BigInteger(1, bytes).setBit(ID_BITS);
-    return new JobId(Wire.JOB_PREFIX + number);
+    return JobId.of(d.high(), d.low());
   }
 
   /** Its job is to be admitted, unless it is known already. */
--- a/src/main/java/io/saltflow/queues/Message.java
+++ b/src/main/java/io/saltflow/queues/Message.java
@@ -34,6 +34,7 @@
   final long expiresWallMs;
   final byte[] properties;
   final byte[] body;
+  private final Digest digest;
 
   /** Publishes of it that are to be confirmed when it is recorded. */
   final List<Ticket> tickets = new ArrayList<>(1);
@@ -66,6 +67,7 @@
     this.expiresWallMs = k.expiresWallMs();
     this.properties = k.properties();
     this.body = k.body();
+    this.digest = named ? Digest.of(k.queue(), id) : null;
     this.attempts = k.attempts();
     this.out = k.out();
   }
@@ -84,8 +86,9 @@
         body);
   }
 
+  /** By which a repeated publish of it is known; null: its publisher gave no id. */
   Digest digest() {
-    return named ? Digest.of(queue.policy.id(), id) : null;
+    return digest;
   }
 
   int bytes() {
--- a/src/main/java/io/saltflow/services/LiveService.java
+++ b/src/main/java/io/saltflow/services/LiveService.java
@@ -14,8 +14,6 @@
 import io.saltflow.rollouts.Plan;
 import io.saltflow.rollouts.Rollout;
 import io.saltflow.rollouts.Seen;
-import java.math.BigInteger;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.UUID;
@@ -71,12 +69,7 @@
   JobId jobOf(Service.Version v) {
     String text = service.name() + "\0" + v.number() + "\0" + v.generation();
     UUID uuid = UUID.nameUUIDFromBytes(text.getBytes(StandardCharsets.UTF_8));
-    byte[] bytes =
-        ByteBuffer.allocate(16)
-            .putLong(uuid.getMostSignificantBits())
-            .putLong(uuid.getLeastSignificantBits())
-            .array();
-    return new JobId(Wire.JOB_PREFIX + new BigInteger(1, bytes).setBit(128));
+    return JobId.of(uuid.getMostSignificantBits(), uuid.getLeastSignificantBits());
   }
 
   JobSpec specOf(Service.Version v) {
@@ -135,7 +128,7 @@
       watchedStep = c.rollout().step();
       gate = new Watch(plan.gate(), WITHOUT_DATA);
       stop = plan.stop() == null ? null : new Watch(plan.stop(), WITHOUT_DATA);
-      sightings.complete(null);
+      sightings.begun();
     }
     if (c.rollout().phase() == Rollout.Phase.CHECKING) {
       sightings.complete(now);
--- a/src/main/java/io/saltflow/services/Plans.java
+++ b/src/main/java/io/saltflow/services/Plans.java
@@ -38,6 +38,7 @@
 
   /** Reads a new plan; the error says also what can never work. */
   static Plan checked(String text, int replicas) throws BadMessage {
+    check(json(text));
     Plan plan = read(text, replicas);
     List<String> faults = plan.faults(replicas);
     if (!faults.isEmpty()) {
@@ -46,15 +47,20 @@
     return plan;
   }
 
-  /** Reads a plan; the error names the field, or the column of a gate. */
-  static Plan read(String text, int replicas) throws BadMessage {
-    JsonNode node;
+  private static JsonNode json(String text) throws BadMessage {
     try {
-      node = new ObjectMapper().readTree(text);
+      return new ObjectMapper().readTree(text);
     } catch (JsonProcessingException e) {
       throw new BadMessage("plan: not JSON: " + e.getOriginalMessage());
     }
-    check(node);
+  }
+
+  /**
+   * Reads a plan that was checked when it was new: a leader that takes over reads one a service,
+   * and compiles no schema for it. The error names the column of a gate.
+   */
+  static Plan read(String text, int replicas) throws BadMessage {
+    JsonNode node = json(text);
     List<Plan.Step> steps = new ArrayList<>();
     for (JsonNode s : node.path("steps")) {
       boolean percent = s.has("percent");
--- a/src/test/java/io/saltflow/gates/GateTest.java
+++ b/src/test/java/io/saltflow/gates/GateTest.java
@@ -157,6 +157,19 @@
     assertEquals(0.0, s.value(failures, now));
   }
 
+  @Test
+  void aStepsAgeBeginsOnce() throws GateError {
+    Sightings s = new Sightings();
+    Quantity age = Gate.parse("age > 1s").quantities().get(0);
+    assertEquals(null, s.value(age, now));
+    s.complete(now);
+    now = now.plus(Span.seconds(3));
+    s.complete(now);
+    assertEquals(3000.0, s.value(age, now));
+    s.begun();
+    assertEquals(null, s.value(age, now));
+  }
+
   /** A probe without an answer is slower than any; one that could not be made says nothing. */
   @Test
   void percentilesCountWhatWasNotAnswered() throws GateError {
