--- /dev/null
+++ b/src/test/java/io/saltflow/app/RolloutLoad.java
@@ -0,0 +1,456 @@
+package io.saltflow.app;
+
+import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.bookkeeping.ServiceBooks;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Wire;
+import io.saltflow.services.ServiceDuty;
+import io.saltflow.standin.CloudFront;
+import io.saltflow.standin.CloudStore;
+import io.saltflow.standin.Depot;
+import io.saltflow.standin.StandInMachine;
+import io.saltflow.standin.StateFront;
+import io.saltflow.standin.StateStore;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Measures many roll-outs at once: controllers as processes of their own, each held to a part of a
+ * core, before a state service that takes so many changes a second, a cloud, machines and replicas
+ * that answer probes, all in this process and on loopback. Run by hand: {@code docs/PERFORMANCE.md}
+ * says how. Bounded in time; it ends its own processes.
+ */
+public final class RolloutLoad {
+  private static final int FIRST_PORT = 10_000;
+  private static final int MACHINES = 80;
+  private static final Span REPORT = Span.seconds(3);
+  private static final Span LEASE = Span.seconds(20);
+  private static final long LONGEST_S = 900;
+  private static final long GATE_MS = 10_000;
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private final int services = Integer.getInteger("services", 50);
+  private final int replicas = Integer.getInteger("replicas", 40);
+  private final int nodeCount = Integer.getInteger("nodes", 1);
+  private final double share = Double.parseDouble(System.getProperty("share", "0.1"));
+  private final int outageS = Integer.getInteger("outage", 0);
+  private final double changes = Double.parseDouble(System.getProperty("changes", "25"));
+  private final Path folder = Files.createTempDirectory("rollout-load");
+  private final Root root = new Root();
+  private final Loop loop = new Loop();
+  private final StateStore state =
+      new StateStore(
+          new StateStore.Limits(changes * 4, changes, 8, 8), (epoch, writes) -> {}, loop.now());
+  private final List<InetSocketAddress> nodes = new ArrayList<>();
+  private final List<Process> processes = new ArrayList<>();
+  private final Map<String, Long> checkingSince = new HashMap<>();
+  private final Histogram delays = new Histogram(3);
+  private String outside;
+  private volatile boolean done;
+
+  private RolloutLoad() throws IOException {}
+
+  public static void main(String[] args) throws Exception {
+    RolloutLoad load = new RolloutLoad();
+    try {
+      load.run();
+    } finally {
+      load.end();
+    }
+    System.exit(0);
+  }
+
+  // ---- What is around the controllers
+
+  private void serveOutside() throws IOException {
+    StateFront stateFront = new StateFront(root, loop, state);
+    Depot depot = new Depot(this::description, this::told);
+    MachineType type =
+        new MachineType(
+            "box", new Size(32, 0, 256), 10, 1.0, 0.5, Span.seconds(2), List.of("za", "zb", "zc"));
+    CloudStore cloud =
+        new CloudStore(List.of(type), MACHINES, 20, Span.seconds(1), "vm-", loop.now());
+    CloudFront cloudFront =
+        new CloudFront(
+            root,
+            loop,
+            cloud,
+            (parent, rented) ->
+                new StandInMachine(
+                    parent,
+                    loop,
+                    rented,
+                    nodes,
+                    new StandInMachine.Rhythm(REPORT, LEASE),
+                    depot,
+                    new java.util.SplittableRandom(rented.id().hashCode())::nextLong));
+    HttpServer server =
+        new HttpServer(
+            root,
+            loop,
+            Addresses.parse("127.0.0.1:0"),
+            512,
+            (method, target, body, answer) -> {
+              if (StateFront.serves(target)) {
+                stateFront.handle(method, target, body, answer);
+              } else {
+                cloudFront.handle(method, target, body, answer);
+              }
+            });
+    outside = "127.0.0.1:" + server.port();
+    loop.every(Span.millis(20), root, this::lookAtRecords);
+  }
+
+  private JobSpec description(JobId id) {
+    StateStore.Value live = state.value(JobStore.keyOfLive(id));
+    try {
+      return live == null ? null : JobStore.decode(live.data()).spec();
+    } catch (BadMessage e) {
+      return null;
+    }
+  }
+
+  private Depot.Told told(JobId id) {
+    JobSpec spec = description(id);
+    if (spec == null || !spec.jobClass().startsWith(Wire.SERVICE_CLASS)) {
+      return null;
+    }
+    String name = spec.jobClass().substring(Wire.SERVICE_CLASS.length());
+    StateStore.Value record = state.value(ServiceBooks.keyOf(name));
+    try {
+      ServiceDuty.Told told = record == null ? null : ServiceDuty.told(record.data(), id);
+      return told == null ? null : new Depot.Told(told.port(), told.parameters());
+    } catch (BadMessage e) {
+      return null;
+    }
+  }
+
+  /** How long after its gate could pass at the earliest the step was recorded as passed. */
+  private void lookAtRecords() {
+    long now = System.nanoTime() / 1_000_000;
+    for (int i = 0; i < services; i++) {
+      String name = "s" + i;
+      String phase = phase(name);
+      if ("CHECKING".equals(phase)) {
+        checkingSince.putIfAbsent(name, now);
+      } else {
+        Long since = checkingSince.remove(name);
+        if (since != null && ("WAITING".equals(phase) || "DONE".equals(phase))) {
+          delays.recordValue(Math.max(0, now - since - GATE_MS));
+        }
+      }
+    }
+  }
+
+  private String phase(String name) {
+    StateStore.Value v = state.value(ServiceBooks.keyOf(name));
+    return v != null
+            && v.data().get("current") instanceof Map<?, ?> current
+            && current.get("phase") instanceof String phase
+        ? phase
+        : null;
+  }
+
+  /** Asks the loop's thread. */
+  private <T> T inLoop(Supplier<T> question) throws InterruptedException {
+    List<T> out = new ArrayList<>();
+    CountDownLatch told = new CountDownLatch(1);
+    synchronized (questions) {
+      questions.add(
+          () -> {
+            out.add(question.get());
+            told.countDown();
+          });
+    }
+    told.await();
+    return out.get(0);
+  }
+
+  private final List<Runnable> questions = new ArrayList<>();
+
+  private void answerQuestions() {
+    synchronized (questions) {
+      questions.forEach(Runnable::run);
+      questions.clear();
+    }
+  }
+
+  // ---- The controllers
+
+  private static int freePort() throws IOException {
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return s.getLocalPort();
+    }
+  }
+
+  private void startNodes() throws IOException {
+    List<Integer> meshes = new ArrayList<>();
+    for (int i = 0; i < nodeCount; i++) {
+      nodes.add(Addresses.parse("127.0.0.1:" + freePort()));
+      meshes.add(freePort());
+    }
+    for (int i = 0; i < nodeCount; i++) {
+      StringBuilder siblings = new StringBuilder();
+      for (int s = 0; s < nodeCount; s++) {
+        if (s != i) {
+          siblings.append(
+              "[[siblings]]\nhost_name = \"node-%d\"\nzone = \"za\"\naddr = \"127.0.0.1:%d\"\n"
+                  .formatted(s, meshes.get(s)));
+        }
+      }
+      String config =
+          """
+          host_name = "node-%d"
+          zone = "za"
+          serve_on = "%s"
+          mesh_addr = "127.0.0.1:%d"
+          %s[endpoints]
+          cloud = "%s"
+          state = "%s"
+          [settings]
+          size = %d
+          [[settings.teams]]
+          name = "local"
+          [settings.workers]
+          report_s = 3.0
+          lease_s = 20.0
+          cancel_s = 40.0
+          [settings.state]
+          rps = %s
+          write_rps = %s
+          value_kb = 8.0
+          txn_ops = 8
+          [settings.cloud]
+          rps = 20.0
+          list_lag_s = 1.0
+          [settings.resources]
+          sockets = 2000
+          cpu_share = %s
+          """
+              .formatted(
+                  i,
+                  Addresses.text(nodes.get(i)),
+                  meshes.get(i),
+                  siblings,
+                  outside,
+                  outside,
+                  nodeCount,
+                  changes * 4,
+                  changes,
+                  share);
+      Path file = Files.writeString(folder.resolve("node-" + i + ".toml"), config);
+      List<String> command = new ArrayList<>(List.of("java", "-Xmx72m", "-XX:+UseSerialGC"));
+      command.addAll(List.of("-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true"));
+      command.addAll(List.of("-jar", System.getProperty("jar", "target/saltflow.jar"), "serve"));
+      command.addAll(List.of("--services", "--config", file.toString()));
+      processes.add(
+          new ProcessBuilder(command)
+              .redirectErrorStream(true)
+              .redirectOutput(folder.resolve("node-" + i + ".log").toFile())
+              .start());
+    }
+  }
+
+  /**
+   * Processor time of a process so far, in nanoseconds, by what the kernel counts for its threads.
+   */
+  private static long cpuNanos(Process p) {
+    long sum = 0;
+    try (Stream<Path> threads = Files.list(Path.of("/proc/" + p.pid() + "/task"))) {
+      for (Path t : threads.toList()) {
+        sum += Long.parseLong(Files.readString(t.resolve("schedstat")).split(" ")[0]);
+      }
+    } catch (IOException e) {
+      // A thread that ended meanwhile; the next look counts the others again.
+    }
+    return sum;
+  }
+
+  /** Stops a process whenever it has used up its part of a core, a tenth of a second at a time. */
+  private void throttle(Process p) {
+    long began = System.nanoTime();
+    long used = cpuNanos(p);
+    boolean stopped = false;
+    double allowed = 0;
+    long last = began;
+    try {
+      while (!done && p.isAlive()) {
+        TimeUnit.MILLISECONDS.sleep(5);
+        long now = System.nanoTime();
+        allowed = Math.min(share * 1e8, allowed + (now - last) * share);
+        last = now;
+        long total = Math.max(used, cpuNanos(p));
+        allowed -= total - used;
+        used = total;
+        if (allowed < 0 != stopped) {
+          stopped = allowed < 0;
+          new ProcessBuilder("kill", stopped ? "-STOP" : "-CONT", "" + p.pid()).start().waitFor();
+        }
+      }
+      new ProcessBuilder("kill", "-CONT", "" + p.pid()).start().waitFor();
+    } catch (InterruptedException | IOException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  // ---- The run
+
+  private int operate(String command, String... words) {
+    ByteArrayOutputStream said = new ByteArrayOutputStream();
+    PrintStream out = new PrintStream(said, true);
+    for (int tries = 0; tries < 200; tries++) {
+      for (InetSocketAddress node : nodes) {
+        List<String> all = new ArrayList<>(List.of(words));
+        all.addAll(List.of("--server", Addresses.text(node)));
+        said.reset();
+        int code = new ServiceCommands(out, out).run(command, all.toArray(new String[0]));
+        if (code == 0) {
+          return 0;
+        }
+        if (code != UserCommands.NO_ANSWER) {
+          throw new IllegalStateException(said.toString());
+        }
+      }
+    }
+    throw new IllegalStateException("no answer: " + said);
+  }
+
+  private record Sample(long nanos, long cpu, long epoch) {}
+
+  private Sample sample() throws InterruptedException {
+    long cpu = processes.stream().mapToLong(RolloutLoad::cpuNanos).max().orElse(0);
+    return new Sample(System.nanoTime(), cpu, inLoop(state::epoch));
+  }
+
+  private void tell(String what, Sample a, Sample b) {
+    double s = (b.nanos - a.nanos) / 1e9;
+    System.out.printf(
+        "%s: %.0f s, busiest controller %.3f of a core, %.1f revisions a second%n",
+        what, s, (b.cpu - a.cpu) / 1e9 / s, (b.epoch - a.epoch) / s);
+  }
+
+  private long counted(String phase) throws InterruptedException {
+    return inLoop(
+        () -> {
+          long n = 0;
+          for (int i = 0; i < services; i++) {
+            n += phase.equals(phase("s" + i)) ? 1 : 0;
+          }
+          return n;
+        });
+  }
+
+  private void run() throws Exception {
+    serveOutside();
+    loop.every(Span.millis(10), root, this::answerQuestions);
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                loop.run();
+              } catch (IOException e) {
+                throw new IllegalStateException(e);
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+    startNodes();
+    TimeUnit.SECONDS.sleep(3);
+    if (share < 1) {
+      for (Process p : processes) {
+        new Thread(() -> throttle(p)).start();
+      }
+    }
+    for (int i = 0; i < services; i++) {
+      Path file =
+          Files.writeString(
+              folder.resolve("s.json"),
+              "{\"name\": \"s%d\", \"replicas\": %d, \"cores\": 1, \"bundle\": \"v1\", \"port\": %d}"
+                  .formatted(i, replicas, FIRST_PORT + i * replicas * 8));
+      operate("service", "apply", file.toString());
+    }
+    TimeUnit.SECONDS.sleep(Integer.getInteger("settle", 90));
+    Sample quiet = sample();
+    TimeUnit.SECONDS.sleep(30);
+    Sample begun = sample();
+    tell("before", quiet, begun);
+    Object term = inLoop(() -> state.value("lead").data().get("term"));
+    Path plan =
+        Files.writeString(
+            folder.resolve("plan.json"),
+            "{\"steps\": [{\"count\": 1}, {\"percent\": 100}], \"surge\": 4, \"startsAtOnce\": 4,"
+                + " \"settleS\": 5, \"limitS\": 900, \"gate\": \"ready >= 95% and age >= 10s and"
+                + " probe(\\\"/\\\").p90 < 1s\", \"stop\": \"failures(2m) >= 5\"}");
+    for (int i = 0; i < services; i++) {
+      operate("rollout", "start", "s" + i, "v2", "--plan", plan.toString());
+    }
+    Sample all = sample();
+    tell("started", begun, all);
+    if (outageS > 0) {
+      TimeUnit.SECONDS.sleep(40);
+      inLoop(() -> down(true));
+      TimeUnit.SECONDS.sleep(outageS);
+      inLoop(() -> down(false));
+      System.out.println("the state service was down for " + outageS + " s");
+    }
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(LONGEST_S);
+    while (counted("DONE") < services && System.nanoTime() < until) {
+      TimeUnit.SECONDS.sleep(1);
+    }
+    Sample end = sample();
+    tell("rolling", all, end);
+    System.out.printf(
+        "%d of %d done, %d taken back; term %s before and %s after; steps passed %d, after their"
+            + " gate could: p50 %d ms, p99 %d ms, most %d ms%n",
+        counted("DONE"),
+        services,
+        counted("ROLLED_BACK"),
+        term,
+        inLoop(() -> state.value("lead").data().get("term")),
+        delays.getTotalCount(),
+        delays.getValueAtPercentile(50),
+        delays.getValueAtPercentile(99),
+        delays.getMaxValue());
+    System.out.println("logs: " + folder);
+  }
+
+  private Boolean down(boolean is) {
+    state.setDown(is, loop.now());
+    return is;
+  }
+
+  private void end() {
+    done = true;
+    processes.forEach(Process::destroyForcibly);
+    loop.stop();
+  }
+}
