--- a/src/main/java/io/saltflow/app/Local.java
+++ b/src/main/java/io/saltflow/app/Local.java
@@ -2,6 +2,8 @@
 
 import io.saltflow.bookkeeping.JobStore;
 import io.saltflow.bookkeeping.ServiceBooks;
+import io.saltflow.kv.KeyStore;
+import io.saltflow.kv.Limits;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
@@ -14,9 +16,9 @@
 import io.saltflow.standin.CloudStore;
 import io.saltflow.standin.Depot;
 import io.saltflow.standin.StandInMachine;
-import io.saltflow.standin.StateFront;
-import io.saltflow.standin.StateLog;
-import io.saltflow.standin.StateStore;
+import io.saltflow.statestore.FileDisk;
+import io.saltflow.statestore.StateFront;
+import io.saltflow.statestore.StateServer;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.HttpServer;
 import io.saltflow.transport.Loop;
@@ -43,15 +45,15 @@
   private static final Span LIST_LAG = Span.seconds(1);
   private static final StandInMachine.Rhythm RHYTHM =
       new StandInMachine.Rhythm(Span.seconds(1), Span.seconds(8));
-  private static final StateStore.Limits STATE = new StateStore.Limits(2000, 1000, 64, 32);
+  private static final Limits STATE = new Limits(2000, 1000, 64, 32);
+  private static final long SNAPSHOT_BYTES = 16 << 20;
   private static final Span READY_LOOK = Span.millis(10);
 
   /** Where to listen, how many machines there are, and where to keep what was accepted. */
   record Options(InetSocketAddress http, int machines, Path data) {}
 
   private final Loop loop;
-  private final StateStore state;
-  private final StateLog log;
+  private final StateServer state;
   private final Node node;
   private final int machines;
   private final InetSocketAddress http;
@@ -66,11 +68,13 @@
     this.http = options.http();
     this.amqp = extras.queues().listen();
     UniformRandomProvider random = new SplitMix64(seed);
-    log = options.data() == null ? null : StateLog.open(options.data());
-    state = new StateStore(STATE, log == null ? (epoch, writes) -> {} : log, loop.now());
-    if (log != null) {
-      log.restore(state, loop.now());
-    }
+    state =
+        new StateServer(
+            this,
+            loop,
+            new StateServer.Options(STATE, SNAPSHOT_BYTES),
+            options.data() == null ? null : FileDisk.of(options.data()),
+            new long[] {random.nextLong(), random.nextLong()});
     InetSocketAddress outside = serveOutside(random, options);
     node = new Node(loop, config(options.http(), outside), operator, extras, random.nextLong());
   }
@@ -78,7 +82,7 @@
   /** The state service and the cloud on one port; the machines report to the node once it is up. */
   private InetSocketAddress serveOutside(UniformRandomProvider random, Options options)
       throws IOException {
-    StateFront stateFront = new StateFront(this, loop, state);
+    StateFront stateFront = state.front();
     Depot depot = new Depot(this::description, this::told);
     MachineType type = new MachineType("box", MACHINE, 10, 1.0, 0.5, BOOT, List.of(ZONE));
     // Machines of a former process are gone: none of these may bear the name of one.
@@ -117,7 +121,7 @@
 
   /** Users upload descriptions; here a machine finds them where the controllers keep them. */
   private JobSpec description(JobId id) {
-    StateStore.Value live = state.value(JobStore.keyOfLive(id));
+    KeyStore.Value live = state.store().value(JobStore.keyOfLive(id));
     try {
       return live == null ? null : JobStore.decode(live.data()).spec();
     } catch (BadMessage e) {
@@ -132,7 +136,7 @@
       return null;
     }
     String name = spec.jobClass().substring(Wire.SERVICE_CLASS.length());
-    StateStore.Value record = state.value(ServiceBooks.keyOf(name));
+    KeyStore.Value record = state.store().value(ServiceBooks.keyOf(name));
     try {
       ServiceDuty.Told told = record == null ? null : ServiceDuty.told(record.data(), id);
       return told == null ? null : new Depot.Told(told.port(), told.parameters());
@@ -225,12 +229,5 @@
   @Override
   protected void onCancel() {
     node.cancel();
-    if (log != null) {
-      try {
-        log.close();
-      } catch (IOException e) {
-        // Each record was synced when it was answered: there is nothing left to save.
-      }
-    }
   }
 }
--- a/src/main/java/io/saltflow/app/LocalCommand.java
+++ b/src/main/java/io/saltflow/app/LocalCommand.java
@@ -2,6 +2,7 @@
 
 import io.saltflow.serving.AmqpSettings;
 import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Path;
@@ -21,21 +22,10 @@
 
   /** The exit code: 2 when it can't begin. */
   static int run(String[] args, PrintStream out, PrintStream err) {
-    CountDownLatch ended = new CountDownLatch(1);
     try {
       Loop loop = new Loop();
       Local local = parse(args, loop);
-      Runtime.getRuntime()
-          .addShutdownHook(
-              new Thread(
-                  () -> {
-                    loop.stop();
-                    await(ended);
-                  },
-                  "ends-in-order"));
-      local.start(() -> out.println(local.readyLine()));
-      loop.run();
-      local.cancel();
+      untilEnded(loop, local, () -> local.start(() -> out.println(local.readyLine())));
       return 0;
     } catch (ParseException | ConfigError e) {
       err.println("saltflow: " + e.getMessage());
@@ -43,6 +33,24 @@
     } catch (IOException e) {
       err.println("saltflow: can't run here: " + e.getMessage());
       return 2;
+    }
+  }
+
+  /** Runs until the process is told to end, and ends in order. */
+  static void untilEnded(Loop loop, Routine root, Runnable begin) throws IOException {
+    CountDownLatch ended = new CountDownLatch(1);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(
+                () -> {
+                  loop.stop();
+                  await(ended);
+                },
+                "ends-in-order"));
+    try {
+      begin.run();
+      loop.run();
+      root.cancel();
     } finally {
       ended.countDown();
     }
--- a/src/main/java/io/saltflow/app/Main.java
+++ b/src/main/java/io/saltflow/app/Main.java
@@ -27,6 +27,9 @@
                             [--service FILE --plan FILE]
              saltflow local [--http ADDR:PORT] [--amqp ADDR:PORT] [--machines N] [--data DIR]
                             [--settings FILE] [--queues FILE] [--trace FILE|URL]
+             saltflow state --data DIR [--listen ADDR:PORT] [--rps N] [--write-rps N]
+                            [--value-kb N] [--txn-ops N] [--snapshot-mb N]
+             saltflow state check|dump|repair|snapshot FILE|restore FILE --data DIR
              saltflow service apply FILE | list | show NAME  [--server ADDR:PORT] [--json]
              saltflow rollout start NAME IMAGE [--plan FILE] [--param NAME=VALUE ...]
                             [--server ADDR:PORT] [--json]
@@ -39,6 +42,7 @@
       serve         run one controller until it is killed
       check-config  read the settings, say what is wrong with them, and end
       local         run one controller with stand-ins for all that it needs, on loopback
+      state         run a state service on one node, or work on its folder
       submit        submit the jobs of a JSON file; prints their ids
       status        say where a job stands
       watch         say so again and again until it is over
@@ -57,6 +61,7 @@
         --http ADDR:PORT   where users reach local (127.0.0.1:8080; port 0: any free one)
         --machines N       how many stand-in machines there are (4)
         --data DIR         keep what was accepted in this folder
+        --listen ADDR:PORT where state serves (127.0.0.1:2380)
         --server ADDR:PORT the controller to ask (127.0.0.1:8080)
         --json             answers as JSON
         --wait SECONDS     how long to ask again when there is no answer (60)
@@ -100,6 +105,10 @@
         setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
         return LocalCommand.run(Arrays.copyOfRange(args, 1, args.length), out, err);
       }
+      case "state" -> {
+        setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "info"));
+        return StateCommand.run(Arrays.copyOfRange(args, 1, args.length), out, err);
+      }
       case "submit", "status", "watch", "cancel" -> {
         setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
         return new UserCommands(System.in, out, err)
--- /dev/null
+++ b/src/main/java/io/saltflow/app/StateCommand.java
@@ -0,0 +1,145 @@
+package io.saltflow.app;
+
+import io.saltflow.kv.Limits;
+import io.saltflow.statestore.FileDisk;
+import io.saltflow.statestore.Folder;
+import io.saltflow.statestore.StateFront;
+import io.saltflow.statestore.StateServer;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpReply;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** {@code state}: a state service on one node, and what people do with its folder. */
+final class StateCommand extends Routine {
+  private static final int MOST_CLIENTS = 1000;
+
+  private final StateServer server;
+  private final HttpServer http;
+  private final InetSocketAddress listen;
+  private final Path data;
+
+  private StateCommand(Loop loop, CommandLine line) throws ParseException, IOException {
+    super(null);
+    data = Path.of(required(line, "data"));
+    listen = Main.address(line, "listen", "127.0.0.1:2380");
+    Limits limits =
+        new Limits(
+            number(line, "rps", "2000", 1e6),
+            number(line, "write-rps", "1000", 1e6),
+            number(line, "value-kb", "64", 1024),
+            (int) number(line, "txn-ops", "32", 1000));
+    long snapshot = (long) number(line, "snapshot-mb", "64", 4096) << 20;
+    server =
+        new StateServer(
+            this, loop, new StateServer.Options(limits, snapshot), FileDisk.of(data), identity());
+    StateFront front = server.front();
+    http =
+        new HttpServer(
+            this,
+            loop,
+            listen,
+            MOST_CLIENTS,
+            (method, target, body, answer) -> {
+              if (StateFront.serves(target)) {
+                front.handle(method, target, body, answer);
+              } else {
+                answer.accept(HttpReply.empty(400));
+              }
+            });
+  }
+
+  static long[] identity() {
+    SecureRandom random = new SecureRandom();
+    return new long[] {random.nextLong(), random.nextLong()};
+  }
+
+  private static String required(CommandLine line, String option) throws ParseException {
+    if (!line.hasOption(option)) {
+      throw new ParseException("--" + option + " is required");
+    }
+    return line.getOptionValue(option);
+  }
+
+  private static double number(CommandLine line, String option, String otherwise, double most)
+      throws ParseException {
+    String text = line.getOptionValue(option, otherwise);
+    double n = text.matches("\\d{1,7}(\\.\\d{1,3})?") ? Double.parseDouble(text) : 0;
+    if (n <= 0 || n > most) {
+      throw new ParseException("--" + option + ": a number above 0, up to " + most);
+    }
+    return n;
+  }
+
+  private String readyLine() {
+    return "ready: state on "
+        + Addresses.text(new InetSocketAddress(listen.getAddress(), http.port()))
+        + ", "
+        + server.store().size()
+        + " keys of revision "
+        + server.store().epoch()
+        + ", kept in "
+        + data;
+  }
+
+  /** The exit code: 2 when it can't begin, 1 when a folder could not be worked on. */
+  static int run(String[] args, PrintStream out, PrintStream err) {
+    Options options = new Options();
+    for (String name :
+        List.of("data", "listen", "rps", "write-rps", "value-kb", "txn-ops", "snapshot-mb")) {
+      options.addOption(Option.builder().longOpt(name).hasArg().build());
+    }
+    try {
+      CommandLine line = new DefaultParser().parse(options, args);
+      List<String> words = line.getArgList();
+      if (!words.isEmpty()) {
+        return work(words, new Folder(Path.of(required(line, "data"))), out, err);
+      }
+      Loop loop = new Loop();
+      StateCommand state = new StateCommand(loop, line);
+      LocalCommand.untilEnded(loop, state, () -> out.println(state.readyLine()));
+      return 0;
+    } catch (ParseException e) {
+      err.println("saltflow: " + e.getMessage());
+      return 2;
+    } catch (IOException e) {
+      err.println("saltflow: can't run here: " + e.getMessage());
+      return 2;
+    }
+  }
+
+  private static int work(List<String> words, Folder folder, PrintStream out, PrintStream err)
+      throws ParseException {
+    String what = words.get(0);
+    boolean file = what.equals("snapshot") || what.equals("restore");
+    if (words.size() != (file ? 2 : 1)) {
+      throw new ParseException(what + ": " + (file ? "one file is required" : "takes no file"));
+    }
+    try {
+      switch (what) {
+        case "check" -> folder.check(out);
+        case "dump" -> folder.dump(out);
+        case "repair" -> folder.repair(out);
+        case "snapshot" -> folder.snapshot(Path.of(words.get(1)), out);
+        case "restore" -> folder.restore(Path.of(words.get(1)), identity(), out);
+        default -> throw new ParseException("unknown command 'state " + what + "'");
+      }
+      return 0;
+    } catch (IOException e) {
+      err.println("saltflow: " + e.getMessage());
+      return 1;
+    }
+  }
+}
--- a/src/main/java/io/saltflow/standin/JsonSize.java
+++ b/src/main/java/io/saltflow/kv/JsonSize.java
@@ -1,4 +1,4 @@
-package io.saltflow.standin;
+package io.saltflow.kv;
 
 import io.saltflow.protocol.Body;
 import java.nio.charset.StandardCharsets;
--- /dev/null
+++ b/src/main/java/io/saltflow/kv/Reply.java
@@ -0,0 +1,17 @@
+package io.saltflow.kv;
+
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.Wire;
+
+/** What a request came to: a status and a body, or null for none. */
+public record Reply(int status, Body body) {
+  /** A status alone. */
+  public static Reply of(int status) {
+    return new Reply(status, null);
+  }
+
+  /** 400, and why. */
+  public static Reply malformed(String why) {
+    return new Reply(400, Body.of().with(Wire.ERROR, why));
+  }
+}
--- a/src/main/java/io/saltflow/services/ServiceDuty.java
+++ b/src/main/java/io/saltflow/services/ServiceDuty.java
@@ -20,6 +20,7 @@
 import io.saltflow.rollouts.Rollout;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -35,6 +36,7 @@
   private static final Span AGAIN = Span.millis(300);
   private static final Span LOOK = Span.seconds(1);
   private static final int MOST_SERVICES = 500;
+  private static final int MOST_GOING_ON = 4;
 
   private final Loop loop;
   private final ServiceNode node;
@@ -42,6 +44,11 @@
   private final ServiceBooks books;
   private final Map<String, LiveService> services = new TreeMap<>();
   private final ProbeDuty probing;
+
+  /** Roll-outs that would go on, by when they first would. */
+  private final ArrayDeque<String> turns = new ArrayDeque<>();
+
+  private int goingOn;
   private boolean ready;
 
   public ServiceDuty(Routine parent, Loop loop, ServiceNode node, Leader leader) {
@@ -70,7 +77,13 @@
           ready = true;
           services.values().stream().filter(l -> l.service().rolling()).forEach(this::stands);
           probing.start();
-          loop.every(LOOK, this, () -> services.values().forEach(this::look));
+          loop.every(
+              LOOK,
+              this,
+              () -> {
+                services.values().forEach(this::look);
+                goOn();
+              });
         });
   }
 
@@ -100,9 +113,50 @@
     Rollout next = live.next(leader, loop.now(), node.wallMs().getAsLong());
     trace(live, before);
     if (!next.equals(s.current().rollout())) {
-      // Going on can wait for users' writes; going back can't.
-      boolean onward = next.phase() != Rollout.Phase.BACK && !next.phase().over();
-      record(live, moved(s, next), !onward, result -> {});
+      if (waits(next)) {
+        if (!turns.contains(s.name())) {
+          turns.add(s.name());
+        }
+      } else {
+        record(live, moved(s, next), true, result -> {});
+      }
+    }
+  }
+
+  /** Going on can wait for users' writes; going back can't. */
+  private static boolean waits(Rollout next) {
+    return next.phase() != Rollout.Phase.BACK && !next.phase().over();
+  }
+
+  /**
+   * Roll-outs that would go on, a few at a time and who has waited longest first. Left to the
+   * budget of writes alone, fifty at once let some wait for a minute and a half (measured): what it
+   * could not take in time came back behind all others.
+   */
+  private void goOn() {
+    for (int n = turns.size(); n > 0 && goingOn < MOST_GOING_ON; n--) {
+      LiveService live = services.get(turns.poll());
+      if (live == null || live.writing || !live.service().rolling()) {
+        continue;
+      }
+      Service s = live.service();
+      // What is seen by now: it may have to go back meanwhile.
+      Rollout next = live.next(leader, loop.now(), node.wallMs().getAsLong());
+      if (!next.equals(s.current().rollout())) {
+        goingOn++;
+        record(
+            live,
+            moved(s, next),
+            !waits(next),
+            result -> {
+              goingOn--;
+              if (result == ServiceBooks.Result.NOT_NOW) {
+                turns.addFirst(s.name());
+              } else {
+                goOn();
+              }
+            });
+      }
     }
   }
 
--- a/src/main/java/io/saltflow/standin/CloudFront.java
+++ b/src/main/java/io/saltflow/standin/CloudFront.java
@@ -11,6 +11,7 @@
 import io.saltflow.transport.HttpReply;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
+import io.saltflow.transport.Target;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/io/saltflow/transport/Loop.java
+++ b/src/main/java/io/saltflow/transport/Loop.java
@@ -9,6 +9,8 @@
 import java.nio.channels.Selector;
 import java.util.Iterator;
 import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,6 +40,7 @@
   private final Selector selector;
   private final PriorityQueue<Timer> timers = new PriorityQueue<>();
   private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
+  private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
   private long timerOrder;
   private boolean running;
   private volatile boolean stopping;
@@ -83,7 +86,19 @@
     running = false;
   }
 
-  /** Ends {@link #run} for good. The one method that another thread may call. */
+  /** Runs the action on this loop's thread. It and {@link #stop} may be called by any thread. */
+  public void post(Runnable action) {
+    posted.add(action);
+    selector.wakeup();
+  }
+
+  private void runPosted() {
+    for (Runnable action = posted.poll(); action != null; action = posted.poll()) {
+      guarded(action);
+    }
+  }
+
+  /** Ends {@link #run} for good. */
   public void stop() {
     stopping = true;
     selector.wakeup();
@@ -93,6 +108,7 @@
   public void run() throws IOException {
     running = true;
     while (running && !stopping) {
+      runPosted();
       long wait = fireTimers();
       if (!running) {
         // A timer paused it: nothing is waited for any more.
--- a/src/main/java/io/saltflow/standin/Target.java
+++ b/src/main/java/io/saltflow/transport/Target.java
@@ -1,11 +1,12 @@
-package io.saltflow.standin;
+package io.saltflow.transport;
 
 import java.util.HashMap;
 import java.util.Map;
 
 /** A request's path and what it asks for after the question mark. */
-record Target(String path, Map<String, String> queries) {
-  static Target of(String target) {
+public record Target(String path, Map<String, String> queries) {
+  /** Reads it; what has no value is left out. */
+  public static Target of(String target) {
     int mark = target.indexOf('?');
     Map<String, String> queries = new HashMap<>();
     if (mark >= 0) {
@@ -19,15 +20,18 @@
     return new Target(mark < 0 ? target : target.substring(0, mark), queries);
   }
 
-  boolean is(String method, String wantedMethod, String wantedPath) {
+  /** Whether it is that request. */
+  public boolean is(String method, String wantedMethod, String wantedPath) {
     return method.equals(wantedMethod) && path.equals(wantedPath);
   }
 
-  String query(String name, String otherwise) {
+  /** What was asked for, or else that. */
+  public String query(String name, String otherwise) {
     return queries.getOrDefault(name, otherwise);
   }
 
-  int number(String name, int otherwise) {
+  /** A number that was asked for, or else that. */
+  public int number(String name, int otherwise) {
     return queries.containsKey(name) ? Integer.parseInt(queries.get(name)) : otherwise;
   }
 }
--- a/src/test/java/io/saltflow/LayersTest.java
+++ b/src/test/java/io/saltflow/LayersTest.java
@@ -30,9 +30,12 @@
           entry("gates", "protocol"),
           entry("rollouts", "protocol", "gates"),
           entry("probes", "protocol"),
+          entry("kv", "protocol"),
+          entry("journal"),
+          entry("statestore", "protocol", "transport", "kv", "journal"),
           entry("tracing", "gates", "rollouts", "services"),
           entry("bookkeeping", "protocol", "transport", "coordination", "queues"),
-          entry("standin", "protocol", "transport"),
+          entry("standin", "protocol", "transport", "kv"),
           entry(
               "serving", "protocol", "transport", "coordination", "amqp", "queues", "bookkeeping"),
           entry(
@@ -55,6 +58,8 @@
               "serving",
               "services",
               "tracing",
+              "kv",
+              "statestore",
               "standin"));
 
   private static Map.Entry<String, List<String>> entry(String layer, String... uses) {
@@ -94,7 +99,8 @@
 
   @Test
   void theCoreIsPure() throws IOException {
-    for (String core : List.of("coordination", "queues", "amqp", "gates", "rollouts", "probes")) {
+    for (String core :
+        List.of("coordination", "queues", "amqp", "gates", "rollouts", "probes", "kv", "journal")) {
       for (Path file : sources(core)) {
         String source = Files.readString(file).replace("java.nio.ByteBuffer", "bytes");
         source = source.replaceAll("java\\.nio\\.(BufferUnderflowException|charset)", "bytes");
--- a/src/test/java/io/saltflow/app/NodeTest.java
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.saltflow.kv.KeyStore;
+import io.saltflow.kv.Limits;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.MsgPack;
@@ -32,7 +34,7 @@
     }
   }
 
-  private static final StateStore.Limits LIMITS = new StateStore.Limits(1000, 1000, 8, 8);
+  private static final Limits LIMITS = new Limits(1000, 1000, 8, 8);
 
   private final Root root = new Root();
   private StateStore state;
@@ -224,7 +226,7 @@
 
   private Object leaderOtherThan(Object nonce, int looks) throws IOException {
     for (int i = 0; i < looks; i++) {
-      StateStore.Value lead = state.value("lead");
+      KeyStore.Value lead = state.value("lead");
       if (lead != null && !lead.data().get("nonce").equals(nonce)) {
         return lead.data().get("nonce");
       }
--- a/src/test/java/io/saltflow/app/Outside.java
+++ b/src/test/java/io/saltflow/app/Outside.java
@@ -1,12 +1,13 @@
 package io.saltflow.app;
 
+import io.saltflow.kv.Limits;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
 import io.saltflow.standin.CloudFront;
 import io.saltflow.standin.CloudStore;
-import io.saltflow.standin.StateFront;
 import io.saltflow.standin.StateStore;
+import io.saltflow.statestore.StateFront;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.HttpServer;
 import io.saltflow.transport.Loop;
@@ -23,10 +24,10 @@
   private final StateFront state;
   private final CloudFront cloud;
 
-  Outside(Loop loop, StateStore.Limits limits) {
+  Outside(Loop loop, Limits limits) {
     super(null);
-    store = new StateStore(limits, (epoch, writes) -> {}, loop.now());
-    state = new StateFront(this, loop, store);
+    store = new StateStore(limits, steps -> {}, loop.now());
+    state = new StateFront(this, loop, store.core(), () -> store.flush(loop.now()));
     CloudStore none = new CloudStore(List.of(TYPE), 0, 100, Span.seconds(1), "vm-", loop.now());
     cloud = new CloudFront(this, loop, none, (parent, rented) -> parent);
   }
--- a/src/test/java/io/saltflow/app/QueueTakeoverTest.java
+++ b/src/test/java/io/saltflow/app/QueueTakeoverTest.java
@@ -11,9 +11,9 @@
 import com.rabbitmq.client.Connection;
 import com.rabbitmq.client.ConnectionFactory;
 import com.rabbitmq.client.GetResponse;
+import io.saltflow.kv.Limits;
 import io.saltflow.protocol.Span;
 import io.saltflow.serving.AmqpSettings;
-import io.saltflow.standin.StateStore;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
@@ -73,7 +73,7 @@
   @BeforeEach
   void start() throws Exception {
     Loop loop = new Loop();
-    Outside around = new Outside(loop, new StateStore.Limits(1000, 100, 8, 8));
+    Outside around = new Outside(loop, new Limits(1000, 100, 8, 8));
     outside = around.serve(loop, around.handler());
     // The store belongs to its loop's thread: a test only says what it wants.
     loop.every(Span.millis(5), around, () -> around.store.setDown(down.get(), loop.now()));
--- a/src/test/java/io/saltflow/app/RolloutLoad.java
+++ b/src/test/java/io/saltflow/app/RolloutLoad.java
@@ -2,6 +2,8 @@
 
 import io.saltflow.bookkeeping.JobStore;
 import io.saltflow.bookkeeping.ServiceBooks;
+import io.saltflow.kv.KeyStore;
+import io.saltflow.kv.Limits;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
@@ -14,8 +16,8 @@
 import io.saltflow.standin.CloudStore;
 import io.saltflow.standin.Depot;
 import io.saltflow.standin.StandInMachine;
-import io.saltflow.standin.StateFront;
 import io.saltflow.standin.StateStore;
+import io.saltflow.statestore.StateFront;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.HttpServer;
 import io.saltflow.transport.Loop;
@@ -68,8 +70,7 @@
   private final Root root = new Root();
   private final Loop loop = new Loop();
   private final StateStore state =
-      new StateStore(
-          new StateStore.Limits(changes * 4, changes, 8, 8), (epoch, writes) -> {}, loop.now());
+      new StateStore(new Limits(changes * 4, changes, 8, 8), steps -> {}, loop.now());
   private final List<InetSocketAddress> nodes = new ArrayList<>();
   private final List<Process> processes = new ArrayList<>();
   private final Map<String, Long> checkingSince = new HashMap<>();
@@ -92,7 +93,7 @@
   // ---- What is around the controllers
 
   private void serveOutside() throws IOException {
-    StateFront stateFront = new StateFront(root, loop, state);
+    StateFront stateFront = new StateFront(root, loop, state.core(), () -> state.flush(loop.now()));
     Depot depot = new Depot(this::description, this::told);
     MachineType type =
         new MachineType(
@@ -131,7 +132,7 @@
   }
 
   private JobSpec description(JobId id) {
-    StateStore.Value live = state.value(JobStore.keyOfLive(id));
+    KeyStore.Value live = state.value(JobStore.keyOfLive(id));
     try {
       return live == null ? null : JobStore.decode(live.data()).spec();
     } catch (BadMessage e) {
@@ -145,7 +146,7 @@
       return null;
     }
     String name = spec.jobClass().substring(Wire.SERVICE_CLASS.length());
-    StateStore.Value record = state.value(ServiceBooks.keyOf(name));
+    KeyStore.Value record = state.value(ServiceBooks.keyOf(name));
     try {
       ServiceDuty.Told told = record == null ? null : ServiceDuty.told(record.data(), id);
       return told == null ? null : new Depot.Told(told.port(), told.parameters());
@@ -172,7 +173,7 @@
   }
 
   private String phase(String name) {
-    StateStore.Value v = state.value(ServiceBooks.keyOf(name));
+    KeyStore.Value v = state.value(ServiceBooks.keyOf(name));
     return v != null
             && v.data().get("current") instanceof Map<?, ?> current
             && current.get("phase") instanceof String phase
--- a/src/test/java/io/saltflow/bookkeeping/QueueBooksTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/QueueBooksTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.saltflow.coordination.Authority;
+import io.saltflow.kv.KeyStore;
+import io.saltflow.kv.Limits;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.MsgPack;
@@ -21,8 +23,8 @@
 import io.saltflow.queues.QueuePolicy;
 import io.saltflow.queues.ResultForm;
 import io.saltflow.queues.Ticket;
-import io.saltflow.standin.StateFront;
 import io.saltflow.standin.StateStore;
+import io.saltflow.statestore.StateFront;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.HttpClient;
 import io.saltflow.transport.HttpReply;
@@ -82,9 +84,8 @@
   @BeforeEach
   void start() throws IOException, BadMessage {
     loop = new Loop();
-    store =
-        new StateStore(new StateStore.Limits(1000, 200, 8, 8), (epoch, writes) -> {}, loop.now());
-    StateFront front = new StateFront(root, loop, store);
+    store = new StateStore(new Limits(1000, 200, 8, 8), steps -> {}, loop.now());
+    StateFront front = new StateFront(root, loop, store.core(), () -> store.flush(loop.now()));
     HttpServer server =
         new HttpServer(
             root,
@@ -275,7 +276,7 @@
   void aDamagedRecordIsNotServed() throws Exception {
     publish(0, 200, 400);
     await(() -> confirmed == 200);
-    StateStore.Value first = store.value(Keys.QUEUES + "000001");
+    KeyStore.Value first = store.value(Keys.QUEUES + "000001");
     Body txn =
         new Txn().put(Keys.QUEUES + "000001", Body.of().with("b", 99999L).with("i", 0L)).body();
     store.commit(MsgPack.decode(MsgPack.encode(txn)));
--- a/src/test/java/io/saltflow/standin/StateStoreTest.java
+++ b/src/test/java/io/saltflow/standin/StateStoreTest.java
@@ -3,36 +3,33 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
-import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.saltflow.kv.Limits;
+import io.saltflow.kv.Reply;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.MsgPack;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 
-/** PROTOCOL's state section, sentence by sentence, and what outlives a process. */
+/** PROTOCOL's state section, sentence by sentence. */
 class StateStoreTest {
-  private static final StateStore.Limits LIMITS = new StateStore.Limits(100, 10, 1, 4);
+  private static final Limits LIMITS = new Limits(100, 10, 1, 4);
   private static final Body X = Body.of().with("x", 1L);
 
-  @TempDir Path folder;
   private Time now = new Time(0);
-  private StateStore store = new StateStore(LIMITS, (epoch, writes) -> {}, now);
+  private StateStore store = new StateStore(LIMITS, steps -> {}, now);
 
   private static Body put(String key, Object... lease) {
     Body b = Body.of().with("put", key).with("data", X);
     return lease.length == 0 ? b : b.with("tenancy", lease[0]);
   }
 
-  private StateStore.Reply commit(List<Object> guards, Object... writes) throws BadMessage {
+  private Reply commit(List<Object> guards, Object... writes) throws BadMessage {
     Body txn = Body.of().with("guards", guards).with("writes", Arrays.asList(writes));
     return store.commit(MsgPack.decode(MsgPack.encode(txn)));
   }
@@ -49,7 +46,7 @@
   void allWritesOfATransactionOrNone() throws BadMessage {
     assertEquals(200, commit(List.of(guard("a", 0)), put("a"), put("b")).status());
     assertEquals(store.value("a").stamp(), store.value("b").stamp(), "one revision");
-    StateStore.Reply late = commit(List.of(guard("a", 0), guard("b", 9)), put("c"));
+    Reply late = commit(List.of(guard("a", 0), guard("b", 9)), put("c"));
     assertEquals(409, late.status());
     assertEquals(List.of("a", "b"), late.body().get("failed"));
     assertNull(store.value("c"));
@@ -122,7 +119,7 @@
     long before = store.epoch();
     commit(List.of(), put("c/1"), put("d/1"));
     commit(List.of(), Body.of().with("delete", "c/1"), Body.of().with("delete", "c/none"));
-    StateStore.Reply seen = store.changes("c/", before, false);
+    Reply seen = store.changes("c/", before, false);
     assertEquals(2, ((List<?>) seen.body().get("news")).size());
     assertNull(store.changes("c/", store.epoch(), false), "it waits");
     assertEquals(200, store.changes("c/", store.epoch(), true).status());
@@ -147,63 +144,12 @@
     assertEquals(false, rest.get("truncated"));
   }
 
-  private StateStore reopened(StateLog log) {
-    StateStore s = new StateStore(LIMITS, log, now);
-    log.restore(s, now);
-    return s;
-  }
-
-  private void writeTwo() throws IOException, BadMessage {
-    try (StateLog log = StateLog.open(folder)) {
-      store = reopened(log);
-      commit(List.of(), put("first", lease(1000)));
-      commit(List.of(), put("second"), Body.of().with("delete", "first"));
-      commit(List.of(), put("third", lease(1000)));
-      assertThrows(IOException.class, () -> StateLog.open(folder), "one process at a time");
-    }
-  }
-
-  @Test
-  void whatWasAnsweredOutlivesTheProcess() throws IOException, BadMessage {
-    writeTwo();
-    long epoch = store.epoch();
-    try (StateLog log = StateLog.open(folder)) {
-      store = reopened(log);
-      assertEquals(epoch, store.epoch(), "revisions never go back");
-      assertNull(store.value("first"));
-      assertNotNull(store.value("second"));
-      store.expire(now.plus(Span.millis(1000)));
-      assertNotNull(store.value("third"), "its lease has its full time again");
-      store.expire(now.plus(Span.millis(1001)));
-      assertNull(store.value("third"));
-    }
-  }
-
-  /** A record that was cut short at any byte was never answered; damage before others is told. */
-  @Test
-  void tornTailsAreCutOffAndDamageIsRefused() throws IOException, BadMessage {
-    writeTwo();
-    byte[] whole = Files.readAllBytes(folder.resolve("state.log"));
-    for (int cut = whole.length - 1; cut > whole.length - 60; cut--) {
-      Files.write(folder.resolve("state.log"), Arrays.copyOf(whole, cut));
-      try (StateLog log = StateLog.open(folder)) {
-        assertNull(reopened(log).value("third"));
-        assertNotNull(reopened(log).value("second"));
-      }
-    }
-    byte[] damaged = whole.clone();
-    damaged[20] ^= 1;
-    Files.write(folder.resolve("state.log"), damaged);
-    IOException e = assertThrows(IOException.class, () -> StateLog.open(folder));
-    assertEquals(true, e.getMessage().contains("damaged at byte 0"), e.getMessage());
-  }
-
   @Test
   void whatCannotBeWrittenDownIsRefused() throws BadMessage {
     store =
         new StateStore(
             LIMITS,
-            (epoch, writes) -> {
+            steps -> {
               throw new IOException("No space left on device");
             },
             now);
