--- a/src/main/java/io/saltflow/app/Local.java
+++ b/src/main/java/io/saltflow/app/Local.java
@@ -25,6 +25,7 @@
 import io.saltflow.transport.Routine;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -73,7 +74,7 @@
             this,
             loop,
             new StateServer.Options(STATE, SNAPSHOT_BYTES),
-            options.data() == null ? null : FileDisk.of(options.data()),
+            options.data() == null ? null : folder(options.data()),
             new long[] {random.nextLong(), random.nextLong()});
     InetSocketAddress outside = serveOutside(random, options);
     node = new Node(loop, config(options.http(), outside), operator, extras, random.nextLong());
@@ -129,6 +130,14 @@
     }
   }
 
+  private static FileDisk folder(Path data) throws IOException {
+    if (Files.exists(data.resolve("state.log"))) {
+      // Taken for an empty folder, it would hide what was accepted.
+      throw new IOException(data + ": kept by an earlier version, which alone can read state.log");
+    }
+    return FileDisk.of(data);
+  }
+
   /** As an agent would ask for it: the record that a service's version is described by. */
   private Depot.Told told(JobId id) {
     JobSpec spec = description(id);
--- a/src/main/java/io/saltflow/services/Plans.java
+++ b/src/main/java/io/saltflow/services/Plans.java
@@ -133,15 +133,22 @@
   }
 
   private static void check(JsonNode node) throws BadMessage {
-    try (InputStream in = Plans.class.getResourceAsStream(SCHEMA)) {
-      JsonSchema schema =
-          JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
-      Set<ValidationMessage> faults = schema.validate(node);
-      if (!faults.isEmpty()) {
-        throw new BadMessage("plan: " + faults.iterator().next().getMessage());
+    Set<ValidationMessage> faults = Compiled.SCHEMA_OF_PLANS.validate(node);
+    if (!faults.isEmpty()) {
+      throw new BadMessage("plan: " + faults.iterator().next().getMessage());
+    }
+  }
+
+  /** The schema, compiled once, when the first plan is checked. */
+  private static final class Compiled {
+    static final JsonSchema SCHEMA_OF_PLANS = compile();
+
+    private static JsonSchema compile() {
+      try (InputStream in = Plans.class.getResourceAsStream(SCHEMA)) {
+        return JsonSchemaFactory.getInstance(SpecVersion.VersionFlag.V202012).getSchema(in);
+      } catch (IOException e) {
+        throw new IllegalStateException(SCHEMA + " is packed with the program", e);
       }
-    } catch (IOException e) {
-      throw new IllegalStateException(SCHEMA + " is packed with the program", e);
     }
   }
 
--- a/src/main/java/io/saltflow/services/ServiceDuty.java
+++ b/src/main/java/io/saltflow/services/ServiceDuty.java
@@ -8,6 +8,7 @@
 import io.saltflow.probes.Finding;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
+import io.saltflow.protocol.Budget;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MsgPack;
 import io.saltflow.protocol.ProbeFrame;
@@ -37,6 +38,8 @@
   private static final Span LOOK = Span.seconds(1);
   private static final int MOST_SERVICES = 500;
   private static final int MOST_GOING_ON = 4;
+  private static final double PLANS_PER_S = 2;
+  private static final Span BETWEEN_RECORDS = Span.millis(5);
 
   private final Loop loop;
   private final ServiceNode node;
@@ -49,6 +52,10 @@
   private final ArrayDeque<String> turns = new ArrayDeque<>();
 
   private int goingOn;
+
+  /** New plans are read and checked at a bounded rate: each costs a small machine something. */
+  private final Budget plans;
+
   private boolean ready;
 
   public ServiceDuty(Routine parent, Loop loop, ServiceNode node, Leader leader) {
@@ -56,6 +63,7 @@
     this.loop = loop;
     this.node = node;
     this.leader = leader;
+    plans = new Budget(PLANS_PER_S, PLANS_PER_S, loop.now());
     probing = new ProbeDuty(this, loop, node.probes(), this::found);
     books =
         new ServiceBooks(
@@ -73,17 +81,34 @@
             loop.after(AGAIN, this, this::start);
             return;
           }
-          records.forEach(this::inherited);
-          ready = true;
-          services.values().stream().filter(l -> l.service().rolling()).forEach(this::stands);
-          probing.start();
-          loop.every(
-              LOOK,
-              this,
-              () -> {
-                services.values().forEach(this::look);
-                goOn();
-              });
+          inherit(new ArrayDeque<>(records.entrySet()));
+        });
+  }
+
+  /**
+   * One record a turn of the loop: on a tenth of a core fifty plans read in one went on for longer
+   * than the new leader's lease, and the next leader began the same again (measured).
+   */
+  private void inherit(ArrayDeque<Map.Entry<String, Body>> left) {
+    Map.Entry<String, Body> next = left.poll();
+    if (next == null) {
+      begin();
+    } else {
+      inherited(next.getKey(), next.getValue());
+      loop.after(BETWEEN_RECORDS, this, () -> inherit(left));
+    }
+  }
+
+  private void begin() {
+    ready = true;
+    services.values().stream().filter(l -> l.service().rolling()).forEach(this::stands);
+    probing.start();
+    loop.every(
+        LOOK,
+        this,
+        () -> {
+          services.values().forEach(this::look);
+          goOn();
         });
   }
 
@@ -417,6 +442,10 @@
         answer.accept(same ? 200 : 409, same ? show(name) : error("a roll-out is under way"));
         return;
       }
+      if (!plans.take(1, loop.now())) {
+        answer.accept(503, error("many roll-outs are being started"));
+        return;
+      }
       String planText = request.textOr("plan", "{}");
       Plan plan = Plans.checked(planText, s.replicas());
       List<String> faults = Plans.unfit(plan, s, node.teamLimits().apply(s.team()));
--- a/src/test/java/io/saltflow/LayersTest.java
+++ b/src/test/java/io/saltflow/LayersTest.java
@@ -32,6 +32,7 @@
           entry("probes", "protocol"),
           entry("kv", "protocol"),
           entry("journal"),
+          entry("agreement", "protocol"),
           entry("statestore", "protocol", "transport", "kv", "journal"),
           entry("tracing", "gates", "rollouts", "services"),
           entry("bookkeeping", "protocol", "transport", "coordination", "queues"),
@@ -100,7 +101,16 @@
   @Test
   void theCoreIsPure() throws IOException {
     for (String core :
-        List.of("coordination", "queues", "amqp", "gates", "rollouts", "probes", "kv", "journal")) {
+        List.of(
+            "coordination",
+            "queues",
+            "amqp",
+            "gates",
+            "rollouts",
+            "probes",
+            "kv",
+            "journal",
+            "agreement")) {
       for (Path file : sources(core)) {
         String source = Files.readString(file).replace("java.nio.ByteBuffer", "bytes");
         source = source.replaceAll("java\\.nio\\.(BufferUnderflowException|charset)", "bytes");
--- a/src/test/java/io/saltflow/app/RolloutLoad.java
+++ b/src/test/java/io/saltflow/app/RolloutLoad.java
@@ -72,6 +72,7 @@
   private final StateStore state =
       new StateStore(new Limits(changes * 4, changes, 8, 8), steps -> {}, loop.now());
   private final List<InetSocketAddress> nodes = new ArrayList<>();
+  private final List<InetSocketAddress> asked = new ArrayList<>();
   private final List<Process> processes = new ArrayList<>();
   private final Map<String, Long> checkingSince = new HashMap<>();
   private final Histogram delays = new Histogram(3);
@@ -328,13 +329,19 @@
   private int operate(String command, String... words) {
     ByteArrayOutputStream said = new ByteArrayOutputStream();
     PrintStream out = new PrintStream(said, true);
+    if (asked.isEmpty()) {
+      asked.addAll(nodes);
+    }
     for (int tries = 0; tries < 200; tries++) {
-      for (InetSocketAddress node : nodes) {
+      for (InetSocketAddress node : List.copyOf(asked)) {
         List<String> all = new ArrayList<>(List.of(words));
         all.addAll(List.of("--server", Addresses.text(node)));
         said.reset();
         int code = new ServiceCommands(out, out).run(command, all.toArray(new String[0]));
         if (code == 0) {
+          // Whoever leads is asked first from now on: the others are asked for half a minute.
+          asked.remove(node);
+          asked.add(0, node);
           return 0;
         }
         if (code != UserCommands.NO_ANSWER) {
