--- a/src/main/java/io/saltflow/app/Local.java
+++ b/src/main/java/io/saltflow/app/Local.java
@@ -1,16 +1,11 @@
 package io.saltflow.app;
 
-import io.saltflow.bookkeeping.JobStore;
-import io.saltflow.bookkeeping.ServiceBooks;
 import io.saltflow.kv.KeyStore;
 import io.saltflow.kv.Limits;
-import io.saltflow.protocol.BadMessage;
-import io.saltflow.protocol.JobId;
-import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.Body;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
-import io.saltflow.protocol.Wire;
 import io.saltflow.services.ServiceDuty;
 import io.saltflow.standin.CloudFront;
 import io.saltflow.standin.CloudStore;
@@ -84,7 +79,8 @@
   private InetSocketAddress serveOutside(UniformRandomProvider random, Options options)
       throws IOException {
     StateFront stateFront = state.front();
-    Depot depot = new Depot(this::description, this::told);
+    Descriptions descriptions = new Descriptions(this::record);
+    Depot depot = new Depot(descriptions::of, id -> told(descriptions.told(id)));
     MachineType type = new MachineType("box", MACHINE, 10, 1.0, 0.5, BOOT, List.of(ZONE));
     // Machines of a former process are gone: none of these may bear the name of one.
     String prefix = String.format("vm-%010x-", System.currentTimeMillis());
@@ -120,16 +116,6 @@
     return new InetSocketAddress("127.0.0.1", server.port());
   }
 
-  /** Users upload descriptions; here a machine finds them where the controllers keep them. */
-  private JobSpec description(JobId id) {
-    KeyStore.Value live = state.store().value(JobStore.keyOfLive(id));
-    try {
-      return live == null ? null : JobStore.decode(live.data()).spec();
-    } catch (BadMessage e) {
-      return null;
-    }
-  }
-
   private static FileDisk folder(Path data) throws IOException {
     if (Files.exists(data.resolve("state.log"))) {
       // Taken for an empty folder, it would hide what was accepted.
@@ -138,20 +124,13 @@
     return FileDisk.of(data);
   }
 
-  /** As an agent would ask for it: the record that a service's version is described by. */
-  private Depot.Told told(JobId id) {
-    JobSpec spec = description(id);
-    if (spec == null || !spec.jobClass().startsWith(Wire.SERVICE_CLASS)) {
-      return null;
-    }
-    String name = spec.jobClass().substring(Wire.SERVICE_CLASS.length());
-    KeyStore.Value record = state.store().value(ServiceBooks.keyOf(name));
-    try {
-      ServiceDuty.Told told = record == null ? null : ServiceDuty.told(record.data(), id);
-      return told == null ? null : new Depot.Told(told.port(), told.parameters());
-    } catch (BadMessage e) {
-      return null;
-    }
+  private Body record(String key) {
+    KeyStore.Value v = state.store().value(key);
+    return v == null ? null : v.data();
+  }
+
+  private static Depot.Told told(ServiceDuty.Told told) {
+    return told == null ? null : new Depot.Told(told.port(), told.parameters());
   }
 
   private static Config config(InetSocketAddress http, InetSocketAddress outside)
--- a/src/test/java/io/saltflow/app/RolloutLoad.java
+++ b/src/test/java/io/saltflow/app/RolloutLoad.java
@@ -1,16 +1,12 @@
 package io.saltflow.app;
 
-import io.saltflow.bookkeeping.JobStore;
 import io.saltflow.bookkeeping.ServiceBooks;
 import io.saltflow.kv.KeyStore;
 import io.saltflow.kv.Limits;
-import io.saltflow.protocol.BadMessage;
-import io.saltflow.protocol.JobId;
-import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.Body;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
-import io.saltflow.protocol.Wire;
 import io.saltflow.services.ServiceDuty;
 import io.saltflow.standin.CloudFront;
 import io.saltflow.standin.CloudStore;
@@ -95,7 +91,8 @@
 
   private void serveOutside() throws IOException {
     StateFront stateFront = new StateFront(root, loop, state.core(), () -> state.flush(loop.now()));
-    Depot depot = new Depot(this::description, this::told);
+    Descriptions descriptions = new Descriptions(this::record);
+    Depot depot = new Depot(descriptions::of, id -> told(descriptions.told(id)));
     MachineType type =
         new MachineType(
             "box", new Size(32, 0, 256), 10, 1.0, 0.5, Span.seconds(2), List.of("za", "zb", "zc"));
@@ -132,28 +129,13 @@
     loop.every(Span.millis(20), root, this::lookAtRecords);
   }
 
-  private JobSpec description(JobId id) {
-    KeyStore.Value live = state.value(JobStore.keyOfLive(id));
-    try {
-      return live == null ? null : JobStore.decode(live.data()).spec();
-    } catch (BadMessage e) {
-      return null;
-    }
+  private Body record(String key) {
+    KeyStore.Value v = state.value(key);
+    return v == null ? null : v.data();
   }
 
-  private Depot.Told told(JobId id) {
-    JobSpec spec = description(id);
-    if (spec == null || !spec.jobClass().startsWith(Wire.SERVICE_CLASS)) {
-      return null;
-    }
-    String name = spec.jobClass().substring(Wire.SERVICE_CLASS.length());
-    KeyStore.Value record = state.value(ServiceBooks.keyOf(name));
-    try {
-      ServiceDuty.Told told = record == null ? null : ServiceDuty.told(record.data(), id);
-      return told == null ? null : new Depot.Told(told.port(), told.parameters());
-    } catch (BadMessage e) {
-      return null;
-    }
+  private static Depot.Told told(ServiceDuty.Told told) {
+    return told == null ? null : new Depot.Told(told.port(), told.parameters());
   }
 
   /** How long after its gate could pass at the earliest the step was recorded as passed. */
