--- a/src/main/java/io/saltflow/app/ServiceCommands.java
+++ b/src/main/java/io/saltflow/app/ServiceCommands.java
@@ -298,7 +298,9 @@
     }
   }
 
+  /** On a terminal one line that changes in place; else a line whenever something has changed. */
   private int watch(String path) throws IOException {
+    boolean terminal = System.console() != null && !json;
     String last = "";
     while (true) {
       UserClient.Answer a = client.get(path);
@@ -307,11 +309,17 @@
       }
       String now = line(a.body());
       if (!now.equals(last)) {
-        show(a.body());
+        if (terminal) {
+          out.print("\r\u001b[K" + now);
+          out.flush();
+        } else {
+          show(a.body());
+        }
         last = now;
       }
       Object phase = a.body().get("phase");
       if (phase == null || List.of("done", "rolled_back", "stuck").contains(phase)) {
+        out.print(terminal ? System.lineSeparator() : "");
         return phase == null || phase.equals("done") ? 0 : TAKEN_BACK;
       }
       client.sleep(POLL);
