--- a/src/main/java/io/saltflow/kv/KeyStore.java
+++ b/src/main/java/io/saltflow/kv/KeyStore.java
@@ -247,9 +247,9 @@
         granted.add(new Effect.Grant(lastLease, new Span(1)));
         granted.add(new Effect.End(lastLease));
       }
-      if (!granted.isEmpty()) {
-        head.add(new Step(at, granted));
-      }
+      // Also when there is none: keys that are gone may have been the last change, and no key that
+      // is left bears the revision then.
+      head.add(new Step(at, granted));
     }
 
     private void replaced(String key, Value value) {
@@ -258,7 +258,10 @@
       }
     }
 
-    /** The next part of so many keys; empty: that was all, and the copy is over. */
+    /**
+     * The next part of so many keys, the first with the revision and the leases; empty: that was
+     * all, and the copy is over.
+     */
     public List<Step> next(int most) {
       if (!head.isEmpty()) {
         List<Step> out = List.copyOf(head);
@@ -281,12 +284,19 @@
         last = key;
       }
       before.headMap(last, true).clear();
-      if (out.isEmpty() && copy == this) {
-        copy = null;
+      if (out.isEmpty()) {
+        end();
       }
       return out;
     }
 
+    /** Nobody takes any more of it out: what is replaced from now on is not kept for it. */
+    public void end() {
+      if (copy == this) {
+        copy = null;
+      }
+    }
+
     private static String following(Iterator<String> it) {
       return it.hasNext() ? it.next() : null;
     }
--- a/src/main/java/io/saltflow/statestore/Folder.java
+++ b/src/main/java/io/saltflow/statestore/Folder.java
@@ -111,7 +111,6 @@
           part = copy.next(KEYS_A_PART)) {
         backup.part(part.stream().map(Step::encode).toList());
       }
-      backup.part(List.of(new Step(copy.epoch(), List.of()).encode()));
       backup.done();
       beside.rename(name + ".new", name);
       beside.syncNames();
@@ -155,7 +154,6 @@
     for (List<Step> part = copy.next(KEYS_A_PART); !part.isEmpty(); part = copy.next(KEYS_A_PART)) {
       snapshot.part(part.stream().map(Step::encode).toList());
     }
-    snapshot.part(List.of(new Step(copy.epoch(), List.of()).encode()));
     snapshot.done();
   }
 }
--- a/src/main/java/io/saltflow/statestore/StateServer.java
+++ b/src/main/java/io/saltflow/statestore/StateServer.java
@@ -45,7 +45,7 @@
   private KeyStore.Copy copy;
   private Journal.Snapshot snapshot;
   private boolean partNext;
-  private long sinceSnapshot;
+  private long writtenAtSnapshot;
 
   /**
    * Opens what a former process left.
@@ -127,7 +127,6 @@
           if (failure == null) {
             core.durable(loop.now());
             slow(false);
-            sinceSnapshot += steps.size() * 200L;
           } else {
             LOG.error("nothing can be written down: {}; changes are refused", failure.getMessage());
             broken = true;
@@ -171,7 +170,7 @@
     if (writer.busy() || broken || !core.idle()) {
       return;
     }
-    if (copy == null && sinceSnapshot > options.snapshotBytes()) {
+    if (copy == null && journal.written() - writtenAtSnapshot > options.snapshotBytes()) {
       beginSnapshot();
     } else if (copy == null && loop.now().since(lastBatch).longerThan(MARK_AFTER)) {
       writer.run(
@@ -188,14 +187,15 @@
 
   /** Begun when nothing is being written down: the copy and the journal are then of one moment. */
   private void beginSnapshot() {
-    sinceSnapshot = 0;
+    writtenAtSnapshot = journal.written();
     copy = core.store().copy();
     snapshot = journal.snapshot();
     pump();
   }
 
   private void part() {
-    List<Step> steps = copy.next(KEYS_A_PART);
+    KeyStore.Copy c = copy;
+    List<Step> steps = c.next(KEYS_A_PART);
     Journal.Snapshot s = snapshot;
     boolean last = steps.isEmpty();
     if (last) {
@@ -214,6 +214,7 @@
           if (failure != null) {
             // The journal still holds all that the snapshot would have.
             LOG.error("a snapshot could not be written: {}", failure.getMessage());
+            c.end();
             copy = null;
             snapshot = null;
           } else if (last) {
--- a/src/test/java/io/saltflow/statestore/StateLoad.java
+++ b/src/test/java/io/saltflow/statestore/StateLoad.java
@@ -145,7 +145,7 @@
     Path data = folder.resolve("r" + keys + snapshot);
     Loop loop = new Loop();
     Root root = new Root();
-    StateServer s = server(root, loop, data, snapshot ? keys * 190L : 1L << 40);
+    StateServer s = server(root, loop, data, snapshot ? keys * 100L : 1L << 40);
     int[] left = {keys};
     for (int i = 0; i < keys; ) {
       for (int n = 0; n < 2000 && i < keys; n++, i++) {
--- a/src/test/java/io/saltflow/statestore/StateServerTest.java
+++ b/src/test/java/io/saltflow/statestore/StateServerTest.java
@@ -196,6 +196,33 @@
     }
   }
 
+  /**
+   * The last change was a delete, so no key that is left bears the revision: it must not go back.
+   */
+  @Test
+  void aSnapshotKeepsTheRevisionOfWhatIsGone() throws Exception {
+    Path data = folder.resolve("gone");
+    open(data, 1);
+    ask("POST", "/multi", txn(List.of(), put("a", 1L)));
+    ask("POST", "/multi", txn(List.of(), Body.of().with("delete", "a")));
+    awaitSnapshot(data);
+    root.cancel();
+    open(data, 1 << 30);
+    assertEquals("404 {epoch=3}", ask("GET", "/kv/a", null));
+    assertEquals("200 {epoch=4}", ask("POST", "/multi", txn(List.of(), put("a", 2L))));
+  }
+
+  private void awaitSnapshot(Path data) throws IOException {
+    for (int i = 0; i < 500; i++) {
+      if (Files.exists(data.resolve("snap-0000000000000003"))) {
+        return;
+      }
+      loop.after(Span.millis(20), root, loop::pause);
+      loop.run();
+    }
+    throw new IOException("no snapshot of both entries was taken");
+  }
+
   private String said(ThrowingWork work) throws IOException {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     work.run(new PrintStream(bytes, true, StandardCharsets.UTF_8));
