Read once more: one writer of parts, one decision traced, one loop thread in tests

Need: what reading the whole change showed.

verdict that changed while a roll-out took its turn was not traced; counts, fields and parameters that nobody asks for; a load tool with its own way onto a loop's thread beside Loop.post.

--- a/src/main/java/io/saltflow/agreement/Peer.java
+++ b/src/main/java/io/saltflow/agreement/Peer.java
@@ -23,7 +23,6 @@
   long snapshotOffset = -1;
 
   long snapshotIndex;
-  Time lastSent = Time.LONG_AGO;
 
   Peer(String name, long next) {
     this.name = name;
--- a/src/main/java/io/saltflow/agreement/Raft.java
+++ b/src/main/java/io/saltflow/agreement/Raft.java
@@ -345,7 +345,7 @@
       return 0;
     }
     add(Entry.of(log.last() + 1, term, data));
-    sendAll(now);
+    sendAll();
     advance(now);
     return log.last();
   }
@@ -370,7 +370,7 @@
       return 0;
     }
     add(Entry.members(log.last() + 1, term, members));
-    sendAll(now);
+    sendAll();
     advance(now);
     return log.last();
   }
@@ -389,22 +389,22 @@
           p.underWay = 0;
           p.next = p.match + 1;
         }
-        send(p, true, now);
+        send(p, true);
       }
     }
   }
 
-  private void sendAll(Time now) {
+  private void sendAll() {
     for (String m : members()) {
       if (!m.equals(self)) {
-        send(peer(m), false, now);
+        send(peer(m), false);
       }
     }
   }
 
-  private void send(Peer p, boolean evenNothing, Time now) {
+  private void send(Peer p, boolean evenNothing) {
     if (p.next < log.first() && log.snapshot().index() > 0) {
-      sendPart(p, evenNothing, now);
+      sendPart(p, evenNothing);
       return;
     }
     boolean more = true;
@@ -418,14 +418,13 @@
       out.add(new Message.Append(self, p.name, term, prev, log.term(prev), entries, commit, round));
       p.underWay += some ? 1 : 0;
       p.next += entries.size();
-      p.lastSent = now;
       more = some;
       evenNothing = false;
     }
   }
 
   /** One part under way at a time; a beat repeats it. */
-  private void sendPart(Peer p, boolean again, Time now) {
+  private void sendPart(Peer p, boolean again) {
     Snapshot s = log.snapshot();
     if (p.snapshotOffset < 0 || p.snapshotIndex != s.index()) {
       p.snapshotOffset = 0;
@@ -433,10 +432,10 @@
     } else if (!again) {
       return;
     }
-    part(p, s, now);
+    part(p, s);
   }
 
-  private void part(Peer p, Snapshot s, Time now) {
+  private void part(Peer p, Snapshot s) {
     int from = (int) p.snapshotOffset;
     int to = Math.min(s.bytes().length, from + PART_BYTES);
     out.add(
@@ -451,7 +450,6 @@
             Arrays.copyOfRange(s.bytes(), from, to),
             to == s.bytes().length,
             round));
-    p.lastSent = now;
   }
 
   private void heard(Peer p, long answered) {
@@ -478,7 +476,7 @@
       p.next = Math.max(p.match + 1, Math.min(p.next, m.match() + 1));
       p.underWay = 0;
     }
-    send(p, false, now);
+    send(p, false);
     readsAllowed(now);
     handOver(now);
   }
@@ -492,7 +490,7 @@
     Snapshot s = log.snapshot();
     if (p.snapshotOffset >= 0 && p.snapshotIndex == s.index() && m.lastIndex() == s.index()) {
       p.snapshotOffset = Math.min(m.offset(), s.bytes().length);
-      part(p, s, now);
+      part(p, s);
     }
     readsAllowed(now);
   }
@@ -508,7 +506,7 @@
     boolean ours = log.term(agreed) == term || mistakes.contains(Mistake.COMMIT_OF_AN_OLD_TERM);
     if (agreed > commit && ours) {
       commit = agreed;
-      sendAll(now);
+      sendAll();
       if (!member()) {
         // It has led itself out of the group, and that is committed.
         beat(now);
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -37,7 +37,7 @@
   public record Replicas(int ready, int settled, int unseen, int present, int surplus) {}
 
   /** A task that runs, where it can be asked how it is. */
-  public record At(MachineId machine, String address, String zone, int index) {}
+  public record At(String address, int index) {}
 
   final JobSpec spec;
   final long arrivedWallMs;
@@ -251,7 +251,7 @@
     List<At> out = new ArrayList<>();
     for (Presence p : present.values()) {
       if (serves(p)) {
-        out.add(new At(p.machine.id, p.machine.address, p.machine.zone, p.index));
+        out.add(new At(p.machine.address, p.index));
       }
     }
     return out;
--- a/src/main/java/io/saltflow/rollouts/Rollout.java
+++ b/src/main/java/io/saltflow/rollouts/Rollout.java
@@ -91,28 +91,21 @@
         replicas, step, phase, resumes, old, fresh, sinceWallMs, grownWallMs, zones, reason);
   }
 
-  Rollout phase(Phase next, int nextStep, long wallMs) {
+  private Rollout in(Phase next, Phase later, int nextStep, long since, String why) {
     return new Rollout(
-        replicas, nextStep, next, null, wantedOld, wantedNew, wallMs, grownWallMs, zones, reason);
+        replicas, nextStep, next, later, wantedOld, wantedNew, since, grownWallMs, zones, why);
+  }
+
+  Rollout phase(Phase next, int nextStep, long wallMs) {
+    return in(next, null, nextStep, wallMs, reason);
   }
 
   Rollout because(Phase next, String why, long wallMs) {
-    return new Rollout(
-        replicas, step, next, null, wantedOld, wantedNew, wallMs, grownWallMs, zones, why);
+    return in(next, null, step, wallMs, why);
   }
 
   Rollout paused() {
-    return new Rollout(
-        replicas,
-        step,
-        Phase.PAUSED,
-        phase,
-        wantedOld,
-        wantedNew,
-        sinceWallMs,
-        grownWallMs,
-        zones,
-        reason);
+    return in(Phase.PAUSED, phase, step, sinceWallMs, reason);
   }
 
   Rollout of(int newReplicas) {
--- a/src/main/java/io/saltflow/services/ProbeDuty.java
+++ b/src/main/java/io/saltflow/services/ProbeDuty.java
@@ -45,7 +45,13 @@
   private void look() {
     for (Ask ask : probing.due(links.siblings().get(), loop.now())) {
       if (ask.prober().isEmpty()) {
-        askAll(loop, this, links.prober(), ask.places(), LIMITS.timeout(), t -> take("", ask, t));
+        askAll(
+            loop,
+            this,
+            links.prober(),
+            ask.places(),
+            LIMITS.timeout(),
+            t -> answered("", ask.batch(), t));
       } else {
         ProbeFrame.Call call =
             new ProbeFrame.Call(
@@ -55,21 +61,12 @@
     }
   }
 
-  private void take(String prober, Ask ask, List<Long> times) {
-    answered(prober, ask.batch(), times);
-  }
-
   /** A prober's answers. */
   void answered(String prober, long batch, List<Long> times) {
     boolean others = !links.siblings().get().isEmpty();
     probing.answered(prober, batch, times, others).forEach(found);
   }
 
-  /** Probes made, and not made, since this controller leads. */
-  long[] counts() {
-    return probing.counts();
-  }
-
   /** Asks them all at once, and tells the times once the last is known. */
   static void askAll(
       Loop loop,
--- a/src/main/java/io/saltflow/services/ServiceDuty.java
+++ b/src/main/java/io/saltflow/services/ServiceDuty.java
@@ -28,6 +28,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -134,9 +135,7 @@
     if (!s.rolling()) {
       return;
     }
-    Watch.Verdict before = live.verdict();
-    Rollout next = live.next(leader, loop.now(), node.wallMs().getAsLong());
-    trace(live, before);
+    Rollout next = next(live);
     if (!next.equals(s.current().rollout())) {
       if (waits(next)) {
         if (!turns.contains(s.name())) {
@@ -166,7 +165,7 @@
       }
       Service s = live.service();
       // What is seen by now: it may have to go back meanwhile.
-      Rollout next = live.next(leader, loop.now(), node.wallMs().getAsLong());
+      Rollout next = next(live);
       if (!next.equals(s.current().rollout())) {
         goingOn++;
         record(
@@ -206,8 +205,11 @@
 
   // ---- Tracing
 
-  private void trace(LiveService live, Watch.Verdict before) {
+  /** What the record should be by what is seen now; what is new of that is traced. */
+  private Rollout next(LiveService live) {
     long wall = node.wallMs().getAsLong();
+    Watch.Verdict before = live.verdict();
+    Rollout next = live.next(leader, loop.now(), wall);
     Watch.Verdict now = live.verdict();
     if (now != null && (before == null || before.truth() != now.truth())) {
       tellTracer(new RolloutEvent.Judged(live.which(), now.truth(), now.reasons(), wall));
@@ -215,6 +217,7 @@
     for (Span took : live.takeStarts()) {
       tellTracer(new RolloutEvent.Started(live.which(), took.ms(), wall));
     }
+    return next;
   }
 
   private void stands(LiveService live) {
@@ -257,15 +260,12 @@
     };
   }
 
-  private interface Then {
-    void result(ServiceBooks.Result result);
-  }
-
-  private void record(LiveService live, Service next, Then then) {
+  private void record(LiveService live, Service next, Consumer<ServiceBooks.Result> then) {
     record(live, next, true, then);
   }
 
-  private void record(LiveService live, Service next, boolean urgent, Then then) {
+  private void record(
+      LiveService live, Service next, boolean urgent, Consumer<ServiceBooks.Result> then) {
     live.writing = true;
     live.budget(leader, loop.now());
     Body body = ServiceCodec.encode(next);
@@ -287,7 +287,7 @@
               stands(live);
             }
           }
-          then.result(result);
+          then.accept(result);
         });
   }
 
--- a/src/main/java/io/saltflow/statestore/Folder.java
+++ b/src/main/java/io/saltflow/statestore/Folder.java
@@ -30,6 +30,16 @@
     this.folder = folder;
   }
 
+  private interface PartWork {
+    void run(List<Step> part) throws IOException;
+  }
+
+  private static void each(KeyStore.Copy copy, PartWork work) throws IOException {
+    for (List<Step> p = copy.next(KEYS_A_PART); !p.isEmpty(); p = copy.next(KEYS_A_PART)) {
+      work.run(p);
+    }
+  }
+
   private record Seen(KeyStore store, Journal journal) {}
 
   private Seen look(FileDisk disk) throws IOException {
@@ -58,22 +68,22 @@
     ObjectMapper json = new ObjectMapper();
     try (FileDisk disk = FileDisk.reading(folder)) {
       KeyStore.Copy copy = look(disk).store.copy();
-      for (List<Step> part = copy.next(KEYS_A_PART);
-          !part.isEmpty();
-          part = copy.next(KEYS_A_PART)) {
-        for (Step s : part) {
-          for (Effect e : s.effects()) {
-            if (e instanceof Effect.Put p) {
-              Map<String, Object> line = new LinkedHashMap<>();
-              line.put("key", p.key());
-              line.put("version", s.epoch());
-              line.put("lease", p.lease());
-              line.put("value", p.data().fields());
-              out.println(json.writeValueAsString(line));
+      each(
+          copy,
+          part -> {
+            for (Step s : part) {
+              for (Effect e : s.effects()) {
+                if (e instanceof Effect.Put p) {
+                  Map<String, Object> line = new LinkedHashMap<>();
+                  line.put("key", p.key());
+                  line.put("version", s.epoch());
+                  line.put("lease", p.lease());
+                  line.put("value", p.data().fields());
+                  out.println(json.writeValueAsString(line));
+                }
+              }
             }
-          }
-        }
-      }
+          });
     }
   }
 
@@ -106,11 +116,7 @@
       String name = to.getFileName().toString();
       Backup backup = new Backup(beside, name + ".new", seen.journal.identity());
       KeyStore.Copy copy = seen.store.copy();
-      for (List<Step> part = copy.next(KEYS_A_PART);
-          !part.isEmpty();
-          part = copy.next(KEYS_A_PART)) {
-        backup.part(part.stream().map(Step::encode).toList());
-      }
+      each(copy, part -> backup.part(part.stream().map(Step::encode).toList()));
       backup.done();
       beside.rename(name + ".new", name);
       beside.syncNames();
@@ -151,9 +157,7 @@
     Journal journal = Contents.open(disk, MOST_SEGMENT, identity, new KeyStore(), THEN);
     KeyStore.Copy copy = store.copy();
     Journal.Snapshot snapshot = journal.snapshot();
-    for (List<Step> part = copy.next(KEYS_A_PART); !part.isEmpty(); part = copy.next(KEYS_A_PART)) {
-      snapshot.part(part.stream().map(Step::encode).toList());
-    }
+    each(copy, part -> snapshot.part(part.stream().map(Step::encode).toList()));
     snapshot.done();
   }
 }
--- a/src/main/java/io/saltflow/tracing/Exporters.java
+++ b/src/main/java/io/saltflow/tracing/Exporters.java
@@ -18,6 +18,10 @@
   /** A file that is full is kept once, as FILE.1; the one before it goes. */
   private static final int MOST_BYTES = 64 << 20;
 
+  /** Held here: a logger that nobody holds may be collected, and its file with it. */
+  private static final Logger LOGGER =
+      Logger.getLogger(OtlpJsonLoggingSpanExporter.class.getName());
+
   private Exporters() {}
 
   /**
@@ -49,13 +53,8 @@
             return r.getMessage() + "\n";
           }
         });
-    Logger logger = Logger.getLogger(OtlpJsonLoggingSpanExporter.class.getName());
-    logger.setUseParentHandlers(false);
-    logger.addHandler(file);
-    HELD = logger;
+    LOGGER.setUseParentHandlers(false);
+    LOGGER.addHandler(file);
     return OtlpJsonLoggingSpanExporter.create();
   }
-
-  /** A logger that nobody holds may be collected, and its file with it. */
-  private static Logger HELD;
 }
--- a/src/test/java/io/saltflow/app/LocalTest.java
+++ b/src/test/java/io/saltflow/app/LocalTest.java
@@ -6,6 +6,7 @@
 import io.saltflow.serving.AmqpSettings;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.Loop;
+import io.saltflow.transport.LoopThread;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -27,7 +28,7 @@
   private final ByteArrayOutputStream said = new ByteArrayOutputStream();
   private Loop loop;
   private Local local;
-  private Thread thread;
+  private LoopThread thread;
 
   private void start(Path data) throws IOException, ConfigError, InterruptedException {
     loop = new Loop();
@@ -42,17 +43,7 @@
         });
     loop.run();
     assertTrue(ready[0]);
-    thread =
-        new Thread(
-            () -> {
-              try {
-                loop.run();
-                local.cancel();
-              } catch (IOException e) {
-                throw new IllegalStateException(e);
-              }
-            });
-    thread.start();
+    thread = LoopThread.start(loop, local);
   }
 
   private static AmqpSettings queues() throws ConfigError {
@@ -62,8 +53,7 @@
   @AfterEach
   void end() throws InterruptedException {
     if (thread != null) {
-      loop.stop();
-      thread.join();
+      thread.stop();
     }
   }
 
--- a/src/test/java/io/saltflow/app/QueueTakeoverTest.java
+++ b/src/test/java/io/saltflow/app/QueueTakeoverTest.java
@@ -16,7 +16,7 @@
 import io.saltflow.serving.AmqpSettings;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.Loop;
-import io.saltflow.transport.Routine;
+import io.saltflow.transport.LoopThread;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -35,38 +35,10 @@
 
 /** Two controllers, each with its own thread: clients at the one that leads, and the other. */
 class QueueTakeoverTest {
-  /** Something that runs on a thread of its own until it is stopped. */
-  private static final class Running {
-    final Loop loop;
-    final Routine routine;
-    final Thread thread;
-
-    Running(Loop loop, Routine routine) {
-      this.loop = loop;
-      this.routine = routine;
-      thread =
-          new Thread(
-              () -> {
-                try {
-                  loop.run();
-                  routine.cancel();
-                } catch (IOException e) {
-                  throw new IllegalStateException(e);
-                }
-              });
-      thread.start();
-    }
-
-    void stop() throws InterruptedException {
-      loop.stop();
-      thread.join();
-    }
-  }
-
   @TempDir Path folder;
   private final AtomicReference<Boolean> down = new AtomicReference<>(false);
-  private final List<Running> running = new ArrayList<>();
-  private final Map<Integer, Running> nodes = new TreeMap<>();
+  private final List<LoopThread> running = new ArrayList<>();
+  private final Map<Integer, LoopThread> nodes = new TreeMap<>();
   private String outside;
   private AmqpSettings queues;
 
@@ -77,13 +49,13 @@
     outside = around.serve(loop, around.handler());
     // The store belongs to its loop's thread: a test only says what it wants.
     loop.every(Span.millis(5), around, () -> around.store.setDown(down.get(), loop.now()));
-    running.add(new Running(loop, around));
+    running.add(LoopThread.start(loop, around));
     queues = QueueSettings.local().withListen(Addresses.parse("127.0.0.1:0"));
   }
 
   @AfterEach
   void end() throws InterruptedException {
-    for (Running r : running) {
+    for (LoopThread r : running) {
       r.stop();
     }
   }
@@ -114,7 +86,7 @@
             name.hashCode());
     node.start();
     int port = node.amqpPort();
-    Running r = new Running(loop, node);
+    LoopThread r = LoopThread.start(loop, node);
     running.add(r);
     nodes.put(port, r);
     return port;
--- a/src/test/java/io/saltflow/app/RolloutLoad.java
+++ b/src/test/java/io/saltflow/app/RolloutLoad.java
@@ -17,6 +17,7 @@
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.HttpServer;
 import io.saltflow.transport.Loop;
+import io.saltflow.transport.LoopThread;
 import io.saltflow.transport.Routine;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -32,6 +33,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.HdrHistogram.Histogram;
@@ -166,26 +168,15 @@
 
   /** Asks the loop's thread. */
   private <T> T inLoop(Supplier<T> question) throws InterruptedException {
-    List<T> out = new ArrayList<>();
+    AtomicReference<T> out = new AtomicReference<>();
     CountDownLatch told = new CountDownLatch(1);
-    synchronized (questions) {
-      questions.add(
-          () -> {
-            out.add(question.get());
-            told.countDown();
-          });
-    }
+    loop.post(
+        () -> {
+          out.set(question.get());
+          told.countDown();
+        });
     told.await();
-    return out.get(0);
-  }
-
-  private final List<Runnable> questions = new ArrayList<>();
-
-  private void answerQuestions() {
-    synchronized (questions) {
-      questions.forEach(Runnable::run);
-      questions.clear();
-    }
+    return out.get();
   }
 
   // ---- The controllers
@@ -361,18 +352,7 @@
 
   private void run() throws Exception {
     serveOutside();
-    loop.every(Span.millis(10), root, this::answerQuestions);
-    Thread thread =
-        new Thread(
-            () -> {
-              try {
-                loop.run();
-              } catch (IOException e) {
-                throw new IllegalStateException(e);
-              }
-            });
-    thread.setDaemon(true);
-    thread.start();
+    LoopThread.start(loop, root);
     startNodes();
     TimeUnit.SECONDS.sleep(3);
     if (share < 1) {
--- a/src/test/java/io/saltflow/tracing/RolloutTracerTest.java
+++ b/src/test/java/io/saltflow/tracing/RolloutTracerTest.java
@@ -16,6 +16,7 @@
 import io.saltflow.transport.HttpReply;
 import io.saltflow.transport.HttpServer;
 import io.saltflow.transport.Loop;
+import io.saltflow.transport.LoopThread;
 import io.saltflow.transport.Routine;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -139,23 +140,12 @@
                       + new String(body, StandardCharsets.ISO_8859_1).contains("of thumbs"));
               answer.accept(HttpReply.empty(200));
             });
-    Thread thread =
-        new Thread(
-            () -> {
-              try {
-                loop.run();
-              } catch (java.io.IOException e) {
-                throw new IllegalStateException(e);
-              }
-            });
-    thread.start();
+    LoopThread thread = LoopThread.start(loop, root);
     RolloutTracer t = RolloutTracer.to("http://127.0.0.1:" + collector.port() + "/v1/traces", "a");
     tell(t, in(Rollout.Phase.MOVING, ""), 1_000_100);
     tell(t, in(Rollout.Phase.DONE, ""), 1_009_000);
     t.close();
     assertEquals("POST /v1/traces true", posted.poll(30, TimeUnit.SECONDS));
-    loop.stop();
-    thread.join();
-    root.cancel();
+    thread.stop();
   }
 }
