--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -26,6 +26,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -40,6 +41,7 @@
   /** Well below the half second after which a machine that came up reports again. */
   private static final Span LEDGER_EVERY = Span.millis(100);
 
+  private static final Span LOAD_EVERY = Span.seconds(1);
   private static final int MOST_DELETES = 100;
 
   private final Loop loop;
@@ -55,6 +57,8 @@
   private final Consumer<Span> onDeaf;
   private final BooleanSupplier outageForAll;
   private final Consumer<LeaderDuty> onReady;
+  private final IntSupplier turnedAway;
+  private final Load load;
   private Leader leader;
   private LeaderBooks.Inherited former;
   private boolean listing;
@@ -74,7 +78,8 @@
       Consumer<List<MachineType>> onTypes,
       Consumer<Span> onDeaf,
       BooleanSupplier outageForAll,
-      Consumer<LeaderDuty> onReady) {
+      Consumer<LeaderDuty> onReady,
+      IntSupplier turnedAway) {
     super(parent);
     this.loop = loop;
     this.policy = policy;
@@ -89,6 +94,8 @@
     this.onDeaf = onDeaf;
     this.outageForAll = outageForAll;
     this.onReady = onReady;
+    this.turnedAway = turnedAway;
+    this.load = new Load(loop);
   }
 
   /** The core, or null while the records are being read. */
@@ -123,6 +130,10 @@
           }
           List<Job> found = new ArrayList<>();
           for (StateClient.Entry e : listed.entries()) {
+            if (JobStore.isBundle(e.key())) {
+              books.bundle(e.key(), e.value());
+              continue;
+            }
             JobStore.Recorded r = decode(e.key(), e.value());
             if (r != null) {
               found.add(inherited.job(r));
@@ -175,12 +186,19 @@
     loop.every(Span.millis(500), this, this::giveBack);
     loop.every(new Span(Math.max(2000, listLag.ms())), this, this::list);
     loop.every(Span.seconds(20), this, this::refreshTypes);
-    loop.every(Span.seconds(10), this, () -> LOG.info("{}", leader.summary()));
+    loop.every(LOAD_EVERY, this, this::weigh);
+    loop.every(Span.seconds(10), this, () -> LOG.info("{}; {}", leader.summary(), load));
+  }
+
+  private void weigh() {
+    load.look();
+    leader.load(load.busy(), load.heap(), turnedAway.getAsInt(), loop.now());
   }
 
   private void tick() {
     leader.tick(loop.now());
     books.finish();
+    books.unpack();
     books.mark();
     if (leader.deaf(loop.now())) {
       onDeaf.accept(Span.seconds(10));
@@ -226,6 +244,10 @@
       }
       return;
     }
+    if (JobStore.isBundle(put)) {
+      books.bundle(put, event.map(Wire.VALUE));
+      return;
+    }
     JobId id = JobStore.idOfLive(put);
     if (id != null && leader.job(id) == null) {
       JobStore.Recorded r = decode(put, event.map(Wire.VALUE));
@@ -249,6 +271,10 @@
           }
           Set<JobId> live = new HashSet<>();
           for (StateClient.Entry e : listed.entries()) {
+            if (JobStore.isBundle(e.key())) {
+              books.bundle(e.key(), e.value());
+              continue;
+            }
             // One that can't be read is there all the same.
             live.add(JobStore.idOfLive(e.key()));
             JobStore.Recorded r = decode(e.key(), e.value());
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -52,6 +52,12 @@
   private static final Span STATE_TROUBLE = Span.seconds(2);
   private static final Span BEAT_FRESH = Span.seconds(4);
 
+  /** A leader's share of the changes that the state service takes, in usual shares of a node. */
+  private static final double LEADERS_SHARE = 1.6;
+
+  /** Sockets for what this node itself asks, and for its siblings. */
+  private static final int OWN_SOCKETS = 100;
+
   /** Sockets of probes that are under way. */
   private static final int MOST_PROBES = 24;
 
@@ -114,7 +120,8 @@
     double rps = config.stateRps() * 0.45;
     double wps = config.stateWriteRps() * 0.5;
     state = new StateClient(this, loop, stateHttp, watchHttp, rps, wps);
-    jobs = new JobStore(this, loop, state, config.valueKb());
+    String process = config.host() + "-" + Long.toHexString(random.nextLong());
+    jobs = new JobStore(this, loop, state, config.valueKb(), config.txnOps(), process);
     cloud = new CloudClient(this, loop, cloudHttp, config.cloudRps() * 0.75);
     leadership =
         new Leadership(
@@ -152,7 +159,7 @@
             this,
             loop,
             config.serveOn(),
-            Math.max(16, config.sockets() - 100 - clients - (servant == null ? 0 : MOST_PROBES)),
+            connections(config.sockets() - clients - (servant == null ? 0 : MOST_PROBES)),
             this::handle);
     amqp =
         queues == null
@@ -160,6 +167,14 @@
             : new AmqpFront(this, loop, queues, clients, queueNode(wps), leadership::leader);
   }
 
+  /**
+   * Of so many sockets. Those that wait to be taken are in use as well: when they were not counted,
+   * the workers that came all at once after a restart left the leader none for its own requests.
+   */
+  private static int connections(int sockets) {
+    return Math.max(16, sockets - OWN_SOCKETS - HttpServer.backlog(sockets));
+  }
+
   private QueueNode queueNode(double writesPerS) {
     return new QueueNode(
         config.host(),
@@ -221,6 +236,7 @@
   private final class Standing implements Leadership.Listener {
     @Override
     public void elected() {
+      state.share(LEADERS_SHARE);
       duty =
           new LeaderDuty(
               Node.this,
@@ -236,13 +252,15 @@
               Node.this::typesKnown,
               abstain -> leadership.stepDown("no worker's report reaches it", abstain),
               Node.this::outageForAll,
-              Node.this::leads);
+              Node.this::leads,
+              server::takeTurnedAway);
       duty.start();
       beat();
     }
 
     @Override
     public void deposed(String why) {
+      state.share(1);
       if (duty != null) {
         duty.cancel();
         duty = null;
--- /dev/null
+++ b/src/main/java/io/saltflow/bookkeeping/Bundles.java
@@ -0,0 +1,44 @@
+package io.saltflow.bookkeeping;
+
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JobId;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * The form of a bundle: many jobs that were admitted with one change, under a key beside the jobs'
+ * own. It lies there only until the leader has given each of its jobs a record of its own.
+ */
+final class Bundles {
+  /** Sorts behind every job's id, and is none. */
+  static final String PREFIX = Keys.LIVE + "~";
+
+  private Bundles() {}
+
+  static boolean is(String key) {
+    return key.startsWith(PREFIX);
+  }
+
+  static String key(String name) {
+    return PREFIX + name;
+  }
+
+  static Body encode(Map<JobId, Body> records) {
+    Body body = Body.of();
+    records.forEach((id, record) -> body.with(id.text(), record));
+    return body;
+  }
+
+  /** Its jobs' records; a field that is no job's id is an error, never skipped. */
+  static Map<JobId, Body> decode(Body bundle) throws BadMessage {
+    Map<JobId, Body> records = new LinkedHashMap<>();
+    for (String name : bundle.fields().keySet()) {
+      if (!JobId.valid(name)) {
+        throw new BadMessage("a bundle with the field " + name);
+      }
+      records.put(new JobId(name), bundle.map(name));
+    }
+    return records;
+  }
+}
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -5,7 +5,6 @@
 import io.saltflow.protocol.JobCodec;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
-import io.saltflow.protocol.MsgPack;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.Time;
@@ -63,7 +62,8 @@
 
   private final Loop loop;
   private final StateClient state;
-  private final int valueBytes;
+  private final LiveCheck live;
+  private final Admissions admissions;
   private final Map<JobId, Known> over =
       new LinkedHashMap<>(64, 0.75f, false) {
         @Override
@@ -72,43 +72,23 @@
         }
       };
 
-  public JobStore(Routine parent, Loop loop, StateClient state, double valueKb) {
+  /**
+   * @param txnOps how many writes a transaction of the state service may have
+   * @param process differs from that of every other process that was ever started
+   */
+  public JobStore(
+      Routine parent, Loop loop, StateClient state, double valueKb, int txnOps, String process) {
     super(parent);
     this.loop = loop;
     this.state = state;
-    this.valueBytes = (int) (valueKb * 1024);
+    int valueBytes = (int) (valueKb * 1024);
+    live = new LiveCheck(this, loop, state, txnOps);
+    admissions = new Admissions(this, loop, state, live, this::find, valueBytes, txnOps, process);
   }
 
   /** Writes a new job down, or finds that it is known. */
   public void admit(JobSpec spec, long wallMs, Consumer<Outcome> then) {
-    Body record = encode(spec, wallMs);
-    if (MsgPack.encode(record).length * 5 / 4 > valueBytes) {
-      then.accept(new Outcome.TooLarge());
-      return;
-    }
-    admit(spec.id(), record, loop.now().plus(PATIENCE), then);
-  }
-
-  private void admit(JobId id, Body record, Time deadline, Consumer<Outcome> then) {
-    Txn txn =
-        new Txn()
-            .guard(Keys.live(id), Stamp.ABSENT)
-            .guard(Keys.over(id), Stamp.ABSENT)
-            .put(Keys.live(id), record);
-    state.commit(
-        StateClient.Rank.USER,
-        txn,
-        TRY,
-        a -> {
-          if (a.ok()) {
-            then.accept(new Outcome.Created(id));
-          } else if (a.status() == 409) {
-            // Known already; perhaps by a try of ours whose answer was lost.
-            find(id, then);
-          } else {
-            again(a, deadline, () -> admit(id, record, deadline, then), then);
-          }
-        });
+    admissions.add(spec.id(), encode(spec, wallMs), then);
   }
 
   /** A request that got no clear answer is tried again at once, or given up on at once. */
@@ -130,22 +110,36 @@
       then.accept(new Outcome.Found(known));
       return;
     }
+    live.ask(
+        id,
+        verdict -> {
+          switch (verdict) {
+            case LIVE -> then.accept(new Outcome.Found(new Known(id, Phase.LIVE, 0)));
+            case UNKNOWN -> then.accept(new Outcome.Unknown());
+            case TO_READ -> read(id, then, () -> findBundled(id, then));
+          }
+        });
+  }
+
+  /** Reads in the order in which a job moves, so that it is not missed between two reads. */
+  private void read(JobId id, Consumer<Outcome> then, Runnable ifAbsent) {
     state.get(
         StateClient.Rank.USER,
         Keys.live(id),
         TRY,
-        live -> {
-          if (live == null) {
+        e -> {
+          if (e == null) {
             then.accept(new Outcome.Unknown());
-          } else if (live.value() != null) {
-            then.accept(new Outcome.Found(new Known(id, Phase.LIVE, count(live.value()))));
+          } else if (e.value() != null) {
+            live.seen(id, e.version());
+            then.accept(new Outcome.Found(new Known(id, Phase.LIVE, count(e.value()))));
           } else {
-            findOver(id, then);
+            readOver(id, then, ifAbsent);
           }
         });
   }
 
-  private void findOver(JobId id, Consumer<Outcome> then) {
+  private void readOver(JobId id, Consumer<Outcome> then, Runnable ifAbsent) {
     state.get(
         StateClient.Rank.USER,
         Keys.over(id),
@@ -154,7 +148,7 @@
           if (e == null) {
             then.accept(new Outcome.Unknown());
           } else if (e.value() == null) {
-            then.accept(new Outcome.Absent());
+            ifAbsent.run();
           } else {
             Known k = ended(id, e.value());
             if (k == null) {
@@ -168,6 +162,43 @@
         });
   }
 
+  /**
+   * It has no record of its own and had not ended: it lies in a bundle, or was never accepted, or
+   * was given a record while we looked. Only after the bundles is another look at the records proof
+   * that it is absent, since jobs move from those to these.
+   */
+  private void findBundled(JobId id, Consumer<Outcome> then) {
+    state.list(
+        StateClient.Rank.USER,
+        Bundles.PREFIX,
+        bundles -> {
+          if (bundles == null) {
+            then.accept(new Outcome.Unknown());
+            return;
+          }
+          boolean found = false;
+          try {
+            for (StateClient.Entry e : bundles.entries()) {
+              for (JobId each : Bundles.decode(e.value()).keySet()) {
+                found |= each.equals(id);
+                if (!over.containsKey(each)) {
+                  live.seenIn(each, e.key(), e.version());
+                }
+              }
+            }
+          } catch (BadMessage e) {
+            LOG.error("a bundle can't be read: {}", e.getMessage());
+            then.accept(new Outcome.Unknown());
+            return;
+          }
+          if (found) {
+            then.accept(new Outcome.Found(new Known(id, Phase.LIVE, 0)));
+          } else {
+            read(id, then, () -> then.accept(new Outcome.Absent()));
+          }
+        });
+  }
+
   /** How a job ended; null when the record does not say so clearly. */
   private static Known ended(JobId id, Body record) {
     for (Phase phase : List.of(Phase.DONE, Phase.CANCELLED)) {
@@ -207,6 +238,7 @@
               a -> {
                 if (a.ok()) {
                   over.put(id, ended);
+                  live.forget(id);
                   then.accept(new Outcome.Found(ended));
                 } else {
                   again(a, deadline, () -> cancel(id, deadline, then), then);
@@ -227,6 +259,7 @@
   }
 
   void remember(JobId id, int tasks) {
+    live.forget(id);
     over.put(id, new Known(id, Phase.DONE, tasks));
   }
 
@@ -240,7 +273,12 @@
         JobCodec.decode(record.map(SPEC)), record.integer(ARRIVED), record.flagOr(STARTED, false));
   }
 
-  /** Every job that is not over, and the revision from which to watch. */
+  /** Whether a key found among the live jobs is that of a bundle of them. */
+  public static boolean isBundle(String key) {
+    return Bundles.is(key);
+  }
+
+  /** Every job that is not over, bundles too, and the revision from which to watch. */
   public void listLive(Consumer<StateClient.Listing> then) {
     state.list(StateClient.Rank.LEADERSHIP, Keys.LIVE, then);
   }
@@ -250,8 +288,11 @@
     return Keys.live(id);
   }
 
+  /** The job of a record's key; null: it is another's, or a bundle's. */
   public static JobId idOfLive(String key) {
-    return key.startsWith(Keys.LIVE) ? new JobId(key.substring(Keys.LIVE.length())) : null;
+    return key.startsWith(Keys.LIVE) && !Bundles.is(key)
+        ? new JobId(key.substring(Keys.LIVE.length()))
+        : null;
   }
 
   public void watchLive(long after, Span hold, Consumer<StateClient.Answer> then) {
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -4,6 +4,7 @@
 import io.saltflow.coordination.Job;
 import io.saltflow.coordination.Leader;
 import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
 import io.saltflow.protocol.CloudCodec;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MachineId;
@@ -41,8 +42,10 @@
   private final int valueBytes;
   private final Pages<Leader.LedgerEntry> ledger;
   private final Pages<Job> progress;
+  private final Unpacking unpacking = new Unpacking();
   private Leader leader;
   private int underWay;
+  private boolean unpackingStep;
 
   public LeaderBooks(
       Routine parent,
@@ -223,6 +226,36 @@
     ledger.flush(true);
   }
 
+  /** A bundle of jobs was found among the live ones. */
+  public void bundle(String key, Body value) {
+    unpacking.found(key, value);
+  }
+
+  /** Jobs that were admitted in bundles get records of their own; then they can be started. */
+  public void unpack() {
+    if (unpacking.isEmpty() || unpackingStep) {
+      return;
+    }
+    unpackingStep = true;
+    Unpacking.Step step = unpacking.next(txnOps);
+    state.commit(
+        StateClient.Rank.UNPACKING,
+        step.into(guarded()),
+        TRY,
+        a -> {
+          unpackingStep = false;
+          if (cancelled()) {
+            return;
+          }
+          if (a.ok()) {
+            unpacking.done(step);
+            unpack();
+          } else if (a.status() == 409) {
+            unpacking.refused(step, a);
+          }
+        });
+  }
+
   /** Machines are written down before they are used. */
   public void ledger() {
     for (Leader.LedgerEntry e : leader.toLedger()) {
--- /dev/null
+++ b/src/main/java/io/saltflow/bookkeeping/LiveCheck.java
@@ -0,0 +1,182 @@
+package io.saltflow.bookkeeping;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Time;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Says of many jobs with one request that they are still live: a transaction without writes
+ * compares the versions of their records with those that this node has seen. It is carried out at
+ * one revision after all of them were asked about, so its answer is never older than a read's would
+ * be. With a read each, the polls of some five hundred jobs used the whole rate of the state
+ * service, and submissions were refused for it.
+ */
+final class LiveCheck extends Routine {
+  /** What was found. */
+  enum Verdict {
+    LIVE,
+    /** The record is not what it was, or was never seen here: it has to be read. */
+    TO_READ,
+    /** It could not be told: to be asked again. */
+    UNKNOWN
+  }
+
+  private static final Span TRY = Span.millis(1500);
+
+  /** So long questions are collected when the last request was sent just before. */
+  private static final Span PACE = Span.millis(100);
+
+  private static final int MOST_GUARDS = 64;
+  private static final int MOST_KNOWN = 8000;
+
+  /** A record as it was seen: versions of keys that all hold as long as the job is live. */
+  private record Seen(List<Guard> guards) {}
+
+  private record Guard(String key, Stamp version) {}
+
+  private final Loop loop;
+  private final StateClient state;
+  private final int mostGuards;
+  private final Map<JobId, Seen> seen =
+      new LinkedHashMap<>(64, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<JobId, Seen> eldest) {
+          return size() > MOST_KNOWN;
+        }
+      };
+  private Map<JobId, List<Consumer<Verdict>>> asked = new LinkedHashMap<>();
+  private Time lastSent = Time.LONG_AGO;
+  private boolean planned;
+
+  /**
+   * @param txnOps how many writes a transaction of the state service may have; it takes four times
+   *     as many conditions
+   */
+  LiveCheck(Routine parent, Loop loop, StateClient state, int txnOps) {
+    super(parent);
+    this.loop = loop;
+    this.state = state;
+    this.mostGuards = Math.min(MOST_GUARDS, 4 * Math.max(1, txnOps));
+  }
+
+  /** The job's own record was of this version. */
+  void seen(JobId id, Stamp version) {
+    seen.put(id, new Seen(List.of(new Guard(Keys.live(id), version))));
+  }
+
+  /** The job stands in a bundle of this version, and had not ended. */
+  void seenIn(JobId id, String bundle, Stamp version) {
+    seen.put(
+        id, new Seen(List.of(new Guard(bundle, version), new Guard(Keys.over(id), Stamp.ABSENT))));
+  }
+
+  void forget(JobId id) {
+    seen.remove(id);
+  }
+
+  void ask(JobId id, Consumer<Verdict> then) {
+    if (!seen.containsKey(id)) {
+      then.accept(Verdict.TO_READ);
+      return;
+    }
+    asked.computeIfAbsent(id, i -> new ArrayList<>(1)).add(then);
+    if (planned) {
+      return;
+    }
+    Span sinceLast = loop.now().since(lastSent);
+    if (sinceLast.compareTo(PACE) >= 0) {
+      flush();
+    } else {
+      planned = true;
+      loop.after(PACE.minus(sinceLast), this, this::flush);
+    }
+  }
+
+  private void flush() {
+    planned = false;
+    lastSent = loop.now();
+    Map<JobId, List<Consumer<Verdict>>> all = asked;
+    asked = new LinkedHashMap<>();
+    Map<JobId, List<Consumer<Verdict>>> some = new LinkedHashMap<>();
+    int guards = 0;
+    for (Map.Entry<JobId, List<Consumer<Verdict>>> e : all.entrySet()) {
+      Seen s = seen.get(e.getKey());
+      if (s == null) {
+        e.getValue().forEach(c -> c.accept(Verdict.TO_READ));
+        continue;
+      }
+      if (guards + s.guards.size() > mostGuards) {
+        compare(some);
+        some = new LinkedHashMap<>();
+        guards = 0;
+      }
+      guards += s.guards.size();
+      some.put(e.getKey(), e.getValue());
+    }
+    if (!some.isEmpty()) {
+      compare(some);
+    }
+  }
+
+  private void compare(Map<JobId, List<Consumer<Verdict>>> some) {
+    Map<String, Stamp> versions = new LinkedHashMap<>();
+    Map<JobId, Seen> compared = new LinkedHashMap<>();
+    for (JobId id : some.keySet()) {
+      compared.put(id, seen.get(id));
+      seen.get(id).guards.forEach(g -> versions.put(g.key, g.version));
+    }
+    Txn txn = new Txn();
+    versions.forEach(txn::guard);
+    state.commit(
+        StateClient.Rank.USER,
+        txn,
+        TRY,
+        a -> {
+          if (a.status() == 409) {
+            moved(a, some, compared);
+          } else {
+            Verdict verdict = a.ok() ? Verdict.LIVE : Verdict.UNKNOWN;
+            some.values().forEach(askers -> answer(askers, verdict));
+          }
+        });
+  }
+
+  /**
+   * Some records of the batch are not what they were. Those that the answer names are read; it does
+   * not promise to name all, so the others are compared again without them.
+   */
+  private void moved(
+      StateClient.Answer a, Map<JobId, List<Consumer<Verdict>>> some, Map<JobId, Seen> compared) {
+    Map<JobId, List<Consumer<Verdict>>> rest = new LinkedHashMap<>(some);
+    compared.forEach(
+        (id, s) -> {
+          if (s.guards.stream().anyMatch(g -> a.refusedFor(g.key))) {
+            rest.remove(id);
+            seen.remove(id, s);
+          }
+        });
+    boolean named = rest.size() < some.size();
+    some.forEach(
+        (id, askers) -> {
+          if (!named || !rest.containsKey(id)) {
+            answer(askers, Verdict.TO_READ);
+          }
+        });
+    rest.keySet().retainAll(seen.keySet());
+    if (named && !rest.isEmpty()) {
+      compare(rest);
+    }
+  }
+
+  private static void answer(List<Consumer<Verdict>> askers, Verdict verdict) {
+    askers.forEach(asker -> asker.accept(verdict));
+  }
+}
--- a/src/main/java/io/saltflow/bookkeeping/StateClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -36,6 +36,8 @@
     /** What a launch waits for: the ledger, and the jobs that may have been started. */
     SAFETY,
     USER,
+    /** Records of jobs that were accepted already, together with others. */
+    UNPACKING,
     BOOKS
   }
 
@@ -64,8 +66,9 @@
   private final Loop loop;
   private final HttpClient client;
   private final HttpClient watches;
+  private final double wps;
   private final Budget requests;
-  private final Budget writes;
+  private Budget writes;
   private final Map<Rank, ArrayDeque<Pending>> queues = new EnumMap<>(Rank.class);
   private boolean pumping;
   private Time lastGood;
@@ -78,6 +81,7 @@
     this.client = client;
     this.watches = watches;
     this.requests = new Budget(rps, rps, loop.now());
+    this.wps = wps;
     this.writes = new Budget(wps, wps, loop.now());
     this.lastGood = loop.now();
     for (Rank rank : Rank.values()) {
@@ -127,6 +131,26 @@
     pump();
   }
 
+  /**
+   * A leader writes most of what is written: it may use this many times a node's usual share of the
+   * changes. What it can't have is refused to it as to anybody.
+   */
+  public void share(double times) {
+    writes = new Budget(wps * times, wps * times, loop.now());
+  }
+
+  /** Whether a write of a user's would go at once. */
+  boolean mayWrite() {
+    for (Rank rank : List.of(Rank.SAFETY, Rank.USER)) {
+      for (Pending p : queues.get(rank)) {
+        if (p.writeCount > 0) {
+          return false;
+        }
+      }
+    }
+    return writes.has(1, loop.now());
+  }
+
   /**
    * Sends what the budget allows, by rank and in order. Nothing of a lower rank is written while
    * something of a higher one waits for the budget of writes, or a transaction of many writes would
--- /dev/null
+++ b/src/main/java/io/saltflow/bookkeeping/Unpacking.java
@@ -0,0 +1,129 @@
+package io.saltflow.bookkeeping;
+
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.Priority;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What a leader still has to take out of bundles: each job gets a record of its own, the most
+ * urgent first, and a bundle goes when all its jobs have one or are over. Pure: {@link #next} says
+ * what to write, the answer is told by {@link #done} or {@link #refused}.
+ */
+final class Unpacking {
+  private static final Logger LOG = LoggerFactory.getLogger(Unpacking.class);
+
+  /** One job of a bundle. */
+  record Item(JobId id, Body record, Priority priority, long order, String bundle) {}
+
+  /** What one transaction does: records to write, and bundles of which nothing is left. */
+  record Step(List<Item> items, List<String> empty) {
+    int writes() {
+      return items.size() + empty.size();
+    }
+
+    /** Written only where there is neither a record nor an end: a job may lie in two bundles. */
+    Txn into(Txn txn) {
+      for (Item item : items) {
+        Admissions.absent(txn, item.id).put(Keys.live(item.id), item.record);
+      }
+      empty.forEach(txn::delete);
+      return txn;
+    }
+  }
+
+  private static final Comparator<Item> URGENT_FIRST =
+      Comparator.comparing(Item::priority)
+          .reversed()
+          .thenComparingLong(Item::order)
+          .thenComparing(Item::id);
+
+  private final TreeSet<Item> left = new TreeSet<>(URGENT_FIRST);
+  private final Map<String, Integer> open = new HashMap<>();
+  private final List<String> empty = new ArrayList<>();
+  private final Set<String> found = new HashSet<>();
+  private long order;
+  private boolean oneByOne;
+
+  /** A bundle was read; one that is known already changes nothing. */
+  void found(String key, Body bundle) {
+    if (!found.add(key)) {
+      return;
+    }
+    try {
+      Map<JobId, Body> records = Bundles.decode(bundle);
+      open.put(key, records.size());
+      records.forEach((id, r) -> left.add(new Item(id, r, priority(r), order++, key)));
+      if (records.isEmpty()) {
+        empty.add(key);
+      }
+    } catch (BadMessage e) {
+      // It stays where it is, for a version that can read it: its jobs were accepted.
+      LOG.error("{} can't be read: {}", key, e.getMessage());
+    }
+  }
+
+  private static Priority priority(Body record) {
+    try {
+      return JobStore.decode(record).spec().priority();
+    } catch (BadMessage e) {
+      return Priority.NORMAL;
+    }
+  }
+
+  boolean isEmpty() {
+    return left.isEmpty() && empty.isEmpty();
+  }
+
+  /** The next transaction, of at most so many writes. */
+  Step next(int most) {
+    List<Item> items = new ArrayList<>();
+    for (Item item : left) {
+      if (items.size() >= (oneByOne ? 1 : most)) {
+        break;
+      }
+      // Of a job that lies in two bundles, one at a time.
+      if (items.stream().noneMatch(i -> i.id.equals(item.id))) {
+        items.add(item);
+      }
+    }
+    List<String> gone =
+        new ArrayList<>(empty.subList(0, Math.min(empty.size(), most - items.size())));
+    return new Step(items, gone);
+  }
+
+  void done(Step step) {
+    oneByOne = false;
+    step.items.forEach(this::settled);
+    empty.removeAll(step.empty);
+  }
+
+  /** The transaction was refused for some keys: whose key it was has a record or is over. */
+  void refused(Step step, StateClient.Answer answer) {
+    boolean named = false;
+    for (Item item : step.items) {
+      if (answer.refusedFor(Keys.live(item.id)) || answer.refusedFor(Keys.over(item.id))) {
+        settled(item);
+        named = true;
+      }
+    }
+    oneByOne = !named;
+  }
+
+  private void settled(Item item) {
+    if (left.remove(item) && open.merge(item.bundle, -1, Integer::sum) == 0) {
+      open.remove(item.bundle);
+      empty.add(item.bundle);
+    }
+  }
+}
--- a/src/main/java/io/saltflow/coordination/Account.java
+++ b/src/main/java/io/saltflow/coordination/Account.java
@@ -32,6 +32,7 @@
   enum Trouble {
     SILENT("machines have fallen silent"),
     LATE_BOOT("machines are late to come up"),
+    FULL("machines are as many as this controller can serve, no more are rented"),
     LATE_JOBS("jobs are past their deadline"),
     GUARANTEE("jobs within their team's guarantee wait for room");
 
--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -54,6 +54,15 @@
   private final Account account;
   private boolean missing;
 
+  /**
+   * Machines that might hold tasks of a former leader, and all of them together. Kept up as they
+   * are heard: summed up over thousands of machines at each of their reports it was most of a
+   * takeover.
+   */
+  private int unheard;
+
+  private Size unheardSize = Size.ZERO;
+
   Fencing(
       Policy policy,
       Term term,
@@ -80,7 +89,36 @@
   }
 
   void add(Machine m) {
-    machines.putIfAbsent(m.id, m);
+    if (machines.putIfAbsent(m.id, m) == null && m.mightHoldOldTasks) {
+      count(m);
+    }
+  }
+
+  private void count(Machine m) {
+    unheard++;
+    m.unheardAs = m.type == null ? BEYOND_ANY_LIMIT : m.type.size();
+    unheardSize = unheardSize.plus(m.unheardAs);
+  }
+
+  /** Types have become known: machines that counted as larger than any limit are measured. */
+  void recount() {
+    unheard = 0;
+    unheardSize = Size.ZERO;
+    for (Machine m : machines.values()) {
+      if (m.mightHoldOldTasks) {
+        count(m);
+      }
+    }
+  }
+
+  /** What former leaders launched there is known now, or gone. */
+  private void accountedFor(Machine m) {
+    if (m.mightHoldOldTasks) {
+      m.mightHoldOldTasks = false;
+      unheard--;
+      // Sums of amounts keep no dust when all have been taken off.
+      unheardSize = unheard == 0 ? Size.ZERO : unheardSize.minus(m.unheardAs);
+    }
   }
 
   /** Part of the ledger could not be read: there may be machines that are not known. */
@@ -90,26 +128,12 @@
 
   /** Whether every machine that a former leader may have used is accounted for. */
   boolean allAccounted() {
-    if (missing) {
-      return false;
-    }
-    for (Machine m : machines.values()) {
-      if (m.mightHoldOldTasks) {
-        return false;
-      }
-    }
-    return true;
+    return !missing && unheard == 0;
   }
 
   /** All of every machine that might hold tasks of a former leader and has not been heard of. */
   Size unaccounted() {
-    Size unknown = missing ? BEYOND_ANY_LIMIT : Size.ZERO;
-    for (Machine m : machines.values()) {
-      if (m.mightHoldOldTasks) {
-        unknown = unknown.plus(m.type == null ? BEYOND_ANY_LIMIT : m.type.size());
-      }
-    }
-    return unknown;
+    return missing ? BEYOND_ANY_LIMIT : unheardSize;
   }
 
   /**
@@ -158,7 +182,7 @@
     }
     if (ours) {
       m.accounted = true;
-      m.mightHoldOldTasks = false;
+      accountedFor(m);
       // Orders travel only in answers, and the worker made this report after it had executed or
       // dropped every earlier answer: what it does not list is not there.
       dropAll(
@@ -308,7 +332,7 @@
   Machine deleted(MachineId id, Time now) {
     Machine m = machines.remove(id);
     if (m != null) {
-      m.mightHoldOldTasks = false;
+      accountedFor(m);
       dropAll(m, p -> true, "its machine was returned", now);
     }
     return m;
@@ -333,7 +357,7 @@
       }
       if (m.mightHoldOldTasks) {
         account.happened("machines stayed silent until their lease and tasks were over", m.id);
-        m.mightHoldOldTasks = false;
+        accountedFor(m);
       }
       if (!m.presences.isEmpty()) {
         dropAll(m, p -> true, "its machine was silent until its lease was over", now);
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -56,14 +56,20 @@
     return open.values();
   }
 
-  /** What is to be rented for those who wait, beside what is on its way. */
+  /**
+   * What is to be rented for those who wait, beside what is on its way.
+   *
+   * @param most so many machines there may be in all
+   */
   List<Hire> plan(
       List<Scheduler.Waiting> waiting,
       Backlog backlog,
       Collection<Machine> machines,
       Collection<MachineType> types,
+      int most,
       Time now) {
-    if (open.size() >= MOST_OPEN) {
+    int mayRent = most - machines.size() - open.values().stream().mapToInt(Hire::count).sum();
+    if (open.size() >= MOST_OPEN || mayRent <= 0) {
       return List.of();
     }
     // What all jobs want of a kind is asked for together: the cloud takes few requests a second.
@@ -127,7 +133,11 @@
       }
       Size room = option.type.size();
       int slots = task.countIn(room);
-      int count = (left + slots - 1) / slots;
+      int count = Math.min(mayRent, (left + slots - 1) / slots);
+      if (count == 0) {
+        break;
+      }
+      mayRent -= count;
       wanted.merge(option, count, Integer::sum);
       double rented = count * room.cores();
       fleetCores += rented;
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -63,6 +63,7 @@
   private final Watchman watchman;
   private final TeamUse use;
   private final Usage usage = new Usage();
+  private final Capacity capacity = new Capacity();
   private final Set<MachineId> goneForGood = new LinkedHashSet<>();
   private List<Scheduler.Waiting> waiting = List.of();
   private Backlog backlog = Backlog.NONE;
@@ -142,6 +143,7 @@
     for (Machine m : fencing.machines()) {
       m.type = types.get(m.typeName);
     }
+    fencing.recount();
     changed = true;
   }
 
@@ -409,7 +411,8 @@
       return List.of();
     }
     List<Rental> out = new ArrayList<>();
-    for (Fleet.Hire h : fleet.plan(waiting, backlog, fencing.machines(), types.values(), now)) {
+    for (Fleet.Hire h :
+        fleet.plan(waiting, backlog, fencing.machines(), types.values(), capacity.most(), now)) {
       account.happened("machines are asked for", h.count(), h.count() + " " + h.kind());
       out.add(new Rental(h));
     }
@@ -471,7 +474,8 @@
       // look like one of an unknown type, and be returned with all that runs on it.
       return List.of();
     }
-    return returns.toReturn(fencing.machines(), tookOver, accountedAt, now);
+    Time deafUntil = capacity.deafUntil();
+    return returns.toReturn(fencing.machines(), deafUntil, tookOver, accountedAt, now);
   }
 
   /** The cloud confirmed: the machines and all on them are gone. */
@@ -512,6 +516,19 @@
     }
   }
 
+  /**
+   * What serving all this cost the process in the last second.
+   *
+   * @param busy the part of it that the one thread was at work, 0 to 1
+   * @param heap the part of the heap that is held, 0 to 1
+   * @param turnedAway connections that were closed for want of sockets
+   */
+  public void load(double busy, double heap, int turnedAway, Time now) {
+    int machines = fencing.machines().size();
+    capacity.look(new Capacity.Load(busy, heap, turnedAway), machines, now);
+    account.level(Account.Trouble.FULL, capacity.full() ? machines : 0, capacity.what(), now);
+  }
+
   /** Whether workers that should report have all been silent: we may be the ones cut off. */
   public boolean deaf(Time now) {
     int expected = 0;
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -45,6 +45,9 @@
   /** Might hold tasks that a former leader launched. */
   boolean mightHoldOldTasks;
 
+  /** What it counts for among those: its size, or more than any limit while that is not known. */
+  Size unheardAs = Size.ZERO;
+
   /** Reports are overdue: what is given to it now would wait, perhaps for nothing. */
   boolean quiet;
 
--- a/src/main/java/io/saltflow/coordination/Returns.java
+++ b/src/main/java/io/saltflow/coordination/Returns.java
@@ -17,9 +17,14 @@
     this.account = account;
   }
 
-  /** Machines to return: silent, faulty, never up, taken soon and empty, or idle for too long. */
+  /**
+   * Machines to return: silent, faulty, never up, taken soon and empty, or idle for too long.
+   *
+   * @param deafUntil until when reports may have come in vain: silence before it is not the
+   *     machines' own, though none is waited for longer than its lease for that
+   */
   List<MachineId> toReturn(
-      Collection<Machine> machines, Time tookOver, Time accountedAt, Time now) {
+      Collection<Machine> machines, Time deafUntil, Time tookOver, Time accountedAt, Time now) {
     List<MachineId> out = new ArrayList<>();
     int heard = 0;
     int silent = 0;
@@ -28,7 +33,7 @@
     for (Machine m : machines) {
       if (m.up || m.mightHoldOldTasks) {
         heard++;
-        if (silentFor(m, tookOver, now).longerThan(policy.reportOverdue())) {
+        if (silentFor(m, deafUntil, tookOver, now).longerThan(policy.reportOverdue())) {
           silent++;
         }
         old++;
@@ -43,7 +48,7 @@
       if (m.deleteAsked) {
         continue;
       }
-      String why = reason(m, cut, patience, tookOver, accountedAt, now);
+      String why = reason(m, cut, patience, deafUntil, tookOver, accountedAt, now);
       if (why != null) {
         account.happened("machines are returned: " + why, m.id + " " + m.kind());
         m.leaving = true;
@@ -70,13 +75,21 @@
     return true;
   }
 
-  private static Span silentFor(Machine m, Time tookOver, Time now) {
-    return now.since(Time.later(m.lastHeard, tookOver));
+  private Span silentFor(Machine m, Time deafUntil, Time tookOver, Time now) {
+    Time heard = Time.later(m.lastHeard, tookOver);
+    Time granted = Time.earlier(deafUntil, heard.plus(policy.leaseSurelyOver()));
+    return now.since(Time.later(heard, granted));
   }
 
   private String reason(
-      Machine m, boolean cut, Span patience, Time tookOver, Time accountedAt, Time now) {
-    Span silence = silentFor(m, tookOver, now);
+      Machine m,
+      boolean cut,
+      Span patience,
+      Time deafUntil,
+      Time tookOver,
+      Time accountedAt,
+      Time now) {
+    Span silence = silentFor(m, deafUntil, tookOver, now);
     Span most = m.mightHoldOldTasks ? patience : policy.silence();
     if (m.unlisted) {
       most = m.mightHoldOldTasks ? policy.report() : policy.reportOverdue();
--- a/src/main/java/io/saltflow/protocol/MsgPack.java
+++ b/src/main/java/io/saltflow/protocol/MsgPack.java
@@ -15,10 +15,21 @@
 public final class MsgPack {
   private static final int MAX_DEPTH = 16;
 
+  /**
+   * Both are made for a message: with the library's own sizes each would take 8 and 16 KiB, at some
+   * thousand reports a second most of what is allocated. Texts that are longer than the decoder's
+   * buffer are read in pieces.
+   */
+  private static final MessagePack.PackerConfig PACKER =
+      new MessagePack.PackerConfig().withBufferSize(1024);
+
+  private static final MessagePack.UnpackerConfig UNPACKER =
+      new MessagePack.UnpackerConfig().withStringDecoderBufferSize(128);
+
   private MsgPack() {}
 
   public static byte[] encode(Body body) {
-    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+    try (MessageBufferPacker packer = PACKER.newBufferPacker()) {
       write(packer, body.fields());
       return packer.toByteArray();
     } catch (IOException e) {
@@ -56,7 +67,7 @@
   }
 
   public static Body decode(byte[] bytes) throws BadMessage {
-    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+    try (MessageUnpacker unpacker = UNPACKER.newUnpacker(bytes)) {
       Object value = read(unpacker, bytes.length, 0);
       if (unpacker.hasNext()) {
         throw new BadMessage("the body has bytes after its map");
--- a/src/main/java/io/saltflow/transport/HttpClient.java
+++ b/src/main/java/io/saltflow/transport/HttpClient.java
@@ -20,6 +20,9 @@
   private static final int MAX_BODY = 8 * 1024 * 1024;
   private static final Span POOL_IDLE = Span.seconds(20);
 
+  /** After a connection could not be opened, those that are open serve alone for so long. */
+  private static final Span NO_CONNECT = Span.millis(100);
+
   /** What came back, and when to come back if that was said (in seconds, else 0). */
   public record Answer(int status, byte[] body, Time sent, int retryAfterS) {
     /** No answer came: status 0. */
@@ -41,6 +44,7 @@
   private final int maxQueue;
   private final ArrayDeque<Connection> idle = new ArrayDeque<>();
   private final ArrayDeque<Request> queue = new ArrayDeque<>();
+  private Time noConnectUntil = Time.LONG_AGO;
 
   public HttpClient(
       Routine parent, Loop loop, InetSocketAddress address, int maxConnections, int maxQueue) {
@@ -73,10 +77,15 @@
     while (!queue.isEmpty()) {
       Connection connection = idle.pollLast();
       if (connection == null) {
-        if (childCount() >= maxConnections) {
+        boolean few = childCount() > 0 && loop.now().before(noConnectUntil);
+        if (childCount() >= maxConnections || few) {
           return;
         }
         connection = connect();
+        if (connection == null && childCount() > 0) {
+          noConnect();
+          return;
+        }
         if (connection == null) {
           Request request = queue.poll();
           loop.after(Span.millis(20), this, () -> request.then.accept(Answer.none(loop.now())));
@@ -87,6 +96,12 @@
     }
   }
 
+  /** No socket is to be had: what waits goes over the connections that there are. */
+  private void noConnect() {
+    noConnectUntil = loop.now().plus(NO_CONNECT);
+    loop.after(NO_CONNECT, this, this::pump);
+  }
+
   private Connection connect() {
     try {
       SocketChannel socket = SocketChannel.open();
@@ -94,8 +109,8 @@
       socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
       Connection connection = new Connection(socket);
       try {
-        boolean connected = socket.connect(address);
-        connection.open(connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT);
+        connection.connected = socket.connect(address);
+        connection.open(connection.connected ? SelectionKey.OP_READ : SelectionKey.OP_CONNECT);
         return connection;
       } catch (IOException e) {
         connection.cancel();
@@ -119,11 +134,23 @@
     private Request current;
     private Time sent;
     private Time usedAt = HttpClient.this.loop.now();
+    private boolean connected;
 
     Connection(SocketChannel socket) {
       super(HttpClient.this, HttpClient.this.loop, socket);
     }
 
+    @Override
+    protected void onConnected() {
+      connected = true;
+    }
+
+    /** Answers that we wait for, a lease's renewal among them, go before what others ask. */
+    @Override
+    public boolean first() {
+      return true;
+    }
+
     void start(Request request) {
       current = request;
       sent = loop.now();
@@ -180,7 +207,12 @@
       if (current != null) {
         Request lost = current;
         current = null;
-        if (!HttpClient.this.cancelled()) {
+        boolean expired = !loop.now().before(lost.deadline);
+        if (!connected && !expired && HttpClient.this.childCount() > 0) {
+          // It was never sent. Others are open, so the endpoint is there.
+          queue.addFirst(lost);
+          noConnect();
+        } else if (!HttpClient.this.cancelled()) {
           loop.after(
               Span.millis(1),
               HttpClient.this,
--- a/src/main/java/io/saltflow/transport/HttpParser.java
+++ b/src/main/java/io/saltflow/transport/HttpParser.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /**
  * Reads HTTP/1.1 messages from bytes as they come, either requests or responses. Bodies come with a
@@ -9,6 +10,7 @@
  */
 public final class HttpParser {
   private static final int MAX_LINE = 4096;
+  private static final int FIRST_LINE_BYTES = 128;
   private static final int MAX_HEADERS = 64;
 
   /** Bytes that are not HTTP, or more of them than is allowed. */
@@ -38,7 +40,10 @@
 
   private final boolean requests;
   private final int maxBody;
-  private final byte[] line = new byte[MAX_LINE];
+
+  /** Grows with the longest line: with thousands of connections most of their memory was this. */
+  private byte[] line = new byte[FIRST_LINE_BYTES];
+
   private Step step = Step.FIRST_LINE;
   private int lineLength;
   private int headers;
@@ -80,7 +85,7 @@
   }
 
   public byte[] body() {
-    return bodyLength == body.length ? body : java.util.Arrays.copyOf(body, bodyLength);
+    return bodyLength == body.length ? body : Arrays.copyOf(body, bodyLength);
   }
 
   public boolean complete() {
@@ -267,7 +272,7 @@
     if (size > body.length) {
       // Grows with what has come, not with what was announced: a claim alone costs no memory.
       int grown = hasLength ? Math.min(size, 65536) : Math.max(size, body.length * 2);
-      body = java.util.Arrays.copyOf(body, Math.min(maxBody, Math.max(grown, size)));
+      body = Arrays.copyOf(body, Math.min(maxBody, Math.max(grown, size)));
     }
   }
 
@@ -285,6 +290,9 @@
       if (lineLength == MAX_LINE) {
         throw new Malformed(step == Step.FIRST_LINE ? 414 : 431, "line too long");
       }
+      if (lineLength == line.length) {
+        line = Arrays.copyOf(line, Math.min(MAX_LINE, 2 * line.length));
+      }
       line[lineLength++] = b;
     }
     return null;
--- a/src/main/java/io/saltflow/transport/HttpServer.java
+++ b/src/main/java/io/saltflow/transport/HttpServer.java
@@ -7,13 +7,29 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 
-/** Listens, and runs one routine for each connection. */
+/**
+ * Listens, and runs one routine for each connection.
+ *
+ * <p>Connections are no bound on how many peers are served: with more than {@link #CROWDED} of them
+ * open, each answer closes its own, so that they are shared out in turn among all who ask now and
+ * then. A peer that asks every 5 s needs its connection for a few milliseconds of them.
+ */
 public final class HttpServer extends Listener {
   private static final int MAX_BODY = 64 * 1024;
   private static final Span IDLE_LIMIT = Span.seconds(120);
   private static final Span READ_LIMIT = Span.seconds(10);
+  private static final Span SWEEP = Span.seconds(5);
+
+  /**
+   * The part of all connections that may stay open between requests. The rest is for those that
+   * come at the same moment, as all do after a cut.
+   */
+  private static final double CROWDED = 0.8;
 
   /** What is done with a request. The answer may be given later, but only once. */
   public interface Handler {
@@ -21,12 +37,17 @@
   }
 
   private final Handler handler;
+  private final int crowdedFrom;
+  private final Set<Connection> connections = new LinkedHashSet<>();
 
   public HttpServer(
       Routine parent, Loop loop, InetSocketAddress address, int maxConnections, Handler handler)
       throws IOException {
     super(parent, loop, address, maxConnections);
     this.handler = handler;
+    this.crowdedFrom = (int) (maxConnections * CROWDED);
+    // One timer for all: one each would be fired some thousand times a second by a large fleet.
+    loop.every(SWEEP, this, () -> List.copyOf(connections).forEach(Connection::checkIdle));
   }
 
   @Override
@@ -41,7 +62,7 @@
 
     Connection(SocketChannel socket) {
       super(HttpServer.this, HttpServer.this.loop, socket);
-      loop.every(Span.seconds(5), this, this::checkIdle);
+      connections.add(this);
     }
 
     private void checkIdle() {
@@ -95,10 +116,11 @@
       }
     }
 
-    private void answer(HttpReply reply, boolean close) {
+    private void answer(HttpReply reply, boolean asked) {
       if (!answering || cancelled()) {
         return;
       }
+      boolean close = asked || connections.size() > crowdedFrom;
       answering = false;
       since = loop.now();
       parser.reset();
@@ -107,5 +129,11 @@
         closeWhenWritten();
       }
     }
+
+    @Override
+    protected void onCancel() {
+      super.onCancel();
+      connections.remove(this);
+    }
   }
 }
--- a/src/main/java/io/saltflow/transport/Listener.java
+++ b/src/main/java/io/saltflow/transport/Listener.java
@@ -9,12 +9,18 @@
 
 /** Listens on an address and takes connections, up to so many at a time. */
 abstract class Listener extends Routine implements Loop.Ready {
-  private static final int BACKLOG = 512;
+  private static final int MOST_BACKLOG = 512;
   private static final int AT_ONCE = 64;
 
   protected final Loop loop;
   private final int maxConnections;
   private final ServerSocketChannel listener;
+  private int turnedAway;
+
+  /** How many connections may wait to be taken, of a platform that gives so many sockets. */
+  public static int backlog(int sockets) {
+    return Math.max(16, Math.min(MOST_BACKLOG, sockets / 16));
+  }
 
   Listener(Routine parent, Loop loop, InetSocketAddress address, int maxConnections)
       throws IOException {
@@ -25,7 +31,7 @@
     try {
       listener.setOption(StandardSocketOptions.SO_REUSEADDR, true);
       listener.configureBlocking(false);
-      listener.bind(address, BACKLOG);
+      listener.bind(address, backlog(maxConnections));
       loop.register(listener, SelectionKey.OP_ACCEPT, this);
     } catch (IOException e) {
       listener.close();
@@ -37,6 +43,13 @@
     return listener.socket().getLocalPort();
   }
 
+  /** How many connections were closed as there were too many, since this was last asked. */
+  public final int takeTurnedAway() {
+    int n = turnedAway;
+    turnedAway = 0;
+    return n;
+  }
+
   /** A new connection, whose routine becomes a child of this one. */
   abstract void accepted(SocketChannel socket) throws IOException;
 
@@ -48,6 +61,7 @@
         return;
       }
       if (childCount() >= maxConnections) {
+        turnedAway++;
         socket.close();
         continue;
       }
@@ -57,16 +71,27 @@
     }
   }
 
+  /** Who is to be turned away is told so soon; one who waits in line holds a socket as well. */
+  @Override
+  public final boolean first() {
+    return true;
+  }
+
   /** Accepting failed, for want of sockets perhaps: the listener stays. */
   @Override
   public final void onBroken(IOException cause) {}
 
-  @Override
-  protected final void onCancel() {
+  /** Takes no more connections; those that are open go on. */
+  final void stopListening() {
     try {
       listener.close();
     } catch (IOException e) {
-      // The process is ending.
+      // Closing is all that was wanted.
     }
   }
+
+  @Override
+  protected final void onCancel() {
+    stopListening();
+  }
 }
--- a/src/main/java/io/saltflow/transport/Loop.java
+++ b/src/main/java/io/saltflow/transport/Loop.java
@@ -8,8 +8,10 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.PriorityQueue;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,8 +26,20 @@
 
     /** Called when {@link #onReady} threw: the channel is of no more use. */
     void onBroken(IOException cause);
+
+    /** Whether this goes before all others that are ready, however many they are. */
+    default boolean first() {
+      return false;
+    }
   }
 
+  /**
+   * So long at most others keep the loop from its timers and from what goes first. After a restart
+   * thousands of workers ask in the same second: handled in one go they kept the leader from its
+   * own lease until that was over.
+   */
+  private static final Span TURN = Span.millis(20);
+
   private static final int SCRATCH_BYTES = 64 * 1024;
 
   private record Timer(Time due, long order, Routine owner, Runnable action)
@@ -39,9 +53,14 @@
 
   private final Selector selector;
   private final PriorityQueue<Timer> timers = new PriorityQueue<>();
+
+  /** What is ready and has not had its turn; in the order in which it became so. */
+  private final Set<SelectionKey> ready = new LinkedHashSet<>();
+
   private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
   private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
   private long timerOrder;
+  private long workedNs;
   private boolean running;
   private volatile boolean stopping;
 
@@ -53,6 +72,13 @@
     return new Time(System.nanoTime() / 1_000_000);
   }
 
+  /**
+   * How long this loop has been at work since it began, that is not waiting for a socket or timer.
+   */
+  public Span worked() {
+    return Span.millis(workedNs / 1_000_000);
+  }
+
   /** Runs the action later, unless its owner has been cancelled by then. */
   public void after(Span delay, Routine owner, Runnable action) {
     timers.add(new Timer(now().plus(delay), timerOrder++, owner, action));
@@ -107,6 +133,7 @@
   /** Runs until {@link #pause} or {@link #stop}. */
   public void run() throws IOException {
     running = true;
+    long since = System.nanoTime();
     while (running && !stopping) {
       runPosted();
       long wait = fireTimers();
@@ -114,18 +141,37 @@
         // A timer paused it: nothing is waited for any more.
         return;
       }
-      if (wait == 0) {
+      if (wait == 0 || !ready.isEmpty()) {
         selector.selectNow();
       } else {
+        long waits = System.nanoTime();
+        workedNs += waits - since;
         selector.select(wait);
+        since = System.nanoTime();
       }
-      Iterator<SelectionKey> it = selector.selectedKeys().iterator();
-      while (it.hasNext()) {
-        SelectionKey key = it.next();
-        it.remove();
+      turn();
+    }
+  }
+
+  /** What goes first is handled whole, of the others as much as a turn takes. */
+  private void turn() {
+    Iterator<SelectionKey> selected = selector.selectedKeys().iterator();
+    while (selected.hasNext()) {
+      SelectionKey key = selected.next();
+      selected.remove();
+      if (((Ready) key.attachment()).first()) {
         dispatch(key);
+      } else {
+        ready.add(key);
       }
     }
+    Time until = now().plus(TURN);
+    while (!ready.isEmpty() && !now().after(until)) {
+      Iterator<SelectionKey> next = ready.iterator();
+      SelectionKey key = next.next();
+      next.remove();
+      dispatch(key);
+    }
   }
 
   private void dispatch(SelectionKey key) {
--- a/src/main/java/io/saltflow/transport/Mesh.java
+++ b/src/main/java/io/saltflow/transport/Mesh.java
@@ -85,6 +85,12 @@
       super(Mesh.this, Mesh.this.loop, socket);
     }
 
+    /** A sibling that leads now, say: there are few of them. */
+    @Override
+    public boolean first() {
+      return true;
+    }
+
     @Override
     protected void onBytes(ByteBuffer in) throws IOException {
       while (in.hasRemaining()) {
--- /dev/null
+++ b/src/test/java/io/saltflow/transport/CrowdedTest.java
@@ -0,0 +1,124 @@
+package io.saltflow.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.protocol.Span;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Connections when there are few of them. */
+class CrowdedTest {
+  private static final String ASK = "GET /x HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private final Root root = new Root();
+  private final List<Socket> open = new ArrayList<>();
+
+  @AfterEach
+  void end() throws IOException {
+    root.cancel();
+    for (Socket s : open) {
+      s.close();
+    }
+  }
+
+  private void runUntil(Loop loop, BooleanSupplier reached) throws IOException {
+    for (int i = 0; i < 500 && !reached.getAsBoolean(); i++) {
+      loop.after(Span.millis(5), root, loop::pause);
+      loop.run();
+    }
+    assertTrue(reached.getAsBoolean());
+  }
+
+  /** Asks over a connection of its own; the answer's head. */
+  private String ask(Loop loop, HttpServer server) throws IOException {
+    Socket s = new Socket();
+    open.add(s);
+    s.connect(new InetSocketAddress("127.0.0.1", server.port()));
+    s.getOutputStream().write(ASK.getBytes(StandardCharsets.US_ASCII));
+    InputStream in = s.getInputStream();
+    StringBuilder head = new StringBuilder();
+    runUntil(
+        loop,
+        () -> {
+          try {
+            while (in.available() > 0) {
+              head.append((char) in.read());
+            }
+            return head.indexOf("\r\n\r\n") > 0;
+          } catch (IOException e) {
+            throw new IllegalStateException(e);
+          }
+        });
+    return head.toString();
+  }
+
+  /** Ten thousand workers can be served over a hundred connections, each for as long as it asks. */
+  @Test
+  void answersCloseTheirConnectionsWhenThereAreMany() throws IOException {
+    Loop loop = new Loop();
+    HttpServer server =
+        new HttpServer(
+            root,
+            loop,
+            Addresses.parse("127.0.0.1:0"),
+            10,
+            (method, target, body, answer) -> answer.accept(HttpReply.empty(200)));
+    int kept = 0;
+    for (int i = 0; i < 40; i++) {
+      String head = ask(loop, server);
+      assertTrue(head.startsWith("HTTP/1.1 200"), head);
+      kept += head.contains("Connection: close") ? 0 : 1;
+    }
+    assertEquals(8, kept);
+    assertEquals(0, server.takeTurnedAway());
+  }
+
+  /**
+   * With no socket left for another connection, what can't be sent at once goes over those that are
+   * open: told that no answer came, a leader took the state service for gone.
+   */
+  @Test
+  void requestsWaitForAnOpenConnectionWhenNoOtherCanBeHad() throws IOException {
+    Loop loop = new Loop();
+    List<Consumer<HttpReply>> held = new ArrayList<>();
+    HttpServer server =
+        new HttpServer(
+            root,
+            loop,
+            Addresses.parse("127.0.0.1:0"),
+            10,
+            (method, target, body, answer) -> held.add(answer));
+    List<Integer> statuses = new ArrayList<>();
+    HttpClient client =
+        new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + server.port()), 4, 16);
+    Consumer<HttpClient.Answer> told = a -> statuses.add(a.status());
+    client.call("GET", "/a", new byte[0], Span.seconds(60), told);
+    runUntil(loop, () -> held.size() == 1);
+    server.stopListening();
+    client.call("GET", "/b", new byte[0], Span.seconds(60), told);
+    loop.after(Span.millis(50), root, loop::pause);
+    loop.run();
+    assertEquals(List.of(), statuses);
+    held.get(0).accept(HttpReply.empty(200));
+    runUntil(loop, () -> held.size() == 2);
+    held.get(1).accept(HttpReply.empty(204));
+    runUntil(loop, () -> statuses.size() == 2);
+    assertEquals(List.of(200, 204), statuses);
+  }
+}
