--- a/src/main/java/io/saltflow/agreement/Raft.java
+++ b/src/main/java/io/saltflow/agreement/Raft.java
@@ -142,6 +142,11 @@
     return commit;
   }
 
+  /** Whether it leads and knows all that is committed: an entry of its own term is. */
+  public boolean settled() {
+    return role == Role.LEADER && log.term(commit) == term;
+  }
+
   /** Who is in the group, by the last entry that says so. */
   public List<String> members() {
     return log.members(Long.MAX_VALUE);
@@ -649,7 +654,7 @@
    */
   public boolean read(long number, Time now) {
     // Before an entry of its own term is committed a leader may not know what is.
-    if (role != Role.LEADER || log.term(commit) != term || reads.size() >= MOST_READS) {
+    if (!settled() || reads.size() >= MOST_READS) {
       return false;
     }
     if (leased(now) || mistakes.contains(Mistake.READ_WITHOUT_ROUND)) {
--- a/src/main/java/io/saltflow/app/Main.java
+++ b/src/main/java/io/saltflow/app/Main.java
@@ -29,6 +29,7 @@
                             [--settings FILE] [--queues FILE] [--trace FILE|URL]
              saltflow state --data DIR [--listen ADDR:PORT] [--rps N] [--write-rps N]
                             [--value-kb N] [--txn-ops N] [--snapshot-mb N]
+             saltflow state --data DIR --group FILE --node NAME  [the limits as above]
              saltflow state check|dump|repair|snapshot FILE|restore FILE --data DIR
              saltflow service apply FILE | list | show NAME  [--server ADDR:PORT] [--json]
              saltflow rollout start NAME IMAGE [--plan FILE] [--param NAME=VALUE ...]
@@ -42,7 +43,7 @@
       serve         run one controller until it is killed
       check-config  read the settings, say what is wrong with them, and end
       local         run one controller with stand-ins for all that it needs, on loopback
-      state         run a state service on one node, or work on its folder
+      state         run a state service, alone or as a node of a group, or work on its folder
       submit        submit the jobs of a JSON file; prints their ids
       status        say where a job stands
       watch         say so again and again until it is over
@@ -62,6 +63,7 @@
         --machines N       how many stand-in machines there are (4)
         --data DIR         keep what was accepted in this folder
         --listen ADDR:PORT where state serves (127.0.0.1:2380)
+        --group FILE       a group's name, key and nodes (JSON); --node says which of them this is
         --server ADDR:PORT the controller to ask (127.0.0.1:8080)
         --json             answers as JSON
         --wait SECONDS     how long to ask again when there is no answer (60)
--- a/src/main/java/io/saltflow/app/StateCommand.java
+++ b/src/main/java/io/saltflow/app/StateCommand.java
@@ -3,6 +3,7 @@
 import io.saltflow.kv.Limits;
 import io.saltflow.statestore.FileDisk;
 import io.saltflow.statestore.Folder;
+import io.saltflow.statestore.GroupServer;
 import io.saltflow.statestore.StateFront;
 import io.saltflow.statestore.StateServer;
 import io.saltflow.transport.Addresses;
@@ -16,25 +17,28 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.List;
+import java.util.function.Supplier;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.apache.commons.rng.core.source64.SplitMix64;
 
-/** {@code state}: a state service on one node, and what people do with its folder. */
+/**
+ * {@code state}: a state service on one node or as one of a group, and what people do with its
+ * folder.
+ */
 final class StateCommand extends Routine {
   private static final int MOST_CLIENTS = 1000;
 
-  private final StateServer server;
   private final HttpServer http;
   private final InetSocketAddress listen;
-  private final Path data;
+  private final Supplier<String> contents;
 
   private StateCommand(Loop loop, CommandLine line) throws ParseException, IOException {
     super(null);
-    data = Path.of(required(line, "data"));
-    listen = Main.address(line, "listen", "127.0.0.1:2380");
+    Path data = Path.of(required(line, "data"));
     Limits limits =
         new Limits(
             number(line, "rps", "2000", 1e6),
@@ -42,9 +46,24 @@
             number(line, "value-kb", "64", 1024),
             (int) number(line, "txn-ops", "32", 1000));
     long snapshot = (long) number(line, "snapshot-mb", "64", 4096) << 20;
-    server =
+    if (line.hasOption("group")) {
+      GroupFile file = group(line);
+      listen = file.nodes().get(file.self()).clients();
+      GroupServer server = groupServer(loop, file, limits, snapshot, data);
+      contents =
+          () -> ", node " + file.self() + " of the group " + file.name() + ", kept in " + data;
+      http = new HttpServer(this, loop, listen, MOST_CLIENTS, server::handle);
+      return;
+    }
+    listen = Main.address(line, "listen", "127.0.0.1:2380");
+    StateServer server =
         new StateServer(
             this, loop, new StateServer.Options(limits, snapshot), FileDisk.of(data), identity());
+    contents =
+        () ->
+            String.format(
+                ", %d keys of revision %d, kept in %s",
+                server.store().size(), server.store().epoch(), data);
     StateFront front = server.front();
     http =
         new HttpServer(
@@ -61,6 +80,27 @@
             });
   }
 
+  private static GroupFile group(CommandLine line) throws ParseException {
+    if (line.hasOption("listen")) {
+      throw new ParseException("--listen: the group's file says where a node listens");
+    }
+    try {
+      return GroupFile.read(Path.of(line.getOptionValue("group")), required(line, "node"));
+    } catch (ConfigError e) {
+      throw new ParseException(e.getMessage());
+    }
+  }
+
+  private GroupServer groupServer(
+      Loop loop, GroupFile file, Limits limits, long snapshot, Path data) throws IOException {
+    GroupServer.Options options =
+        new GroupServer.Options(
+            file.name(), file.key(), file.self(), file.nodes(), limits, snapshot);
+    SplitMix64 random = new SplitMix64(new SecureRandom().nextLong());
+    return new GroupServer(
+        this, loop, options, FileDisk.of(data), identity(), n -> random.nextLong(n));
+  }
+
   static long[] identity() {
     SecureRandom random = new SecureRandom();
     return new long[] {random.nextLong(), random.nextLong()};
@@ -86,19 +126,23 @@
   private String readyLine() {
     return "ready: state on "
         + Addresses.text(new InetSocketAddress(listen.getAddress(), http.port()))
-        + ", "
-        + server.store().size()
-        + " keys of revision "
-        + server.store().epoch()
-        + ", kept in "
-        + data;
+        + contents.get();
   }
 
   /** The exit code: 2 when it can't begin, 1 when a folder could not be worked on. */
   static int run(String[] args, PrintStream out, PrintStream err) {
     Options options = new Options();
     for (String name :
-        List.of("data", "listen", "rps", "write-rps", "value-kb", "txn-ops", "snapshot-mb")) {
+        List.of(
+            "data",
+            "listen",
+            "rps",
+            "write-rps",
+            "value-kb",
+            "txn-ops",
+            "snapshot-mb",
+            "group",
+            "node")) {
       options.addOption(Option.builder().longOpt(name).hasArg().build());
     }
     try {
--- a/src/main/java/io/saltflow/kv/Pipeline.java
+++ b/src/main/java/io/saltflow/kv/Pipeline.java
@@ -258,6 +258,17 @@
     done.answers.forEach(Runnable::run);
   }
 
+  /**
+   * Whether the batch under way will happen is for others to say: who waits for it gets no answer,
+   * which means just that. What gathered upon it will not happen.
+   */
+  void abandon() {
+    List<Consumer<Reply>> unknown = writing == null ? List.of() : List.copyOf(writing.waiting);
+    writing = null;
+    failed();
+    unknown.forEach(a -> a.accept(Reply.NONE));
+  }
+
   /** The batch under way could not be written down, so nothing that gathered upon it holds. */
   public void failed() {
     List<Consumer<Reply>> refused = new ArrayList<>();
--- a/src/main/java/io/saltflow/kv/Reply.java
+++ b/src/main/java/io/saltflow/kv/Reply.java
@@ -5,6 +5,9 @@
 
 /** What a request came to: a status and a body, or null for none. */
 public record Reply(int status, Body body) {
+  /** No answer: the request may have been executed, or may yet be. */
+  public static final Reply NONE = new Reply(0, null);
+
   /** A status alone. */
   public static Reply of(int status) {
     return new Reply(status, null);
--- a/src/main/java/io/saltflow/kv/StateCore.java
+++ b/src/main/java/io/saltflow/kv/StateCore.java
@@ -139,6 +139,11 @@
     pipeline.durable(now);
   }
 
+  /** Whether the batch under way will happen is not known, and not decided here any more. */
+  public void abandon() {
+    pipeline.abandon();
+  }
+
   /** The batch under way could not be written down. */
   public void failed() {
     pipeline.failed();
--- a/src/main/java/io/saltflow/statestore/StateFront.java
+++ b/src/main/java/io/saltflow/statestore/StateFront.java
@@ -72,6 +72,9 @@
   }
 
   private static HttpReply http(Reply r) {
+    if (r == Reply.NONE) {
+      return HttpReply.NONE;
+    }
     return r.body() == null
         ? HttpReply.empty(r.status())
         : HttpReply.of(r.status(), MsgPack.encode(r.body()));
@@ -134,6 +137,13 @@
     }
   }
 
+  /** Whoever watches here is told to ask elsewhere. */
+  void refuseWatches() {
+    List<Watch> all = List.copyOf(watches);
+    watches.clear();
+    all.forEach(w -> w.answer.accept(HttpReply.empty(503)));
+  }
+
   /** During an outage open watches stay open. */
   public void tellWatches() {
     if (core.down()) {
--- a/src/main/java/io/saltflow/transport/HttpReply.java
+++ b/src/main/java/io/saltflow/transport/HttpReply.java
@@ -6,6 +6,9 @@
 public record HttpReply(int status, byte[] body, int retryAfterS) {
   private static final byte[] NOTHING = new byte[0];
 
+  /** No answer at all: the connection ends. */
+  public static final HttpReply NONE = new HttpReply(0, NOTHING, 0);
+
   public static HttpReply of(int status, byte[] body) {
     return new HttpReply(status, body, 0);
   }
--- a/src/main/java/io/saltflow/transport/HttpServer.java
+++ b/src/main/java/io/saltflow/transport/HttpServer.java
@@ -121,6 +121,10 @@
         return;
       }
       boolean close = asked || connections.size() > crowdedFrom;
+      if (reply == HttpReply.NONE) {
+        cancel();
+        return;
+      }
       answering = false;
       since = loop.now();
       parser.reset();
--- a/src/main/java/io/saltflow/transport/Mesh.java
+++ b/src/main/java/io/saltflow/transport/Mesh.java
@@ -68,6 +68,18 @@
     }
   }
 
+  /** Connects to those that are not connected, so that the first frame need not wait for that. */
+  public void reach() {
+    for (Outbound o : outbound) {
+      o.reach();
+    }
+  }
+
+  /** The same to one of them, by its place in the list. */
+  public void send(int sibling, byte[] frame) {
+    outbound.get(sibling).send(frame);
+  }
+
   @Override
   protected void onCancel() {
     try {
@@ -133,10 +145,14 @@
       this.address = address;
     }
 
-    void send(byte[] frame) {
+    void reach() {
       if (link == null || link.cancelled()) {
         connect();
       }
+    }
+
+    void send(byte[] frame) {
+      reach();
       if (link != null && link.up) {
         ByteBuffer out = ByteBuffer.allocate(4 + frame.length);
         link.send(out.putInt(frame.length).put(frame).flip());
--- a/src/test/java/io/saltflow/fuzz/FuzzTargets.java
+++ b/src/test/java/io/saltflow/fuzz/FuzzTargets.java
@@ -1,5 +1,6 @@
 package io.saltflow.fuzz;
 
+import io.saltflow.agreement.GroupTarget;
 import io.saltflow.amqp.FrameTarget;
 import io.saltflow.amqp.SessionTarget;
 import io.saltflow.protocol.BadMessage;
@@ -34,6 +35,7 @@
     out.put("msgpack", FuzzTargets::msgpack);
     out.put("entries", FuzzTargets::entries);
     out.put("beats", FuzzTargets::beats);
+    out.put("group", GroupTarget::run);
     return out;
   }
 
