--- a/src/main/java/io/saltflow/agreement/Raft.java
+++ b/src/main/java/io/saltflow/agreement/Raft.java
@@ -160,6 +160,23 @@
     return members().size() / 2 + 1;
   }
 
+  /**
+   * All that what it does next depends on, times aside: two nodes that read alike here go on alike.
+   */
+  String told() {
+    StringBuilder out = new StringBuilder();
+    out.append(term).append(vote).append(role).append(leader).append(commit).append('|');
+    out.append(applied).append(log.snapshot().index()).append(votes).append(durable).append('|');
+    for (Entry e : log.from(log.first(), Integer.MAX_VALUE / 2)) {
+      out.append(e.term()).append(e.data() == null ? "-" : Arrays.toString(e.data())).append(',');
+    }
+    if (role == Role.LEADER) {
+      peers.values().forEach(p -> out.append(p.name).append(p.next).append('.').append(p.match));
+      peers.values().forEach(p -> out.append('.').append(p.underWay));
+    }
+    return out.toString();
+  }
+
   // ---- Time
 
   private void rest(Time now) {
