Read once more: a poll that was never answered, a node behind an unreadable entry

When some of the jobs that polls compare had ended, and the end of another was recorded on this node before the answer came, that one's poll was left out without an answer and counted as under way for ever; 256 of them and the node refuses its users. A node of a group that could not read an entry that was agreed on went on behind it, since the loop takes up after an exception: its contents would have differed unnoticed.

Change: what was forgotten is read; such a node does nothing any more.

--- a/src/main/java/io/saltflow/agreement/GroupFrame.java
+++ b/src/main/java/io/saltflow/agreement/GroupFrame.java
@@ -1,13 +1,12 @@
 package io.saltflow.agreement;
 
 import io.saltflow.protocol.AvroInput;
+import io.saltflow.protocol.AvroOutput;
 import io.saltflow.protocol.BadMessage;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
 import org.apache.avro.io.BinaryEncoder;
-import org.apache.avro.io.EncoderFactory;
 
 /**
  * A group's messages as signed frames, in Avro's binary form by the schema {@code agreement.avsc}.
@@ -17,7 +16,6 @@
  * needed. The signature covers who sends, to whom and in which group.
  */
 public final class GroupFrame {
-
   private final String group;
   private final GroupKey key;
 
@@ -33,23 +31,19 @@
 
   /** The message's frame, signed. */
   public byte[] encode(Message m) {
-    try {
-      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-      BinaryEncoder out = EncoderFactory.get().directBinaryEncoder(bytes, null);
-      out.writeFixed(new byte[GroupKey.MAC_BYTES]);
-      out.writeString(group);
-      out.writeString(m.from());
-      out.writeString(m.to());
-      out.writeLong(m.term());
-      write(out, m);
-      out.flush();
-      byte[] frame = bytes.toByteArray();
-      byte[] mac = key.sign(frame, GroupKey.MAC_BYTES);
-      System.arraycopy(mac, 0, frame, 0, mac.length);
-      return frame;
-    } catch (IOException e) {
-      throw new IllegalStateException("encoding in memory failed", e);
-    }
+    byte[] frame =
+        AvroOutput.bytes(
+            out -> {
+              out.writeFixed(new byte[GroupKey.MAC_BYTES]);
+              out.writeString(group);
+              out.writeString(m.from());
+              out.writeString(m.to());
+              out.writeLong(m.term());
+              write(out, m);
+            });
+    byte[] mac = key.sign(frame, GroupKey.MAC_BYTES);
+    System.arraycopy(mac, 0, frame, 0, mac.length);
+    return frame;
   }
 
   private static void write(BinaryEncoder out, Message m) throws IOException {
--- a/src/main/java/io/saltflow/agreement/KeptLog.java
+++ b/src/main/java/io/saltflow/agreement/KeptLog.java
@@ -1,13 +1,10 @@
 package io.saltflow.agreement;
 
 import io.saltflow.protocol.AvroInput;
+import io.saltflow.protocol.AvroOutput;
 import io.saltflow.protocol.BadMessage;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import org.apache.avro.io.BinaryEncoder;
-import org.apache.avro.io.EncoderFactory;
 
 /**
  * What a node has written down, built up from one {@link Ready.Save} after another, with the form
@@ -25,6 +22,14 @@
     snapshot = Snapshot.empty(members);
   }
 
+  /** The same as is kept elsewhere, to go on from there. */
+  public KeptLog(Kept kept) {
+    term = kept.term();
+    vote = kept.vote();
+    snapshot = kept.snapshot();
+    entries.addAll(kept.entries());
+  }
+
   /** What a node begins with. */
   public Kept kept() {
     return new Kept(term, vote, snapshot, List.copyOf(entries));
@@ -85,34 +90,24 @@
 
   /** The record of a save. */
   public static byte[] encode(Ready.Save save) {
-    try {
-      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-      BinaryEncoder out = EncoderFactory.get().directBinaryEncoder(bytes, null);
-      out.writeLong(save.term());
-      out.writeString(save.vote() == null ? "" : save.vote());
-      out.writeLong(save.from());
-      EntryForm.write(out, save.entries());
-      out.flush();
-      return bytes.toByteArray();
-    } catch (IOException e) {
-      throw new IllegalStateException("encoding in memory failed", e);
-    }
+    return AvroOutput.bytes(
+        out -> {
+          out.writeLong(save.term());
+          out.writeString(save.vote() == null ? "" : save.vote());
+          out.writeLong(save.from());
+          EntryForm.write(out, save.entries());
+        });
   }
 
   /** The record that a snapshot begins with on the disk: all of it but its bytes. */
   public static byte[] head(Snapshot s) {
-    try {
-      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-      BinaryEncoder out = EncoderFactory.get().directBinaryEncoder(bytes, null);
-      out.writeLong(s.index());
-      out.writeLong(s.term());
-      EntryForm.writeTexts(out, s.members());
-      out.writeInt(s.bytes().length);
-      out.flush();
-      return bytes.toByteArray();
-    } catch (IOException e) {
-      throw new IllegalStateException("encoding in memory failed", e);
-    }
+    return AvroOutput.bytes(
+        out -> {
+          out.writeLong(s.index());
+          out.writeLong(s.term());
+          EntryForm.writeTexts(out, s.members());
+          out.writeInt(s.bytes().length);
+        });
   }
 
   /** The snapshot that begins so; its bytes, of that length, are still to be filled in. */
--- a/src/main/java/io/saltflow/app/Load.java
+++ b/src/main/java/io/saltflow/app/Gauge.java
@@ -5,7 +5,7 @@
 import io.saltflow.transport.Loop;
 
 /** What of its processor and memory this process uses, from one look to the next. */
-final class Load {
+final class Gauge {
   /** Garbage makes what is in use rise between collections: what lives is the least of so many. */
   private static final int LOOKS = 15;
 
@@ -16,7 +16,7 @@
   private int looks;
   private double busy;
 
-  Load(Loop loop) {
+  Gauge(Loop loop) {
     this.loop = loop;
     this.last = loop.now();
     this.worked = loop.worked();
--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -58,7 +58,7 @@
   private final BooleanSupplier outageForAll;
   private final Consumer<LeaderDuty> onReady;
   private final IntSupplier turnedAway;
-  private final Load load;
+  private final Gauge gauge;
   private Leader leader;
   private LeaderBooks.Inherited former;
   private boolean listing;
@@ -95,7 +95,7 @@
     this.outageForAll = outageForAll;
     this.onReady = onReady;
     this.turnedAway = turnedAway;
-    this.load = new Load(loop);
+    this.gauge = new Gauge(loop);
   }
 
   /** The core, or null while the records are being read. */
@@ -130,8 +130,7 @@
           }
           List<Job> found = new ArrayList<>();
           for (StateClient.Entry e : listed.entries()) {
-            if (JobStore.isBundle(e.key())) {
-              books.bundle(e.key(), e.value());
+            if (bundle(e.key(), e.value())) {
               continue;
             }
             JobStore.Recorded r = decode(e.key(), e.value());
@@ -158,6 +157,15 @@
         });
   }
 
+  /** Whether it is a bundle of jobs: those are given records of their own by and by. */
+  private boolean bundle(String key, Body value) {
+    boolean is = JobStore.isBundle(key);
+    if (is) {
+      books.bundle(key, value);
+    }
+    return is;
+  }
+
   /** A job that was not known; one that a former leader marked may be on a machine already. */
   private void seen(JobStore.Recorded r) {
     JobId id = r.spec().id();
@@ -187,12 +195,12 @@
     loop.every(new Span(Math.max(2000, listLag.ms())), this, this::list);
     loop.every(Span.seconds(20), this, this::refreshTypes);
     loop.every(LOAD_EVERY, this, this::weigh);
-    loop.every(Span.seconds(10), this, () -> LOG.info("{}; {}", leader.summary(), load));
+    loop.every(Span.seconds(10), this, () -> LOG.info("{}; {}", leader.summary(), gauge));
   }
 
   private void weigh() {
-    load.look();
-    leader.load(load.busy(), load.heap(), turnedAway.getAsInt(), loop.now());
+    gauge.look();
+    leader.load(gauge.busy(), gauge.heap(), turnedAway.getAsInt(), loop.now());
   }
 
   private void tick() {
@@ -244,8 +252,7 @@
       }
       return;
     }
-    if (JobStore.isBundle(put)) {
-      books.bundle(put, event.map(Wire.VALUE));
+    if (bundle(put, event.map(Wire.VALUE))) {
       return;
     }
     JobId id = JobStore.idOfLive(put);
@@ -271,8 +278,7 @@
           }
           Set<JobId> live = new HashSet<>();
           for (StateClient.Entry e : listed.entries()) {
-            if (JobStore.isBundle(e.key())) {
-              books.bundle(e.key(), e.value());
+            if (bundle(e.key(), e.value())) {
               continue;
             }
             // One that can't be read is there all the same.
--- a/src/main/java/io/saltflow/bookkeeping/LiveCheck.java
+++ b/src/main/java/io/saltflow/bookkeeping/LiveCheck.java
@@ -110,7 +110,7 @@
     for (Map.Entry<JobId, List<Consumer<Verdict>>> e : all.entrySet()) {
       Seen s = seen.get(e.getKey());
       if (s == null) {
-        e.getValue().forEach(c -> c.accept(Verdict.TO_READ));
+        answer(e.getValue(), Verdict.TO_READ);
         continue;
       }
       if (guards + s.guards.size() > mostGuards) {
@@ -163,15 +163,19 @@
             seen.remove(id, s);
           }
         });
-    boolean named = rest.size() < some.size();
+    if (rest.size() == some.size()) {
+      rest.clear();
+    }
+    // One that was forgotten meanwhile, as its end was recorded here, is read: left out, its poll
+    // was never answered, and counted for ever among those that are under way.
+    rest.keySet().retainAll(seen.keySet());
     some.forEach(
         (id, askers) -> {
-          if (!named || !rest.containsKey(id)) {
+          if (!rest.containsKey(id)) {
             answer(askers, Verdict.TO_READ);
           }
         });
-    rest.keySet().retainAll(seen.keySet());
-    if (named && !rest.isEmpty()) {
+    if (!rest.isEmpty()) {
       compare(rest);
     }
   }
--- /dev/null
+++ b/src/main/java/io/saltflow/protocol/AvroOutput.java
@@ -0,0 +1,34 @@
+package io.saltflow.protocol;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import org.apache.avro.io.BinaryEncoder;
+import org.apache.avro.io.EncoderFactory;
+
+/** Avro's binary form in memory, where nothing can fail. */
+public final class AvroOutput {
+  /** What is written. */
+  public interface Writing {
+    void to(BinaryEncoder out) throws IOException;
+  }
+
+  private AvroOutput() {}
+
+  /** The bytes of what is written. */
+  public static byte[] bytes(Writing writing) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    write(bytes, writing);
+    return bytes.toByteArray();
+  }
+
+  /** Appends what is written to bytes that are kept elsewhere. */
+  public static void write(ByteArrayOutputStream bytes, Writing writing) {
+    try {
+      BinaryEncoder out = EncoderFactory.get().directBinaryEncoder(bytes, null);
+      writing.to(out);
+      out.flush();
+    } catch (IOException e) {
+      throw new IllegalStateException("encoding in memory failed", e);
+    }
+  }
+}
--- a/src/main/java/io/saltflow/statestore/GroupBooks.java
+++ b/src/main/java/io/saltflow/statestore/GroupBooks.java
@@ -20,7 +20,7 @@
   private static final int PART_BYTES = 64 * 1024;
   private static final long MOST_SEGMENT = 16 << 20;
 
-  private final KeptLog log;
+  private KeptLog log;
   private Journal journal;
   private Snapshot arriving;
   private int arrived;
@@ -46,11 +46,6 @@
     return log.kept();
   }
 
-  /** Up to where there is a snapshot. */
-  long snapshotIndex() {
-    return log.snapshotIndex();
-  }
-
   /** What opening found, in sentences. */
   List<String> notes() {
     return journal.notes();
@@ -63,21 +58,11 @@
       log.apply(save);
       return;
     }
-    KeptLog next = new KeptLog(save.snapshot().members());
-    Kept before = log.kept();
-    next.apply(before.snapshot());
-    next.apply(
-        new Ready.Save(
-            before.term(),
-            before.vote(),
-            before.snapshot(),
-            before.snapshot().index() + 1,
-            before.entries()));
+    KeptLog next = new KeptLog(log.kept());
     next.apply(save.snapshot());
     next.apply(save);
     write(save.snapshot(), next.rest());
-    log.apply(save.snapshot());
-    log.apply(save);
+    log = next;
   }
 
   private void write(Snapshot s, byte[] rest) throws IOException {
--- a/src/main/java/io/saltflow/statestore/GroupMachine.java
+++ b/src/main/java/io/saltflow/statestore/GroupMachine.java
@@ -12,7 +12,6 @@
 import io.saltflow.kv.Step;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Time;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -43,17 +42,20 @@
     void changed();
   }
 
+  /** One of the two is run, once. */
+  private record Asked(Runnable go, Runnable refuse) {}
+
   private final Raft raft;
   private final Limits limits;
   private final Out out;
   private final long snapshotBytes;
-  private final Map<Long, Runnable> asked = new HashMap<>();
-  private final Map<Long, Runnable> refused = new HashMap<>();
+  private final Map<Long, Asked> asked = new HashMap<>();
   private StateCore core;
   private long applied;
   private long lastAsked;
   private Ready underWay;
   private boolean stepping;
+  private boolean broken;
   private long servingTerm;
   private long proposed;
   private long sinceSnapshot;
@@ -93,18 +95,22 @@
   }
 
   boolean serving() {
-    return servingTerm > 0;
+    return servingTerm > 0 && !broken;
   }
 
   /** Time has gone by. */
   void tick(Time now) {
-    raft.tick(now);
-    step(now);
+    if (!broken) {
+      raft.tick(now);
+      step(now);
+    }
   }
 
   void received(Message m, Time now) {
-    raft.received(m, now);
-    step(now);
+    if (!broken) {
+      raft.received(m, now);
+      step(now);
+    }
   }
 
   /** What the last {@link Out#save} was told is durable. */
@@ -125,8 +131,7 @@
       refuse.run();
       return;
     }
-    asked.put(number, go);
-    refused.put(number, refuse);
+    asked.put(number, new Asked(go, refuse));
     step(now);
   }
 
@@ -158,7 +163,7 @@
    * @param first whose save has just become durable, or null
    */
   private void run(Ready first, Time now) {
-    if (stepping) {
+    if (stepping || broken) {
       return;
     }
     stepping = true;
@@ -195,10 +200,9 @@
     }
     standing(now);
     for (Ready.Read read : r.reads()) {
-      refused.remove(read.number());
-      Runnable go = asked.remove(read.number());
-      if (go != null) {
-        go.run();
+      Asked a = asked.remove(read.number());
+      if (a != null) {
+        a.go.run();
       }
     }
     if (changed) {
@@ -211,11 +215,21 @@
     try {
       restore(s, now);
     } catch (BadMessage e) {
-      throw new IllegalStateException("a snapshot of another version", e);
+      throw unreadable("the snapshot up to entry " + s.index(), e);
     }
     out.replaced();
   }
 
+  /**
+   * What was agreed on can't be passed over, or the nodes would differ from here on: this one does
+   * nothing any more, as if it had ended. It neither votes nor confirms, and the others go on.
+   */
+  private IllegalStateException unreadable(String what, BadMessage cause) {
+    broken = true;
+    core.setDown(true, Time.LONG_AGO);
+    return new IllegalStateException(what + " can't be read; this node takes no part now", cause);
+  }
+
   /** Whether contents have changed. */
   private boolean apply(Entry e, Time now) {
     applied = e.index();
@@ -231,27 +245,24 @@
     try {
       SnapshotForm.steps(e.data()).forEach(s -> core.store().apply(s, now));
     } catch (BadMessage bad) {
-      // What was agreed on can't be passed over: the nodes would differ from here on.
-      throw new IllegalStateException("entry " + e.index() + " can't be read", bad);
+      throw unreadable("entry " + e.index(), bad);
     }
     return true;
   }
 
   /** Begins or ends serving. */
   private void standing(Time now) {
-    boolean leads = raft.role() == Raft.Role.LEADER && raft.settled() && applied >= raft.commit();
     if (serving() && (raft.role() != Raft.Role.LEADER || raft.term() != servingTerm)) {
       servingTerm = 0;
       proposed = 0;
       core.abandon();
       core.setDown(true, now);
+      List<Asked> all = List.copyOf(asked.values());
       asked.clear();
-      List<Runnable> all = new ArrayList<>(refused.values());
-      refused.clear();
       out.serves(false);
-      all.forEach(Runnable::run);
+      all.forEach(a -> a.refuse.run());
     }
-    if (!serving() && leads) {
+    if (!serving() && raft.settled() && applied >= raft.commit()) {
       servingTerm = raft.term();
       proposed = 0;
       core.setDown(false, now);
@@ -260,8 +271,8 @@
     }
   }
 
-  /** A part of a snapshot that is due; called now and then. */
-  void snapshotPart(int keys, Time now) {
+  /** A part of a snapshot, if one is due or under way; whether there is more of it to come. */
+  boolean snapshotPart(int keys, Time now) {
     if (copy == null && sinceSnapshot > snapshotBytes && core.idle()) {
       copy = core.store().copy();
       copied = new SnapshotForm.Writer(copy.epoch());
@@ -269,15 +280,16 @@
       sinceSnapshot = 0;
     }
     if (copy == null) {
-      return;
+      return false;
     }
     List<Step> steps = copy.next(keys);
     if (!steps.isEmpty()) {
       steps.forEach(copied::add);
-      return;
+      return true;
     }
     copy = null;
     raft.compacted(copyIndex, copied.bytes());
     step(now);
+    return false;
   }
 }
--- a/src/main/java/io/saltflow/statestore/GroupServer.java
+++ b/src/main/java/io/saltflow/statestore/GroupServer.java
@@ -38,7 +38,8 @@
 public final class GroupServer extends Routine {
   private static final Logger LOG = LoggerFactory.getLogger(GroupServer.class);
   private static final Span TICK = Span.millis(25);
-  private static final Span SNAPSHOT_EVERY = Span.millis(5);
+  private static final Span LOOK_EVERY = Span.millis(200);
+  private static final Span PART_EVERY = Span.millis(5);
   private static final Span REACH_EVERY = Span.millis(500);
   private static final Span MARK_EVERY = Span.seconds(1);
   private static final Span TRY_AGAIN = Span.millis(500);
@@ -90,6 +91,7 @@
   private boolean saving;
   private Time saveSince;
   private boolean marked;
+  private boolean copying;
 
   /**
    * Opens what a former process left, and takes part.
@@ -111,7 +113,7 @@
     this.disk = disk;
     frames = new GroupFrame(options.name(), options.key());
     List<String> members = List.copyOf(new TreeMap<>(options.nodes()).keySet());
-    books = GroupBooks.open(disk, members, identity);
+    books = opened(disk, members, identity);
     books.notes().forEach(n -> LOG.warn("{}", n));
     Kept kept = books.kept();
     Raft raft = new Raft(options.self(), PACE, kept, random, loop.now());
@@ -137,13 +139,23 @@
     }
     mesh = new Mesh(this, loop, options.nodes().get(options.self()).peers(), siblings, this::frame);
     loop.every(TICK, this, this::tick);
-    loop.every(SNAPSHOT_EVERY, this, () -> machine.snapshotPart(KEYS_A_PART, loop.now()));
+    loop.every(LOOK_EVERY, this, this::look);
     loop.every(MARK_EVERY, this, this::mark);
     // Followers have nothing to say to each other until the leader is gone, and then at once.
     loop.every(REACH_EVERY, this, mesh::reach);
     mesh.reach();
   }
 
+  private static GroupBooks opened(Disk disk, List<String> members, long[] identity)
+      throws IOException {
+    try {
+      return GroupBooks.open(disk, members, identity);
+    } catch (IOException e) {
+      Writer.close(disk);
+      throw e;
+    }
+  }
+
   private StateFront newFront() {
     return new StateFront(this, loop, machine.core(), () -> machine.pump(loop.now()));
   }
@@ -227,6 +239,20 @@
     }
   }
 
+  /** Whether a snapshot is due. */
+  private void look() {
+    if (!copying) {
+      part();
+    }
+  }
+
+  private void part() {
+    copying = machine.snapshotPart(KEYS_A_PART, loop.now());
+    if (copying) {
+      loop.after(PART_EVERY, this, this::part);
+    }
+  }
+
   private void mark() {
     if (saving || writer.busy() || marked) {
       return;
@@ -262,10 +288,14 @@
       answer.accept(HttpReply.empty(400));
     } else if (machine.serving()) {
       serve(method, wanted, body, answer);
-    } else if (passedOn || !others.containsKey(String.valueOf(machine.raft().leader()))) {
-      answer.accept(HttpReply.empty(503));
     } else {
-      passOn(others.get(machine.raft().leader()), method, wanted, body, answer);
+      String leader = machine.raft().leader();
+      HttpClient to = passedOn || leader == null ? null : others.get(leader);
+      if (to == null) {
+        answer.accept(HttpReply.empty(503));
+      } else {
+        passOn(to, method, wanted, body, answer);
+      }
     }
   }
 
@@ -330,12 +360,6 @@
   @Override
   protected void onCancel() {
     writer.close();
-    if (disk instanceof AutoCloseable c) {
-      try {
-        c.close();
-      } catch (Exception e) {
-        LOG.error("the folder could not be closed: {}", e.getMessage());
-      }
-    }
+    Writer.close(disk);
   }
 }
--- a/src/main/java/io/saltflow/statestore/SnapshotForm.java
+++ b/src/main/java/io/saltflow/statestore/SnapshotForm.java
@@ -3,14 +3,12 @@
 import io.saltflow.kv.KeyStore;
 import io.saltflow.kv.Step;
 import io.saltflow.protocol.AvroInput;
+import io.saltflow.protocol.AvroOutput;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Time;
 import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import org.apache.avro.io.BinaryEncoder;
-import org.apache.avro.io.EncoderFactory;
 
 /** Steps as an entry of a group's log, and a store's contents as its snapshot, in Avro's form. */
 final class SnapshotForm {
@@ -20,21 +18,16 @@
 
   /** An entry: an array of steps. */
   static byte[] encode(List<Step> steps) {
-    try {
-      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-      BinaryEncoder out = EncoderFactory.get().directBinaryEncoder(bytes, null);
-      out.writeArrayStart();
-      out.setItemCount(steps.size());
-      for (Step s : steps) {
-        out.startItem();
-        out.writeBytes(s.encode());
-      }
-      out.writeArrayEnd();
-      out.flush();
-      return bytes.toByteArray();
-    } catch (IOException e) {
-      throw new IllegalStateException("encoding in memory failed", e);
-    }
+    return AvroOutput.bytes(
+        out -> {
+          out.writeArrayStart();
+          out.setItemCount(steps.size());
+          for (Step s : steps) {
+            out.startItem();
+            out.writeBytes(s.encode());
+          }
+          out.writeArrayEnd();
+        });
   }
 
   /** The steps of an entry. */
@@ -55,22 +48,13 @@
   /** Contents, put together part by part: the revision, then a step after the other. */
   static final class Writer {
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    private final BinaryEncoder out = EncoderFactory.get().directBinaryEncoder(bytes, null);
 
     Writer(long epoch) {
-      try {
-        out.writeLong(epoch);
-      } catch (IOException e) {
-        throw new IllegalStateException("encoding in memory failed", e);
-      }
+      AvroOutput.write(bytes, out -> out.writeLong(epoch));
     }
 
     void add(Step s) {
-      try {
-        out.writeBytes(s.encode());
-      } catch (IOException e) {
-        throw new IllegalStateException("encoding in memory failed", e);
-      }
+      AvroOutput.write(bytes, out -> out.writeBytes(s.encode()));
     }
 
     byte[] bytes() {
--- a/src/main/java/io/saltflow/statestore/StateServer.java
+++ b/src/main/java/io/saltflow/statestore/StateServer.java
@@ -78,7 +78,7 @@
     try {
       return Contents.open(disk, MOST_SEGMENT, identity, core.store(), loop.now());
     } catch (IOException e) {
-      closeDisk();
+      Writer.close(disk);
       throw e;
     }
   }
@@ -229,16 +229,6 @@
     if (writer != null) {
       writer.close();
     }
-    closeDisk();
-  }
-
-  private void closeDisk() {
-    if (disk instanceof AutoCloseable c) {
-      try {
-        c.close();
-      } catch (Exception e) {
-        LOG.error("the folder could not be closed: {}", e.getMessage());
-      }
-    }
+    Writer.close(disk);
   }
 }
--- a/src/main/java/io/saltflow/statestore/Writer.java
+++ b/src/main/java/io/saltflow/statestore/Writer.java
@@ -1,5 +1,6 @@
 package io.saltflow.statestore;
 
+import io.saltflow.journal.Disk;
 import io.saltflow.journal.Journal;
 import io.saltflow.kv.Step;
 import io.saltflow.transport.Loop;
@@ -9,12 +10,16 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Writes to the journal on a thread of its own, one thing at a time, so that the loop's thread,
  * which owns all else, never waits for a disk. The journal is touched by nobody else.
  */
 final class Writer implements AutoCloseable {
+  private static final Logger LOG = LoggerFactory.getLogger(Writer.class);
+
   /** Something to be done with the journal. */
   interface Work {
     void run() throws IOException;
@@ -63,6 +68,17 @@
     journal.append(steps.stream().map(Step::encode).toList());
   }
 
+  /** Lets the folder go, which another process may then have. */
+  static void close(Disk disk) {
+    if (disk instanceof AutoCloseable c) {
+      try {
+        c.close();
+      } catch (Exception e) {
+        LOG.error("the folder could not be closed: {}", e.getMessage());
+      }
+    }
+  }
+
   @Override
   public void close() {
     thread.shutdown();
--- a/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
@@ -45,6 +45,10 @@
   private final Root root = new Root();
   private final Map<JobId, JobStore.Outcome> told = new LinkedHashMap<>();
   private final List<String> asked = new ArrayList<>();
+
+  /** What happens while the next answer is on its way. */
+  private Runnable onNext = () -> {};
+
   private Loop loop;
   private StateStore store;
   private HttpServer server;
@@ -63,6 +67,8 @@
             (method, target, body, answer) -> {
               asked.add(method + " " + target);
               front.handle(method, target, body, answer);
+              onNext.run();
+              onNext = () -> {};
             });
   }
 
@@ -248,6 +254,16 @@
     assertEquals(List.of(id(2), id(4), id(6), id(1), id(3), id(5)), order);
   }
 
+  private void ends(JobStore node, JobId id) {
+    Txn end = new Txn();
+    node.finish(end, id, 16);
+    try {
+      assertEquals(200, store.commit(txn(end)).status());
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** Polls of many live jobs are one request; what ended meanwhile is read, the rest is not. */
   @Test
   void pollsAreComparedTogether() throws IOException, BadMessage {
@@ -257,9 +273,7 @@
     for (int n = 0; n < 20; n++) {
       assertEquals(live(id(n)), find(node, id(n)));
     }
-    Txn ends = new Txn();
-    node.finish(ends, id(7), 16);
-    assertEquals(200, store.commit(txn(ends)).status());
+    ends(node, id(7));
     told.clear();
     asked.clear();
     for (int n = 0; n < 20; n++) {
@@ -275,6 +289,42 @@
     assertTrue(asked.size() <= 6, asked.toString());
   }
 
+  /**
+   * One has ended when polls are compared, and the end of another is recorded here before the
+   * answer comes: each poll is answered all the same. Unanswered they counted as under way for
+   * ever.
+   */
+  @Test
+  void pollOfAJobThatEndsHereMeanwhileIsAnswered() throws IOException, BadMessage {
+    JobStore node = node("one");
+    admit(node, 0, 20);
+    assertEquals(0, unpack(found()));
+    for (int n = 0; n < 3; n++) {
+      assertEquals(live(id(n)), find(node, id(n)));
+    }
+    ends(node, id(1));
+    told.clear();
+    node.find(id(0), o -> told.put(id(0), o));
+    runUntil(() -> !told.isEmpty());
+    onNext =
+        () -> {
+          ends(node, id(2));
+          node.remember(id(2), 16);
+        };
+    told.clear();
+    for (int n = 0; n < 3; n++) {
+      JobId id = id(n);
+      node.find(id, o -> told.put(id, o));
+    }
+    runUntil(() -> told.size() == 3);
+    assertEquals(live(id(0)), told.get(id(0)));
+    for (int n = 1; n < 3; n++) {
+      assertEquals(
+          new JobStore.Outcome.Found(new JobStore.Known(id(n), JobStore.Phase.DONE, 16)),
+          told.get(id(n)));
+    }
+  }
+
   /** A guard that was never seen proves nothing: an unknown job is read, not taken for live. */
   @Test
   void recordThatWasReplacedIsReadAgain() throws IOException, BadMessage {
