Shares: a least part of the fleet for each class and team that waits

One head of some fifty tasks protects 25 of 1,123 machines; on all others narrow work takes each hole before a task of 4 cores fits, urgent work stops the savers first, and in order of arrival a short class begins all and ends few.

Change: package shares, a pure function of what each job has, asks for and since when it is recorded to wait: even shares (max-min, by the scarcest resource) for classes and for teams, two thirds of that as a least part once the oldest job has waited 120 s; a quarter of it for the oldest, the rest for what can end soonest. The scheduler gives turns by it after guarantees and urgent work within its even share, reserves room for whoever is owed (several heads), keeps that work from being stopped, bounds what stops may cost a job, and lets a short class's jobs that can end soonest first in the queue. Operators' settings leastPart, leastPartAfterS, oldestPart.

--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -5,6 +5,7 @@
 import io.saltflow.coordination.Policy;
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
+import io.saltflow.shares.Rules;
 import java.nio.file.Path;
 import java.util.Locale;
 
@@ -17,6 +18,9 @@
     double patienceS,
     double pressedSlackS,
     double lengthWeight,
+    double leastPart,
+    double leastPartAfterS,
+    double oldestPart,
     double dearFactor,
     double dearShare,
     double horizonS,
@@ -30,7 +34,7 @@
 
   public static OperatorSettings defaults() {
     return new OperatorSettings(
-        5, 0.2, 1800, "high", 6, 60, 4, 1.8, 0.25, 75, 90, 0.4, 60, 10, 3, 2);
+        5, 0.2, 1800, "high", 6, 60, 4, 0.67, 120, 0.25, 1.8, 0.25, 75, 90, 0.4, 60, 10, 3, 2);
   }
 
   /** Reads and checks the file. Only here are the JSON libraries loaded. */
@@ -45,6 +49,9 @@
         node.path("patienceS").asDouble(d.patienceS),
         node.path("pressedSlackS").asDouble(d.pressedSlackS),
         node.path("lengthWeight").asDouble(d.lengthWeight),
+        node.path("leastPart").asDouble(d.leastPart),
+        node.path("leastPartAfterS").asDouble(d.leastPartAfterS),
+        node.path("oldestPart").asDouble(d.oldestPart),
         node.path("dearFactor").asDouble(d.dearFactor),
         node.path("dearShare").asDouble(d.dearShare),
         node.path("horizonS").asDouble(d.horizonS),
@@ -76,6 +83,7 @@
         Span.seconds(patienceS),
         Span.seconds(pressedSlackS),
         lengthWeight,
+        new Rules(leastPart, Span.seconds(leastPartAfterS), oldestPart),
         dearFactor,
         dearShare,
         Span.seconds(horizonS),
--- a/src/main/java/io/saltflow/coordination/Account.java
+++ b/src/main/java/io/saltflow/coordination/Account.java
@@ -3,11 +3,12 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import java.util.ArrayList;
-import java.util.EnumMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -34,7 +35,8 @@
     LATE_BOOT("machines are late to come up"),
     FULL("machines are as many as this controller can serve, no more are rented"),
     LATE_JOBS("jobs are past their deadline"),
-    GUARANTEE("jobs within their team's guarantee wait for room");
+    GUARANTEE("jobs within their team's guarantee wait for room"),
+    SHARE("jobs wait for more of the fleet than it has for them");
 
     private final String text;
 
@@ -49,6 +51,14 @@
     final List<String> names = new ArrayList<>();
   }
 
+  /** A trouble of one class or team, or of all: then the name is empty. */
+  private record Key(Trouble trouble, String name) {
+    @Override
+    public String toString() {
+      return name.isEmpty() ? trouble.text : name + ": " + trouble.text;
+    }
+  }
+
   private static final class Lasting {
     final Time since;
     Time last;
@@ -62,7 +72,7 @@
 
   private final Consumer<String> out;
   private final Map<String, Tally> tallies = new LinkedHashMap<>();
-  private final Map<Trouble, Lasting> lasting = new EnumMap<>(Trouble.class);
+  private final Map<Key, Lasting> lasting = new LinkedHashMap<>();
   private Time gatheringSince = Time.LONG_AGO;
 
   Account() {
@@ -91,26 +101,44 @@
 
   /** How bad a trouble is now; 0: it is over, if it stays so. The note says what it means. */
   void level(Trouble trouble, int count, String note, Time now) {
-    Lasting l = lasting.get(trouble);
+    level(trouble, "", count, note, now);
+  }
+
+  /** The same of a trouble that each class or team has by itself. */
+  void level(Trouble trouble, String name, int count, String note, Time now) {
+    Key key = new Key(trouble, name);
+    Lasting l = lasting.get(key);
     if (count == 0) {
       if (l != null && now.since(l.last).longerThan(QUIET)) {
-        lasting.remove(trouble);
+        lasting.remove(key);
         String seconds = seconds(l.last.since(l.since));
-        out.accept("over: " + trouble.text + "; it lasted " + seconds + " s, at most " + l.most);
+        out.accept("over: " + key + "; it lasted " + seconds + " s, at most " + l.most);
       }
       return;
     }
     if (l == null) {
       l = new Lasting(now);
-      lasting.put(trouble, l);
+      lasting.put(key, l);
     }
     l.last = now;
     l.most = Math.max(l.most, count);
     // Told when it begins, and again only when it is twice as bad.
     if (count >= 2 * l.told) {
       l.told = count;
-      out.accept(count + " " + trouble.text + (note.isEmpty() ? "" : ", " + note));
+      String what = name.isEmpty() ? "" : name + ": ";
+      out.accept(what + count + " " + trouble.text + (note.isEmpty() ? "" : ", " + note));
+    }
+  }
+
+  /** Those of whom such a trouble was told and is not over yet. */
+  Set<String> lasting(Trouble trouble) {
+    Set<String> out = new LinkedHashSet<>();
+    for (Key key : lasting.keySet()) {
+      if (key.trouble == trouble) {
+        out.add(key.name);
+      }
     }
+    return out;
   }
 
   /** Tells what was gathered. */
--- a/src/main/java/io/saltflow/coordination/HeadReservation.java
+++ b/src/main/java/io/saltflow/coordination/HeadReservation.java
@@ -5,6 +5,7 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -25,25 +26,73 @@
       Comparator.comparing(End::at).thenComparingInt(End::order);
 
   private final Estimates estimates;
+  private final LeastParts parts;
   private final Account account;
   private Promise promise;
 
-  HeadReservation(Estimates estimates, Account account) {
+  HeadReservation(Estimates estimates, LeastParts parts, Account account) {
     this.account = account;
+    this.parts = parts;
     this.estimates = estimates;
   }
 
+  /** A job that room is reserved for, and for how many of its tasks. */
+  static final class Need {
+    final Job job;
+    int tasks;
+
+    Need(Job job, int tasks) {
+      this.job = job;
+      this.tasks = tasks;
+    }
+  }
+
   /** Adds the room of running tasks by predicted end until the head's tasks fit. */
   void reserve(Job head, int tasks, List<Machine> usable, List<Machine> booting, Time now) {
+    List<Need> needs = List.of(new Need(head, Math.min(tasks, MOST_RESERVED)));
+    Time first = claim(needs, false, usable, booting, now);
+    if (first == null) {
+      promise = null;
+    } else if (promise == null || !promise.job.equals(head.id()) || first.before(promise.at)) {
+      promise = new Promise(head.id(), first);
+    }
+  }
+
+  /**
+   * The same for jobs whose class or team is owed a part of the fleet, in their order. Room that is
+   * made by a stop is left to the work that it is made for.
+   */
+  void reserveOwed(Collection<Need> needs, List<Machine> usable, List<Machine> booting, Time now) {
+    int left = MOST_RESERVED;
+    for (Need need : needs) {
+      need.tasks = Math.min(left, need.tasks);
+      left -= need.tasks;
+    }
+    claim(List.copyOf(needs), true, usable, booting, now);
+  }
+
+  private static boolean allowed(List<Need> needs, Machine m) {
+    for (Need need : needs) {
+      if (need.tasks > 0 && Placement.allowed(need.job, m)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private Time claim(
+      List<Need> needs, boolean owed, List<Machine> usable, List<Machine> booting, Time now) {
     List<End> ends = new ArrayList<>();
     Map<Machine, Size> future = new HashMap<>();
     for (Machine m : usable) {
-      if (!Placement.allowed(head, m)) {
+      if (m.reserved != null || !allowed(needs, m)) {
         continue;
       }
       future.put(m, m.room);
       for (Presence p : m.presences.values()) {
-        ends.add(new End(estimates.end(p, now), ends.size(), m, p.job.spec.size()));
+        if (!owed || !p.stopping) {
+          ends.add(new End(estimates.end(p, now), ends.size(), m, p.job.spec.size()));
+        }
       }
       for (Machine.Assigned a : m.assigned) {
         Time end =
@@ -53,37 +102,41 @@
       }
     }
     for (Machine m : booting) {
-      if (head.spec.allows(m.typeName, m.zone, m.spot)) {
+      if (allowed(needs, m)) {
         future.put(m, Size.ZERO);
         ends.add(new End(readyAt(m, now), ends.size(), m, m.type.size()));
       }
     }
-    Time first = claim(head, Math.min(tasks, MOST_RESERVED), ends, future);
-    if (first == null) {
-      promise = null;
-    } else if (promise == null || !promise.job.equals(head.id()) || first.before(promise.at)) {
-      promise = new Promise(head.id(), first);
-    }
+    return claim(needs, owed, ends, future);
   }
 
-  /** Goes through the ends by time, as far as the head needs; its first claim's time. */
-  private static Time claim(Job head, int tasks, List<End> ends, Map<Machine, Size> future) {
+  /** Goes through the ends by time, as far as the jobs need; the first claim's time. */
+  private static Time claim(
+      List<Need> needs, boolean owed, List<End> ends, Map<Machine, Size> future) {
+    int left = 0;
+    for (Need need : needs) {
+      left += need.tasks;
+    }
     // A heap, for the head mostly fits after few of the thousands of ends.
     PriorityQueue<End> soonest = new PriorityQueue<>(Math.max(1, ends.size()), SOONEST);
     soonest.addAll(ends);
     Time first = null;
-    int left = tasks;
     while (left > 0 && !soonest.isEmpty()) {
       End end = soonest.poll();
       Machine m = end.machine;
       Size sum = future.get(m).plus(end.size);
-      while (left > 0 && head.spec.size().fitsIn(sum)) {
-        sum = sum.minus(head.spec.size());
-        left--;
-        if (first == null) {
-          first = end.at;
+      for (Need need : needs) {
+        Size size = need.job.spec.size();
+        if (need.tasks == 0 || !size.fitsIn(sum) || !Placement.allowed(need.job, m)) {
+          continue;
+        }
+        while (need.tasks > 0 && size.fitsIn(sum)) {
+          sum = sum.minus(size);
+          need.tasks--;
+          left--;
         }
-        m.reserved = new Reservation(end.at, sum);
+        first = first == null ? end.at : first;
+        m.reserved = new Reservation(end.at, owed, sum);
       }
       future.put(m, sum);
       if (m.reserved != null) {
@@ -127,7 +180,7 @@
       backfilled.sort(Comparator.comparing((Presence p) -> -p.job.spec.size().cores()));
       List<Presence> chosen = new ArrayList<>();
       for (Presence p : backfilled) {
-        if (!head.spec.size().fitsIn(sum)) {
+        if (!head.spec.size().fitsIn(sum) && parts.spares(p, chosen)) {
           sum = sum.plus(p.job.spec.size());
           chosen.add(p);
         }
@@ -137,6 +190,7 @@
           account.happened(
               "backfilled tasks are stopped: the time reserved for the head job has come",
               p.task() + " for " + head.id());
+          parts.stopped(p);
           p.stop(now, p.job.spec.save().plus(Span.seconds(1)));
         }
         return;
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -7,6 +7,7 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
+import io.saltflow.shares.Party;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Comparator;
@@ -40,6 +41,8 @@
   public record At(String address, int index) {}
 
   final JobSpec spec;
+  final Party jobClass;
+  final Party team;
   final long arrivedWallMs;
   final BitSet done;
   final BitSet stopped = new BitSet();
@@ -64,6 +67,9 @@
   boolean startAsked;
   int errors;
 
+  /** Run time that stops for the sake of other work have cost it under this leader, in seconds. */
+  double lostToOthersS;
+
   /** By this leader's clock; what another node wrote down may be off by the skew of both. */
   Time arrivedAt;
 
@@ -112,6 +118,8 @@
     this.maybeStartedBefore = maybeStarted;
     this.startRecorded = maybeStarted;
     this.spec = spec;
+    this.jobClass = Party.ofClass(spec.jobClass());
+    this.team = Party.ofTeam(spec.team());
     this.most = service() ? UNSAID : Integer.MAX_VALUE;
     this.arrivedWallMs = arrivedWallMs;
     this.done = done;
@@ -366,6 +374,11 @@
     return -1;
   }
 
+  /** Tasks that are on a machine or were given to one by the last round. */
+  int heldCount() {
+    return taken.cardinality() - done.cardinality();
+  }
+
   /** How many tasks could start from the given index on, counted up to a limit. */
   int countPending(int from, int atMost, Time now) {
     int most = service() ? Math.min(atMost, wantedTasks() - taken.cardinality()) : atMost;
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -2,6 +2,7 @@
 
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
+import io.saltflow.shares.Rules;
 import java.util.Map;
 
 /** What the platform says and what operators may set, as the core needs it. */
@@ -20,6 +21,7 @@
     Span patience,
     Span pressedSlack,
     double lengthWeight,
+    Rules shares,
     double dearFactor,
     double dearShare,
     Span horizon,
--- a/src/main/java/io/saltflow/coordination/Preemption.java
+++ b/src/main/java/io/saltflow/coordination/Preemption.java
@@ -21,12 +21,14 @@
   private final Policy policy;
   private final Estimates estimates;
   private final TeamUse use;
+  private final LeastParts parts;
   private final Account account;
 
-  Preemption(Policy policy, Estimates estimates, TeamUse use, Account account) {
+  Preemption(Policy policy, Estimates estimates, TeamUse use, LeastParts parts, Account account) {
     this.policy = policy;
     this.estimates = estimates;
     this.use = use;
+    this.parts = parts;
     this.account = account;
   }
 
@@ -79,9 +81,15 @@
     Time limit = now.plus(policy.patience());
     List<Place> out = new ArrayList<>();
     for (Machine m : usable) {
-      Place place = new Place(m, out.size(), m.room);
+      // What is gathered on a machine for a class or team that is owed it is nobody else's.
+      Reservation owed = m.reserved != null && m.reserved.owed ? m.reserved : null;
+      Place place = new Place(m, out.size(), owed == null ? m.room : m.room.least(owed.extra));
       for (Presence p : m.presences.values()) {
-        if (p.stopping || !estimates.end(p, now).after(limit)) {
+        Time end = estimates.end(p, now);
+        if (owed != null && !p.stopping && !end.after(owed.at)) {
+          continue;
+        }
+        if (p.stopping || !end.after(limit)) {
           place.soon = place.soon.plus(p.job.spec.size());
         } else {
           place.lasting.add(p);
@@ -132,7 +140,7 @@
       for (Presence p : best.victims) {
         // A stop made meanwhile may have brought its team within its guarantee, or its service to
         // its floor.
-        if (!mayStop(p, job, guaranteed, stopped) || !spares(p, List.of())) {
+        if (!mayStop(p, job, guaranteed, stopped, List.of()) || !spares(p, List.of())) {
           continue;
         }
         if (p.job.service()) {
@@ -143,6 +151,7 @@
                 ? "tasks are stopped for work within its team's guarantee"
                 : "tasks are stopped for work of higher priority",
             p.task() + " for " + job.id());
+        parts.stopped(p);
         p.stop(now, grace(p));
         place.soon = place.soon.plus(p.job.spec.size());
         place.lasting.remove(p);
@@ -173,7 +182,7 @@
       if (job.spec.size().fitsIn(sum)) {
         break;
       }
-      if (mayStop(p, job, guaranteed, stopped) && spares(p, chosen)) {
+      if (mayStop(p, job, guaranteed, stopped, chosen) && spares(p, chosen)) {
         sum = sum.plus(p.job.spec.size());
         cost += cost(p, now);
         chosen.add(p);
@@ -209,12 +218,17 @@
   }
 
   private boolean mayStop(
-      Presence p, Job forJob, Set<JobId> guaranteed, Map<String, Size> stopped) {
+      Presence p,
+      Job forJob,
+      Set<JobId> guaranteed,
+      Map<String, Size> stopped,
+      List<Presence> chosen) {
     Priority mine = forJob.spec.priority();
     boolean victimGuaranteed = guaranteed.contains(p.job.id());
     if (mine.above(p.job.spec.priority())
         && mine.compareTo(policy.preemptFrom()) >= 0
-        && (!victimGuaranteed || guaranteed.contains(forJob.id()))) {
+        && (!victimGuaranteed || guaranteed.contains(forJob.id()))
+        && parts.spares(p, chosen)) {
       return true;
     }
     String theirs = p.job.spec.team();
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -4,10 +4,16 @@
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
+import io.saltflow.shares.Party;
+import io.saltflow.shares.Turn;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
 
@@ -26,8 +32,13 @@
   private final Queue queue;
   private final HeadReservation reservation;
   private final Preemption preemption;
+  private final LeastParts parts;
   private List<Machine> usable = List.of();
   private List<Waiting> waiting = List.of();
+
+  /** Who is asked in which order when a machine reports between two rounds. */
+  private List<Entry> entries = List.of();
+
   private Job head;
   private double cheapest;
   private Size smallestWaiting;
@@ -41,8 +52,9 @@
     this.estimates = estimates;
     this.use = use;
     queue = new Queue(policy, estimates);
-    reservation = new HeadReservation(estimates, account);
-    preemption = new Preemption(policy, estimates, use, account);
+    parts = new LeastParts(policy, estimates, use);
+    reservation = new HeadReservation(estimates, parts, account);
+    preemption = new Preemption(policy, estimates, use, parts, account);
   }
 
   /**
@@ -51,6 +63,33 @@
    */
   record Waiting(Job job, int tasks, boolean held) {}
 
+  /** Why a job is asked when it is. */
+  private enum Why {
+    /** The order of the queue. */
+    QUEUE,
+    /** Urgent, in a class and team within their even share: before what is owed to others. */
+    URGENT,
+    /** Its class or team has waited for long and holds less than its least part. */
+    OWED
+  }
+
+  /** A job's place in the order of a round. */
+  private static final class Entry {
+    final Job job;
+    final Why why;
+    final Party party;
+
+    /** So many of its tasks may start on this account. */
+    int most;
+
+    Entry(Job job, Why why, Party party, int most) {
+      this.job = job;
+      this.why = why;
+      this.party = party;
+      this.most = most;
+    }
+  }
+
   /** A machine that could take a task of a job, and how well it suits. */
   private record Candidate(Machine machine, int order, double score) {}
 
@@ -66,6 +105,11 @@
     return looks;
   }
 
+  /** How classes and teams stand, since the last round. */
+  LeastParts parts() {
+    return parts;
+  }
+
   /** Gives tasks to machines and marks tasks to stop; returns who still waits, in queue order. */
   List<Waiting> round(
       Collection<Job> jobs, Collection<Machine> machines, boolean accounted, Time now) {
@@ -97,23 +141,30 @@
         order.add(job);
       }
     }
+    parts.look(jobs, new HashSet<>(order), usable, now);
+    order = parts.soonestFirst(order, guaranteed);
+    entries = entries(order);
     List<Machine> open = withRoomFor(smallest(order));
-    waiting = new ArrayList<>();
+    Map<JobId, Waiting> left = new LinkedHashMap<>();
+    Map<JobId, HeadReservation.Need> needs = new LinkedHashMap<>();
     head = null;
-    for (Job job : order) {
-      if (!job.startRecorded) {
-        waiting.add(new Waiting(job, job.countPending(0, use.mayStillGive(job), now), true));
-        continue;
+    for (Entry e : entries) {
+      if (e.why == Why.QUEUE && !needs.isEmpty()) {
+        reservation.reserveOwed(needs.values(), usable, booting, now);
+        needs.clear();
       }
-      int left = place(job, open, now);
-      if (left > 0 || job.nextPending(0, now) >= 0) {
-        waiting.add(new Waiting(job, left, false));
+      if (!left.containsKey(e.job.id())) {
+        place(e, open, left, needs, booting, now);
       }
-      if (left > 0 && head == null) {
-        head = job;
-        reservation.reserve(job, left, usable, booting, now);
+    }
+    waiting = new ArrayList<>();
+    for (Job job : order) {
+      Waiting w = left.get(job.id());
+      if (w != null) {
+        waiting.add(w);
       }
     }
+    entries.removeIf(e -> !left.containsKey(e.job.id()));
     smallestWaiting = null;
     for (Waiting w : waiting) {
       Size s = w.job.spec.size();
@@ -124,6 +175,72 @@
     return waiting;
   }
 
+  /** Guarantees, then urgent work within an even share, then what is owed, then the queue. */
+  private List<Entry> entries(List<Job> order) {
+    List<Entry> out = new ArrayList<>();
+    if (!parts.turns().isEmpty()) {
+      Map<JobId, Job> byId = new HashMap<>();
+      for (Job job : order) {
+        byId.put(job.id(), job);
+        if (guaranteed.contains(job.id())) {
+          out.add(new Entry(job, Why.QUEUE, null, Integer.MAX_VALUE));
+        } else if (job.spec.priority().compareTo(policy.preemptFrom()) >= 0) {
+          out.add(new Entry(job, Why.URGENT, null, Integer.MAX_VALUE));
+        }
+      }
+      for (Turn turn : parts.turns()) {
+        Job job = byId.get(turn.job());
+        if (!guaranteed.contains(turn.job())) {
+          out.add(new Entry(job, Why.OWED, turn.party(), turn.most()));
+        }
+      }
+    }
+    for (Job job : order) {
+      out.add(new Entry(job, Why.QUEUE, null, Integer.MAX_VALUE));
+    }
+    return out;
+  }
+
+  /** Whether one more task may start on the entry's account. */
+  private boolean inTurn(Entry e) {
+    return switch (e.why) {
+      case QUEUE -> true;
+      case URGENT -> parts.belowEven(e.job);
+      case OWED -> e.most > 0 && parts.owed(e.party);
+    };
+  }
+
+  /** Places the entry's job, and notes what is left of it. */
+  private void place(
+      Entry e,
+      List<Machine> open,
+      Map<JobId, Waiting> left,
+      Map<JobId, HeadReservation.Need> needs,
+      List<Machine> booting,
+      Time now) {
+    Job job = e.job;
+    if (!job.startRecorded) {
+      int held = job.countPending(0, use.mayStillGive(job), now);
+      left.put(job.id(), new Waiting(job, held, true));
+      return;
+    }
+    int tasks = place(e, open, now);
+    if (e.why == Why.OWED) {
+      if (tasks > 0) {
+        int most = Math.min(tasks, parts.owedTasks(e.party, needs.values(), job));
+        needs.putIfAbsent(job.id(), new HeadReservation.Need(job, most));
+      }
+      return;
+    }
+    if (tasks > 0 || (e.why == Why.QUEUE && job.nextPending(0, now) >= 0)) {
+      left.put(job.id(), new Waiting(job, tasks, false));
+    }
+    if (tasks > 0 && head == null) {
+      head = job;
+      reservation.reserve(job, tasks, usable, booting, now);
+    }
+  }
+
   /** The least of each amount that any of these asks for. */
   private static Size smallest(List<Job> jobs) {
     Size least = null;
@@ -157,7 +274,8 @@
   }
 
   /** Gives the job's tasks to the machines that suit best; how many wait, as far as allowed. */
-  private int place(Job job, List<Machine> open, Time now) {
+  private int place(Entry e, List<Machine> open, Time now) {
+    Job job = e.job;
     int index = job.nextPending(0, now);
     if (index < 0) {
       return 0;
@@ -165,31 +283,31 @@
     Crowd crowd = job.service() ? new Crowd(job) : null;
     PriorityQueue<Candidate> candidates = new PriorityQueue<>(BEST);
     for (int i = 0; i < open.size(); i++) {
-      offer(job, index, open.get(i), i, crowd, candidates, now);
+      offer(e, index, open.get(i), i, crowd, candidates, now);
     }
     while (index >= 0) {
-      if (!use.mayGive(job)) {
+      if (!use.mayGive(job) || !inTurn(e)) {
         // Its team's limit stands in its way, not room: no room is made or reserved for it.
         return 0;
       }
       Candidate best = candidates.poll();
       if (best == null) {
-        return job.countPending(index, use.mayStillGive(job), now);
+        return Math.min(e.most, job.countPending(index, use.mayStillGive(job), now));
       }
       if (crowd != null && score(job, best.machine, crowd) > best.score) {
         // Its zone got another meanwhile.
-        offer(job, index, best.machine, best.order, crowd, candidates, now);
+        offer(e, index, best.machine, best.order, crowd, candidates, now);
         continue;
       }
       // Tasks that were stopped before are predicted otherwise than their siblings.
-      if (mayTake(job, index, best.machine, head != null, now)) {
-        give(job, index, best.machine, now);
+      if (mayTake(e, index, best.machine, head != null, now)) {
+        give(e, index, best.machine, now);
         if (crowd != null) {
           crowd.add(best.machine);
         }
         index = job.nextPending(index + 1, now);
         if (index >= 0) {
-          offer(job, index, best.machine, best.order, crowd, candidates, now);
+          offer(e, index, best.machine, best.order, crowd, candidates, now);
         }
       }
     }
@@ -197,15 +315,15 @@
   }
 
   private void offer(
-      Job job,
+      Entry e,
       int index,
       Machine m,
       int order,
       Crowd crowd,
       PriorityQueue<Candidate> candidates,
       Time now) {
-    if (mayTake(job, index, m, head != null, now)) {
-      candidates.add(new Candidate(m, order, score(job, m, crowd)));
+    if (mayTake(e, index, m, head != null, now)) {
+      candidates.add(new Candidate(m, order, score(e.job, m, crowd)));
     }
   }
 
@@ -215,11 +333,12 @@
     return Placement.score(job, m, m.room, estimates, dear) + (crowd == null ? 0 : crowd.score(m));
   }
 
-  private boolean mayTake(Job job, int index, Machine m, boolean backfilling, Time now) {
+  private boolean mayTake(Entry e, int index, Machine m, boolean backfilling, Time now) {
+    Job job = e.job;
     looks++;
     return job.spec.size().fitsIn(m.room)
         && Placement.allowed(job, m)
-        && (!backfilling || mayBackfill(job, m, estimates.predict(job, index), now))
+        && (!bound(e, m, backfilling) || mayBackfill(job, m, estimates.predict(job, index), now))
         && (job.errorMachines.isEmpty()
             || !job.errorMachines.contains(m.id)
             || job.failsEverywhere()
@@ -243,8 +362,8 @@
       return;
     }
     boolean backfilling = false;
-    for (Waiting w : waiting) {
-      Job job = w.job;
+    for (Entry e : entries) {
+      Job job = e.job;
       // A service's tasks are spread over machines, which only a whole round looks at.
       if (!job.cancelled
           && !job.finishing
@@ -252,18 +371,26 @@
           && job.startRecorded
           && (accounted || !job.maybeStartedBefore)) {
         int index = job.nextPending(0, now);
-        while (index >= 0 && use.mayGive(job) && mayTake(job, index, m, backfilling, now)) {
-          give(job, index, m, now);
+        while (index >= 0
+            && use.mayGive(job)
+            && inTurn(e)
+            && mayTake(e, index, m, backfilling, now)) {
+          give(e, index, m, now);
           index = job.nextPending(index + 1, now);
         }
         if (!smallestWaiting.fitsIn(m.room)) {
           return;
         }
       }
-      backfilling |= job == head;
+      backfilling |= job == head && e.why != Why.OWED;
     }
   }
 
+  /** Whether a claim on the machine binds the entry: the head's what is behind it, others' all. */
+  private static boolean bound(Entry e, Machine m, boolean backfilling) {
+    return m.reserved != null && m.reserved.owed ? e.why != Why.OWED : backfilling;
+  }
+
   private boolean mayBackfill(Job job, Machine m, Span run, Time now) {
     Reservation r = m.reserved;
     return r == null || endsBefore(job, m, run, now, r) || job.spec.size().fitsIn(r.extra);
@@ -273,8 +400,10 @@
     return !job.spec.daemon() && !now.plus(estimates.fetch(job, m)).plus(run).after(r.at);
   }
 
-  private void give(Job job, int index, Machine m, Time now) {
-    boolean backfilling = head != null && head != job;
+  private void give(Entry e, int index, Machine m, Time now) {
+    Job job = e.job;
+    boolean backfilling = e.why != Why.OWED && head != null && head != job;
+    e.most--;
     m.room = m.room.minus(job.spec.size());
     use.given(job);
     job.given(index);
@@ -283,7 +412,9 @@
       job.assignedZones.add(m.zone);
     }
     Reservation r = m.reserved;
-    if (r != null && !endsBefore(job, m, estimates.predict(job, index), now, r)) {
+    if (r != null
+        && !(r.owed && e.why == Why.OWED)
+        && !endsBefore(job, m, estimates.predict(job, index), now, r)) {
       r.extra = r.extra.minus(job.spec.size());
     }
   }
--- a/src/main/java/io/saltflow/coordination/TaskOutcomes.java
+++ b/src/main/java/io/saltflow/coordination/TaskOutcomes.java
@@ -79,6 +79,10 @@
       usage.lost(p, now.since(p.runningSince).toSeconds());
     }
     p.job.stopped.set(p.index);
+    if (p.machine.noticeAt == null && p.runningSince != null) {
+      Span lost = saved ? p.job.spec.save().times(2) : now.since(p.runningSince);
+      p.job.lostToOthersS += lost.toSeconds();
+    }
     if (saved && p.runningSince != null) {
       keep(p, now.since(p.runningSince));
     }
--- a/src/main/java/io/saltflow/coordination/TeamUse.java
+++ b/src/main/java/io/saltflow/coordination/TeamUse.java
@@ -1,31 +1,18 @@
 package io.saltflow.coordination;
 
 import io.saltflow.protocol.Size;
-import java.util.HashMap;
+import io.saltflow.shares.Party;
 import java.util.List;
 import java.util.Map;
 
 /**
- * What each team's tasks use, kept up to date as tasks come and go: summed over the fleet at each
- * launch it would cost the more the larger the fleet is.
+ * What each team's tasks use of its limit, kept up to date as tasks come and go: summed over the
+ * fleet at each launch it would cost the more the larger the fleet is.
  */
 final class TeamUse {
-  /** So many tasks of so much in all; none at all is exactly nothing, whatever was rounded. */
-  private record Sum(int tasks, Size size) {
-    static final Sum NONE = new Sum(0, Size.ZERO);
-
-    Sum with(Size more) {
-      return new Sum(tasks + 1, size.plus(more));
-    }
-
-    Sum without(Size less) {
-      return tasks <= 1 ? NONE : new Sum(tasks - 1, size.minus(less));
-    }
-  }
-
   private final Map<String, Policy.Team> teams;
-  private final Map<String, Sum> present = new HashMap<>();
-  private final Map<String, Sum> given = new HashMap<>();
+  private final Holdings present = new Holdings();
+  private final Holdings given = new Holdings();
   private Size unknown = Size.ZERO;
   private List<Leader.Demand> messages = List.of();
 
@@ -33,32 +20,22 @@
     this.teams = teams;
   }
 
-  private static void add(Map<String, Sum> sums, Job job) {
-    String team = job.spec.team();
-    sums.put(team, sums.getOrDefault(team, Sum.NONE).with(job.spec.size()));
-  }
-
-  private static void take(Map<String, Sum> sums, Job job) {
-    String team = job.spec.team();
-    sums.put(team, sums.getOrDefault(team, Sum.NONE).without(job.spec.size()));
-  }
-
   /** A task of the job is, or might be, on a machine. */
   void present(Job job) {
-    add(present, job);
+    present.add(job);
   }
 
   void gone(Job job) {
-    take(present, job);
+    present.take(job);
   }
 
   /** A round gave a task of the job to a machine that has not been told yet. */
   void given(Job job) {
-    add(given, job);
+    given.add(job);
   }
 
   void takenBack(Job job) {
-    take(given, job);
+    given.take(job);
   }
 
   /** All of every machine that might hold tasks of a former leader counts against every team. */
@@ -101,11 +78,16 @@
 
   /** The most that the team may be using, with what has been given out. */
   Size most(String team) {
-    return launched(team).plus(given.getOrDefault(team, Sum.NONE).size);
+    return launched(team).plus(given.of(Party.ofTeam(team)));
   }
 
   private Size launched(String team) {
-    return present.getOrDefault(team, Sum.NONE).size.plus(unknown);
+    return present.of(Party.ofTeam(team)).plus(unknown);
+  }
+
+  /** What the tasks of a class or team are known to take, with what has been given out. */
+  Size known(Party party) {
+    return present.of(party).plus(given.of(party));
   }
 
   /** Whether one more task may be given out. */
--- a/src/main/java/io/saltflow/coordination/Watchman.java
+++ b/src/main/java/io/saltflow/coordination/Watchman.java
@@ -4,6 +4,8 @@
 import io.saltflow.protocol.Time;
 import java.util.Collection;
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 
 /** Looks once a second at what may be wrong for long, for the account of the night. */
 final class Watchman {
@@ -31,6 +33,7 @@
     machines(machines, now);
     lateJobs(jobs, now);
     guarantees(waiting, scheduler, now);
+    shares(scheduler.parts(), now);
     account.tell(now);
   }
 
@@ -80,4 +83,31 @@
         tasks + " tasks for more than " + Math.round(policy.guaranteeWithin().toSeconds()) + " s",
         now);
   }
+
+  /** Classes and teams that have waited for long and get less than they ask for. */
+  private void shares(LeastParts parts, Time now) {
+    Set<String> over = account.lasting(Account.Trouble.SHARE);
+    parts
+        .standings()
+        .forEach(
+            (party, s) -> {
+              if (!s.waits()) {
+                return;
+              }
+              over.remove(party.toString());
+              String note =
+                  String.format(
+                      Locale.ROOT,
+                      "it has %.0f%% of the fleet and asks for %.0f%%, its least part is %.0f%%,"
+                          + " the oldest waits %.0f s",
+                      100 * parts.held(party),
+                      100 * s.wanted(),
+                      100 * s.least(),
+                      s.longest().toSeconds());
+              account.level(Account.Trouble.SHARE, party.toString(), s.jobs(), note, now);
+            });
+    for (String name : over) {
+      account.level(Account.Trouble.SHARE, name, 0, "", now);
+    }
+  }
 }
--- a/src/test/java/io/saltflow/LayersTest.java
+++ b/src/test/java/io/saltflow/LayersTest.java
@@ -24,7 +24,8 @@
       Map.ofEntries(
           entry("protocol"),
           entry("transport", "protocol"),
-          entry("coordination", "protocol"),
+          entry("shares", "protocol"),
+          entry("coordination", "protocol", "shares"),
           entry("amqp", "protocol"),
           entry("queues", "protocol"),
           entry("gates", "protocol"),
@@ -50,6 +51,7 @@
               "bookkeeping"),
           entry(
               "app",
+              "shares",
               "protocol",
               "transport",
               "coordination",
@@ -103,6 +105,7 @@
   void theCoreIsPure() throws IOException {
     for (String core :
         List.of(
+            "shares",
             "coordination",
             "queues",
             "amqp",
--- a/src/test/java/io/saltflow/coordination/Jobs.java
+++ b/src/test/java/io/saltflow/coordination/Jobs.java
@@ -9,6 +9,7 @@
 /** Builds jobs for tests; what a test does not say is plain. */
 final class Jobs {
   private final int number;
+  private String jobClass = "class";
   private String team = "blue";
   private boolean daemon;
   private Priority priority = Priority.NORMAL;
@@ -34,6 +35,11 @@
     return String.format("req-%06d", number);
   }
 
+  Jobs ofClass(String value) {
+    jobClass = value;
+    return this;
+  }
+
   Jobs team(String value) {
     team = value;
     return this;
@@ -97,7 +103,7 @@
   JobSpec build() {
     return new JobSpec(
         new JobId(id(number)),
-        "class",
+        jobClass,
         team,
         daemon,
         priority,
--- a/src/test/java/io/saltflow/coordination/Policies.java
+++ b/src/test/java/io/saltflow/coordination/Policies.java
@@ -2,6 +2,7 @@
 
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
+import io.saltflow.shares.Rules;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -39,6 +40,7 @@
         Span.seconds(6),
         Span.seconds(30),
         1,
+        new Rules(0.5, Span.seconds(120), 0.25),
         1.8,
         0.25,
         Span.seconds(45),
@@ -52,6 +54,14 @@
 
   /** The same settings on a machine with a part of a core: whole rounds keep some way apart. */
   static Policy onPartOfACore(Policy p, double share) {
+    return with(p, share, p.shares());
+  }
+
+  static Policy withShares(Policy p, Rules shares) {
+    return with(p, p.cpuShare(), shares);
+  }
+
+  private static Policy with(Policy p, double share, Rules shares) {
     return new Policy(
         share,
         p.report(),
@@ -67,6 +77,7 @@
         p.patience(),
         p.pressedSlack(),
         p.lengthWeight(),
+        shares,
         p.dearFactor(),
         p.dearShare(),
         p.horizon(),
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -34,6 +34,9 @@
   static final long CANCEL = 41_000;
   static final long LEADER_LEASE = 5_000;
 
+  /** A class whose tasks fail wherever they are started. */
+  static final String BROKEN = "broken";
+
   /** A job as the state service holds it. */
   static final class JobRecord {
     final JobSpec spec;
@@ -43,6 +46,9 @@
     boolean over;
     long cancelledAt = -1;
 
+    /** When its first task ran; -1: none has. */
+    long startedAt = -1;
+
     JobRecord(JobSpec spec, long at) {
       this.spec = spec;
       this.at = at;
@@ -116,7 +122,7 @@
     private void progress(TaskId id, OnMachine t) {
       JobRecord job = records.get(id.job());
       if (t.state == Report.TaskState.FETCHING && now >= t.fetchedAt) {
-        if (failsAll) {
+        if (failsAll || job.spec.jobClass().equals(BROKEN)) {
           t.state = Report.TaskState.EXITED;
           t.cause = Report.ExitCause.ERROR;
           nextReport = now;
@@ -203,11 +209,15 @@
   /** Guards that a test may take away, to see that the checks would notice. */
   boolean forgetLedger;
 
+  boolean forgetArrivals;
+
   double loss;
 
   /** What the cloud has to give. */
   int mostMachines = 24;
 
+  int mostInZone = Integer.MAX_VALUE;
+
   World(long seed, Policy policy) {
     this.random = new SplitMix64(seed);
     this.policy = policy;
@@ -220,7 +230,8 @@
         Authority.keepBound(Span.millis(LEASE), Span.millis(CANCEL)),
         1800,
         new Policy.Team("red", 16, 48, 0, 0),
-        new Policy.Team("blue", 0, 0, 0, 0));
+        new Policy.Team("blue", 0, 0, 0, 0),
+        new Policy.Team("green", 0, 0, 0, 0));
   }
 
   Time time() {
@@ -252,6 +263,7 @@
   /** A rule: nothing starts twice, in the wrong place, beyond a limit, or after a cancel. */
   private void checkStart(Worker w, TaskId id, JobRecord job) {
     started++;
+    job.startedAt = job.startedAt < 0 ? now : job.startedAt;
     say(id + " starts on " + w.id);
     double team = 0;
     int zoneHere = 0;
@@ -336,7 +348,8 @@
     List<Job> jobs = new ArrayList<>();
     for (JobRecord r : records.values()) {
       if (!r.over) {
-        jobs.add(new Job(r.spec, r.at, (BitSet) r.done.clone(), r.started));
+        long arrived = forgetArrivals ? now : r.at;
+        jobs.add(new Job(r.spec, arrived, (BitSet) r.done.clone(), r.started));
       }
     }
     Term term = new Term(++termNumber);
@@ -448,7 +461,7 @@
     }
     for (Rental r : core.toRent(time())) {
       List<MachineId> hosts = new ArrayList<>();
-      for (int i = 0; i < r.count() && workers.size() < mostMachines; i++) {
+      for (int i = 0; i < r.count() && given(r.zone()); i++) {
         MachineId id = new MachineId(String.format("vm-%06d", machineNumber++));
         workers.put(id, new Worker(id, r.zone(), r.spot(), now + 8000 + random.nextInt(16) * 500));
         hosts.add(id);
@@ -465,6 +478,11 @@
     }
   }
 
+  private boolean given(String zone) {
+    return workers.size() < mostMachines
+        && workers.values().stream().filter(m -> m.zone.equals(zone)).count() < mostInZone;
+  }
+
   boolean allOver() {
     return records.values().stream().allMatch(r -> r.over);
   }
--- /dev/null
+++ b/src/test/java/io/saltflow/shares/PlanTest.java
@@ -0,0 +1,149 @@
+package io.saltflow.shares;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Span;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.core.source64.SplitMix64;
+import org.junit.jupiter.api.Test;
+
+class PlanTest {
+  private static final Rules RULES = new Rules(0.5, Span.seconds(120), 0.25);
+
+  private static Ask ask(int id, String jobClass, int pending, int held, double leftS, int waitS) {
+    return new Ask(
+        new JobId(String.format("req-%06d", id)),
+        Party.ofClass(jobClass),
+        Party.ofTeam("one"),
+        Priority.NORMAL,
+        0.01,
+        pending,
+        held,
+        1,
+        leftS,
+        -waitS * 1000L,
+        Span.seconds(waitS));
+  }
+
+  /** Who asks for little is served in full; the others share what is left evenly. */
+  @Test
+  void evenShares() {
+    Plan plan =
+        Plan.of(
+            List.of(
+                ask(1, "small", 10, 0, 1, 200),
+                ask(2, "large", 500, 0, 9, 10),
+                ask(3, "huge", 5000, 80, 50, 300)),
+            RULES);
+    Standing small = plan.standings().get(Party.ofClass("small"));
+    Standing large = plan.standings().get(Party.ofClass("large"));
+    Standing huge = plan.standings().get(Party.ofClass("huge"));
+    assertEquals(0.10, small.even(), 1e-9);
+    assertEquals(0.05, small.least(), 1e-9);
+    assertEquals(0.45, large.even(), 1e-9);
+    assertEquals(0.45, huge.even(), 1e-9);
+    assertTrue(plan.owed(Party.ofClass("small"), 0.04));
+    assertFalse(plan.owed(Party.ofClass("small"), 0.05), "it has its least part");
+    assertFalse(plan.owed(Party.ofClass("large"), 0), "it has not waited for long");
+    assertEquals(Party.ofClass("small"), plan.turns().get(0).party(), "who has least of its own");
+  }
+
+  /** The oldest gets a quarter of the part, the rest goes to those that can end soonest. */
+  @Test
+  void oldestThenSoonest() {
+    Plan plan =
+        Plan.of(
+            List.of(
+                ask(1, "c", 60, 2, 40, 500),
+                ask(2, "c", 60, 0, 20, 60),
+                ask(3, "c", 60, 0, 30, 90)),
+            RULES);
+    List<String> turns = new ArrayList<>();
+    for (Turn t : plan.turns()) {
+      if (t.party().equals(Party.ofClass("c"))) {
+        turns.add(t.job() + " " + t.most());
+      }
+    }
+    // Half of the fleet is 50 tasks; a quarter of it is 13, and the oldest has two.
+    assertEquals(List.of("req-000001 11", "req-000002 60"), turns);
+  }
+
+  /**
+   * Any mixture, played by the plan alone with a fleet of 100 tasks that each take one turn: as
+   * long as others keep coming, each job is begun within the bound.
+   */
+  @Test
+  void fromAnyQueueEachJobIsBegunWithinTheBound() {
+    for (long seed = 1; seed <= 40; seed++) {
+      assertTrue(worstWait(seed, RULES) <= bound(), "seed " + seed);
+    }
+    boolean seen = false;
+    for (long seed = 1; seed <= 40; seed++) {
+      seen |= worstWait(seed, new Rules(0.5, Span.seconds(120), 0)) > bound();
+    }
+    assertTrue(seen, "with nothing for the oldest some job waits for ever");
+  }
+
+  /**
+   * In steps of ten seconds: 12 until it counts, and 10 jobs of up to 60 tasks before it, of which
+   * at least 6 a step (a quarter of half of an even share of two) are started.
+   */
+  private static int bound() {
+    return 12 + 10 * 60 / 6;
+  }
+
+  /** When the last of ten first jobs is begun; 200: never. */
+  private static int worstWait(long seed, Rules rules) {
+    UniformRandomProvider random = new SplitMix64(seed);
+    Map<Integer, Integer> pending = new LinkedHashMap<>();
+    Map<Integer, Integer> arrived = new HashMap<>();
+    Set<Integer> waiting = new HashSet<>();
+    for (int id = 0; id < 10; id++) {
+      pending.put(id, 1 + random.nextInt(60));
+      arrived.put(id, 0);
+      waiting.add(id);
+    }
+    for (int step = 0; step < 200; step++) {
+      // Short ones of the same class, for ever; and a class beside it that wants everything.
+      for (int i = 0; i < 6; i++) {
+        int id = 10 + 6 * step + i;
+        pending.put(id, 1 + random.nextInt(10));
+        arrived.put(id, step);
+      }
+      List<Ask> asks = new ArrayList<>();
+      for (Map.Entry<Integer, Integer> e : pending.entrySet()) {
+        int waitS = 10 * (step - arrived.get(e.getKey()));
+        asks.add(ask(e.getKey(), "c", e.getValue(), 0, e.getValue(), waitS));
+      }
+      asks.add(ask(999_999, "other", 1000, 0, 1000, 1000));
+      Plan plan = Plan.of(asks, rules);
+      double held = 0;
+      for (Turn t : plan.turns()) {
+        if (!t.party().equals(Party.ofClass("c"))) {
+          continue;
+        }
+        int id = Integer.parseInt(t.job().text().substring(4));
+        for (int n = 0; n < t.most() && plan.owed(t.party(), held); n++) {
+          held += 0.01;
+          waiting.remove(id);
+          pending.computeIfPresent(id, (i, left) -> left > 1 ? left - 1 : null);
+        }
+      }
+      if (waiting.isEmpty()) {
+        return step;
+      }
+    }
+    return 200;
+  }
+}
