Of sixteen jobs of a class in the queue, those whose image the machine has go first

Change: Scheduler.fill goes through the queue in runs of up to sixteen jobs of one class, first those whose image the machine has, then the others. Places before and after the run, reservations and least parts stay as they are.

--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -26,6 +26,12 @@
  * machine that reports, with the queue and the reservation of the last whole round.
  */
 final class Scheduler {
+  /**
+   * Of so many jobs of one class that stand together in the queue, those whose image a machine has
+   * go first on it: a fetch takes a good part of a short run, and they hardly differ in rank.
+   */
+  private static final int LOOK_AHEAD = 16;
+
   private final Policy policy;
   private final Estimates estimates;
   private final TeamUse use;
@@ -361,29 +367,68 @@
     if (smallestWaiting == null || !smallestWaiting.fitsIn(m.room)) {
       return;
     }
-    boolean backfilling = false;
-    for (Entry e : entries) {
-      Job job = e.job;
-      // A service's tasks are spread over machines, which only a whole round looks at.
-      if (!job.cancelled
-          && !job.finishing
-          && !job.service()
-          && job.startRecorded
-          && (accounted || !job.maybeStartedBefore)) {
-        int index = job.nextPending(0, now);
-        while (index >= 0
-            && use.mayGive(job)
-            && inTurn(e)
-            && mayTake(e, index, m, backfilling, now)) {
-          give(e, index, m, now);
-          index = job.nextPending(index + 1, now);
+    int headAt = headAt();
+    for (int from = 0; from < entries.size(); ) {
+      int to = alike(from);
+      for (int i = from; i < to; i++) {
+        if (has(m, entries.get(i)) && !fill(m, entries.get(i), i > headAt, accounted, now)) {
+          return;
         }
-        if (!smallestWaiting.fitsIn(m.room)) {
+      }
+      for (int i = from; i < to; i++) {
+        if (!has(m, entries.get(i)) && !fill(m, entries.get(i), i > headAt, accounted, now)) {
           return;
         }
       }
-      backfilling |= job == head && e.why != Why.OWED;
+      from = to;
+    }
+  }
+
+  /** Where the head stands among the entries; what comes after it may only fill the gap. */
+  private int headAt() {
+    for (int i = 0; i < entries.size(); i++) {
+      if (entries.get(i).job == head && entries.get(i).why != Why.OWED) {
+        return i;
+      }
+    }
+    return Integer.MAX_VALUE;
+  }
+
+  /** The end of the entries that may change places: the next few of one class in the queue. */
+  private int alike(int from) {
+    Entry first = entries.get(from);
+    int to = from + 1;
+    while (first.why == Why.QUEUE
+        && to < entries.size()
+        && to - from < LOOK_AHEAD
+        && entries.get(to).why == Why.QUEUE
+        && entries.get(to).job.jobClass.equals(first.job.jobClass)) {
+      to++;
+    }
+    return to;
+  }
+
+  private static boolean has(Machine m, Entry e) {
+    return m.images.contains(e.job.spec.image());
+  }
+
+  /** Gives the machine what it can take of one entry; false: there is no room for anything more. */
+  private boolean fill(Machine m, Entry e, boolean backfilling, boolean accounted, Time now) {
+    Job job = e.job;
+    // A service's tasks are spread over machines, which only a whole round looks at.
+    if (job.cancelled
+        || job.finishing
+        || job.service()
+        || !job.startRecorded
+        || (!accounted && job.maybeStartedBefore)) {
+      return true;
+    }
+    int index = job.nextPending(0, now);
+    while (index >= 0 && use.mayGive(job) && inTurn(e) && mayTake(e, index, m, backfilling, now)) {
+      give(e, index, m, now);
+      index = job.nextPending(index + 1, now);
     }
+    return smallestWaiting.fitsIn(m.room);
   }
 
   /** Whether a claim on the machine binds the entry: the head's what is behind it, others' all. */
