--- a/src/main/java/io/saltflow/coordination/HeadReservation.java
+++ b/src/main/java/io/saltflow/coordination/HeadReservation.java
@@ -17,6 +17,9 @@
   /** How many tasks of the head get a reservation: bounds a round's work. */
   static final int MOST_RESERVED = 256;
 
+  /** How many jobs get a reservation on account of what they are owed: bounds it too. */
+  private static final int MOST_NEEDS = 16;
+
   /** The head's promise, kept over rounds so that it does not slip. */
   private record Promise(JobId job, Time at) {}
 
@@ -64,11 +67,17 @@
    */
   void reserveOwed(Collection<Need> needs, List<Machine> usable, List<Machine> booting, Time now) {
     int left = MOST_RESERVED;
+    List<Need> first = new ArrayList<>();
     for (Need need : needs) {
       need.tasks = Math.min(left, need.tasks);
       left -= need.tasks;
+      if (need.tasks > 0 && first.size() < MOST_NEEDS) {
+        first.add(need);
+      }
+    }
+    if (!first.isEmpty()) {
+      claim(first, true, usable, booting, now);
     }
-    claim(List.copyOf(needs), true, usable, booting, now);
   }
 
   private static boolean allowed(List<Need> needs, Machine m) {
@@ -114,8 +123,10 @@
   private static Time claim(
       List<Need> needs, boolean owed, List<End> ends, Map<Machine, Size> future) {
     int left = 0;
+    Size least = null;
     for (Need need : needs) {
       left += need.tasks;
+      least = least == null ? need.job.spec.size() : least.least(need.job.spec.size());
     }
     // A heap, for the head mostly fits after few of the thousands of ends.
     PriorityQueue<End> soonest = new PriorityQueue<>(Math.max(1, ends.size()), SOONEST);
@@ -125,7 +136,7 @@
       End end = soonest.poll();
       Machine m = end.machine;
       Size sum = future.get(m).plus(end.size);
-      for (Need need : needs) {
+      for (Need need : least.fitsIn(sum) ? needs : List.<Need>of()) {
         Size size = need.job.spec.size();
         if (need.tasks == 0 || !size.fitsIn(sum) || !Placement.allowed(need.job, m)) {
           continue;
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -4,12 +4,9 @@
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
-import io.saltflow.shares.Party;
-import io.saltflow.shares.Turn;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,12 +23,6 @@
  * machine that reports, with the queue and the reservation of the last whole round.
  */
 final class Scheduler {
-  /**
-   * Of so many jobs of one class that stand together in the queue, those whose image a machine has
-   * go first on it: a fetch takes a good part of a short run, and they hardly differ in rank.
-   */
-  private static final int LOOK_AHEAD = 16;
-
   private final Policy policy;
   private final Estimates estimates;
   private final TeamUse use;
@@ -43,11 +34,12 @@
   private List<Waiting> waiting = List.of();
 
   /** Who is asked in which order when a machine reports between two rounds. */
-  private List<Entry> entries = List.of();
+  private List<Lineup.Entry> entries = List.of();
 
   private Job head;
   private double cheapest;
   private Size smallestWaiting;
+  private Span shortestRun;
   private Set<JobId> guaranteed = Set.of();
 
   /** How often a machine was looked at for a task: what a round's work grows with. */
@@ -69,33 +61,6 @@
    */
   record Waiting(Job job, int tasks, boolean held) {}
 
-  /** Why a job is asked when it is. */
-  private enum Why {
-    /** The order of the queue. */
-    QUEUE,
-    /** Urgent, in a class and team within their even share: before what is owed to others. */
-    URGENT,
-    /** Its class or team has waited for long and holds less than its least part. */
-    OWED
-  }
-
-  /** A job's place in the order of a round. */
-  private static final class Entry {
-    final Job job;
-    final Why why;
-    final Party party;
-
-    /** So many of its tasks may start on this account. */
-    int most;
-
-    Entry(Job job, Why why, Party party, int most) {
-      this.job = job;
-      this.why = why;
-      this.party = party;
-      this.most = most;
-    }
-  }
-
   /** A machine that could take a task of a job, and how well it suits. */
   private record Candidate(Machine machine, int order, double score) {}
 
@@ -149,15 +114,17 @@
     }
     parts.look(jobs, new HashSet<>(order), usable, now);
     order = parts.soonestFirst(order, guaranteed);
-    entries = entries(order);
-    List<Machine> open = withRoomFor(smallest(order));
+    entries = Lineup.of(order, guaranteed, parts.turns(), policy.preemptFrom());
+    least(order);
+    List<Machine> open = withRoomFor(smallestWaiting);
     Map<JobId, Waiting> left = new LinkedHashMap<>();
     Map<JobId, HeadReservation.Need> needs = new LinkedHashMap<>();
     head = null;
-    for (Entry e : entries) {
-      if (e.why == Why.QUEUE && !needs.isEmpty()) {
+    for (Lineup.Entry e : entries) {
+      if (e.why == Lineup.Why.QUEUE && !needs.isEmpty()) {
         reservation.reserveOwed(needs.values(), usable, booting, now);
         needs.clear();
+        open.removeIf(m -> claimed(m, now));
       }
       if (!left.containsKey(e.job.id())) {
         place(e, open, left, needs, booting, now);
@@ -171,54 +138,15 @@
       }
     }
     entries.removeIf(e -> !left.containsKey(e.job.id()));
-    smallestWaiting = null;
-    for (Waiting w : waiting) {
-      Size s = w.job.spec.size();
-      smallestWaiting = smallestWaiting == null ? s : smallestWaiting.least(s);
-    }
+    least(waiting.stream().map(Waiting::job).toList());
     reservation.stopWhenDue(head, usable, now);
     preemption.preempt(waiting, usable, booting, guaranteed, now);
     return waiting;
   }
 
-  /** Guarantees, then urgent work within an even share, then what is owed, then the queue. */
-  private List<Entry> entries(List<Job> order) {
-    List<Entry> out = new ArrayList<>();
-    if (!parts.turns().isEmpty()) {
-      Map<JobId, Job> byId = new HashMap<>();
-      for (Job job : order) {
-        byId.put(job.id(), job);
-        if (guaranteed.contains(job.id())) {
-          out.add(new Entry(job, Why.QUEUE, null, Integer.MAX_VALUE));
-        } else if (job.spec.priority().compareTo(policy.preemptFrom()) >= 0) {
-          out.add(new Entry(job, Why.URGENT, null, Integer.MAX_VALUE));
-        }
-      }
-      for (Turn turn : parts.turns()) {
-        Job job = byId.get(turn.job());
-        if (!guaranteed.contains(turn.job())) {
-          out.add(new Entry(job, Why.OWED, turn.party(), turn.most()));
-        }
-      }
-    }
-    for (Job job : order) {
-      out.add(new Entry(job, Why.QUEUE, null, Integer.MAX_VALUE));
-    }
-    return out;
-  }
-
-  /** Whether one more task may start on the entry's account. */
-  private boolean inTurn(Entry e) {
-    return switch (e.why) {
-      case QUEUE -> true;
-      case URGENT -> parts.belowEven(e.job);
-      case OWED -> e.most > 0 && parts.owed(e.party);
-    };
-  }
-
   /** Places the entry's job, and notes what is left of it. */
   private void place(
-      Entry e,
+      Lineup.Entry e,
       List<Machine> open,
       Map<JobId, Waiting> left,
       Map<JobId, HeadReservation.Need> needs,
@@ -231,14 +159,14 @@
       return;
     }
     int tasks = place(e, open, now);
-    if (e.why == Why.OWED) {
+    if (e.why == Lineup.Why.OWED) {
       if (tasks > 0) {
-        int most = Math.min(tasks, parts.owedTasks(e.party, needs.values(), job));
+        int most = Math.min(tasks, parts.owedTasks(e.party(), needs.values(), job));
         needs.putIfAbsent(job.id(), new HeadReservation.Need(job, most));
       }
       return;
     }
-    if (tasks > 0 || (e.why == Why.QUEUE && job.nextPending(0, now) >= 0)) {
+    if (tasks > 0 || (e.why == Lineup.Why.QUEUE && job.nextPending(0, now) >= 0)) {
       left.put(job.id(), new Waiting(job, tasks, false));
     }
     if (tasks > 0 && head == null) {
@@ -247,13 +175,16 @@
     }
   }
 
-  /** The least of each amount that any of these asks for. */
-  private static Size smallest(List<Job> jobs) {
-    Size least = null;
+  /** The least of each amount that any of these asks for, and the shortest run. */
+  private void least(List<Job> jobs) {
+    smallestWaiting = null;
+    shortestRun = new Span(Long.MAX_VALUE / 2);
     for (Job job : jobs) {
-      least = least == null ? job.spec.size() : least.least(job.spec.size());
+      Size s = job.spec.size();
+      smallestWaiting = smallestWaiting == null ? s : smallestWaiting.least(s);
+      Span run = estimates.predict(job, 0);
+      shortestRun = run.longerThan(shortestRun) ? shortestRun : run;
     }
-    return least;
   }
 
   private List<Machine> withRoomFor(Size least) {
@@ -280,10 +211,10 @@
   }
 
   /** Gives the job's tasks to the machines that suit best; how many wait, as far as allowed. */
-  private int place(Entry e, List<Machine> open, Time now) {
+  private int place(Lineup.Entry e, List<Machine> open, Time now) {
     Job job = e.job;
     int index = job.nextPending(0, now);
-    if (index < 0) {
+    if (index < 0 || !e.inTurn(parts)) {
       return 0;
     }
     Crowd crowd = job.service() ? new Crowd(job) : null;
@@ -292,13 +223,13 @@
       offer(e, index, open.get(i), i, crowd, candidates, now);
     }
     while (index >= 0) {
-      if (!use.mayGive(job) || !inTurn(e)) {
+      if (!use.mayGive(job) || !e.inTurn(parts)) {
         // Its team's limit stands in its way, not room: no room is made or reserved for it.
         return 0;
       }
       Candidate best = candidates.poll();
       if (best == null) {
-        return Math.min(e.most, job.countPending(index, use.mayStillGive(job), now));
+        return Math.min(e.most(), job.countPending(index, use.mayStillGive(job), now));
       }
       if (crowd != null && score(job, best.machine, crowd) > best.score) {
         // Its zone got another meanwhile.
@@ -321,7 +252,7 @@
   }
 
   private void offer(
-      Entry e,
+      Lineup.Entry e,
       int index,
       Machine m,
       int order,
@@ -339,7 +270,7 @@
     return Placement.score(job, m, m.room, estimates, dear) + (crowd == null ? 0 : crowd.score(m));
   }
 
-  private boolean mayTake(Entry e, int index, Machine m, boolean backfilling, Time now) {
+  private boolean mayTake(Lineup.Entry e, int index, Machine m, boolean backfilling, Time now) {
     Job job = e.job;
     looks++;
     return job.spec.size().fitsIn(m.room)
@@ -367,9 +298,17 @@
     if (smallestWaiting == null || !smallestWaiting.fitsIn(m.room)) {
       return;
     }
+    if (claimed(m, now)) {
+      for (Lineup.Entry e : entries) {
+        if (e.why == Lineup.Why.OWED && !fill(m, e, false, accounted, now)) {
+          return;
+        }
+      }
+      return;
+    }
     int headAt = headAt();
     for (int from = 0; from < entries.size(); ) {
-      int to = alike(from);
+      int to = Lineup.alike(entries, from);
       for (int i = from; i < to; i++) {
         if (has(m, entries.get(i)) && !fill(m, entries.get(i), i > headAt, accounted, now)) {
           return;
@@ -384,36 +323,35 @@
     }
   }
 
+  /**
+   * Whether all that is free is kept for those who are owed it, so that nobody else need be asked:
+   * a machine on which room is gathered reports several times before it is there.
+   */
+  private boolean claimed(Machine m, Time now) {
+    Reservation r = m.reserved;
+    return r != null
+        && r.owed
+        && now.plus(shortestRun).after(r.at)
+        && !smallestWaiting.fitsIn(r.extra);
+  }
+
   /** Where the head stands among the entries; what comes after it may only fill the gap. */
   private int headAt() {
     for (int i = 0; i < entries.size(); i++) {
-      if (entries.get(i).job == head && entries.get(i).why != Why.OWED) {
+      if (entries.get(i).job == head && entries.get(i).why != Lineup.Why.OWED) {
         return i;
       }
     }
     return Integer.MAX_VALUE;
   }
 
-  /** The end of the entries that may change places: the next few of one class in the queue. */
-  private int alike(int from) {
-    Entry first = entries.get(from);
-    int to = from + 1;
-    while (first.why == Why.QUEUE
-        && to < entries.size()
-        && to - from < LOOK_AHEAD
-        && entries.get(to).why == Why.QUEUE
-        && entries.get(to).job.jobClass.equals(first.job.jobClass)) {
-      to++;
-    }
-    return to;
-  }
-
-  private static boolean has(Machine m, Entry e) {
+  private static boolean has(Machine m, Lineup.Entry e) {
     return m.images.contains(e.job.spec.image());
   }
 
   /** Gives the machine what it can take of one entry; false: there is no room for anything more. */
-  private boolean fill(Machine m, Entry e, boolean backfilling, boolean accounted, Time now) {
+  private boolean fill(
+      Machine m, Lineup.Entry e, boolean backfilling, boolean accounted, Time now) {
     Job job = e.job;
     // A service's tasks are spread over machines, which only a whole round looks at.
     if (job.cancelled
@@ -424,7 +362,10 @@
       return true;
     }
     int index = job.nextPending(0, now);
-    while (index >= 0 && use.mayGive(job) && inTurn(e) && mayTake(e, index, m, backfilling, now)) {
+    while (index >= 0
+        && use.mayGive(job)
+        && e.inTurn(parts)
+        && mayTake(e, index, m, backfilling, now)) {
       give(e, index, m, now);
       index = job.nextPending(index + 1, now);
     }
@@ -432,8 +373,8 @@
   }
 
   /** Whether a claim on the machine binds the entry: the head's what is behind it, others' all. */
-  private static boolean bound(Entry e, Machine m, boolean backfilling) {
-    return m.reserved != null && m.reserved.owed ? e.why != Why.OWED : backfilling;
+  private static boolean bound(Lineup.Entry e, Machine m, boolean backfilling) {
+    return m.reserved != null && m.reserved.owed ? e.why != Lineup.Why.OWED : backfilling;
   }
 
   private boolean mayBackfill(Job job, Machine m, Span run, Time now) {
@@ -445,10 +386,10 @@
     return !job.spec.daemon() && !now.plus(estimates.fetch(job, m)).plus(run).after(r.at);
   }
 
-  private void give(Entry e, int index, Machine m, Time now) {
+  private void give(Lineup.Entry e, int index, Machine m, Time now) {
     Job job = e.job;
-    boolean backfilling = e.why != Why.OWED && head != null && head != job;
-    e.most--;
+    boolean backfilling = e.why != Lineup.Why.OWED && head != null && head != job;
+    e.given();
     m.room = m.room.minus(job.spec.size());
     use.given(job);
     job.given(index);
@@ -458,7 +399,7 @@
     }
     Reservation r = m.reserved;
     if (r != null
-        && !(r.owed && e.why == Why.OWED)
+        && !(r.owed && e.why == Lineup.Why.OWED)
         && !endsBefore(job, m, estimates.predict(job, index), now, r)) {
       r.extra = r.extra.minus(job.spec.size());
     }
--- a/src/main/java/io/saltflow/shares/Plan.java
+++ b/src/main/java/io/saltflow/shares/Plan.java
@@ -5,11 +5,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * Who has which least part, and in which order the jobs of those that wait take their turns.
@@ -133,18 +131,6 @@
     }
   }
 
-  /** Parties whose least part is kept for them. */
-  public Set<Party> waiting() {
-    Set<Party> out = new HashSet<>();
-    standings.forEach(
-        (p, s) -> {
-          if (s.waits()) {
-            out.add(p);
-          }
-        });
-    return out;
-  }
-
   /** Whether the party has waited for long and wants more than an even share. */
   public boolean isShort(Party party) {
     Standing s = standings.get(party);
