Levels of what is stored: core, exploration, and their shell before a state service

Need: controllers are to be rolled one by one across a change of records, and what is new used only when all have it.

Change: package levels, pure: a build's range, a table of what changes from which level, entering (announce, guarded, before serving) and raising (held with its cause; in two steps while there may be builds that announce nothing); bookkeeping.LevelBooks reads and writes it.

--- a/src/main/java/io/saltflow/bookkeeping/Keys.java
+++ b/src/main/java/io/saltflow/bookkeeping/Keys.java
@@ -14,6 +14,12 @@
   static final String QUEUES = "queues/";
   static final String SERVICES = "services/";
 
+  /** What is active, and under {@link #ANNOUNCED} what each host's build can act on. */
+  static final String LEVELS = "level/";
+
+  static final String ACTIVE = LEVELS + "active";
+  static final String ANNOUNCED = LEVELS + "on/";
+
   private Keys() {}
 
   static String live(JobId id) {
--- a/src/test/java/io/saltflow/LayersTest.java
+++ b/src/test/java/io/saltflow/LayersTest.java
@@ -25,6 +25,7 @@
           entry("protocol"),
           entry("transport", "protocol"),
           entry("shares", "protocol"),
+          entry("levels", "protocol"),
           entry("coordination", "protocol", "shares"),
           entry("amqp", "protocol"),
           entry("queues", "protocol"),
@@ -36,7 +37,7 @@
           entry("agreement", "protocol"),
           entry("statestore", "protocol", "transport", "kv", "journal", "agreement"),
           entry("tracing", "gates", "rollouts", "services"),
-          entry("bookkeeping", "protocol", "transport", "coordination", "queues"),
+          entry("bookkeeping", "protocol", "transport", "coordination", "queues", "levels"),
           entry("standin", "protocol", "transport", "kv"),
           entry(
               "serving", "protocol", "transport", "coordination", "amqp", "queues", "bookkeeping"),
@@ -52,6 +53,7 @@
           entry(
               "app",
               "shares",
+              "levels",
               "protocol",
               "transport",
               "coordination",
@@ -106,6 +108,7 @@
     for (String core :
         List.of(
             "shares",
+            "levels",
             "coordination",
             "queues",
             "amqp",
