Read once more: two things of levels that nobody asks for

Entrance.acting and the revision of what was listed were written and never read. No controller starts this package yet, so nothing that runs changes; its tests, the layers' and the formatting pass.

--- a/src/main/java/io/saltflow/bookkeeping/LevelRecords.java
+++ b/src/main/java/io/saltflow/bookkeeping/LevelRecords.java
@@ -22,7 +22,7 @@
   private static final String PROCESS = "process";
 
   /** All that is recorded, at one revision. */
-  record All(Active active, List<Announcement> announced, long revision) {
+  record All(Active active, List<Announcement> announced) {
     Stamp announcedBy(String host) {
       for (Announcement a : announced) {
         if (a.host().equals(host)) {
@@ -72,7 +72,7 @@
         throw new BadMessage(e.key() + ": " + bad.getMessage());
       }
     }
-    return new All(active, announced, listing.revision());
+    return new All(active, announced);
   }
 
   private static Level level(Body record, String field) throws BadMessage {
--- a/src/main/java/io/saltflow/levels/Entrance.java
+++ b/src/main/java/io/saltflow/levels/Entrance.java
@@ -76,8 +76,4 @@
   public void lapsed() {
     acting = false;
   }
-
-  public boolean acting() {
-    return acting;
-  }
 }
