Polls give way, many first looks by one list, workers of an ended leader wait for the next

Change: polls have a rate of their own that is halved at a 429 and grows back (Throttle); eight and more first looks are answered by one list of the records; a poll that can't go within 0.6 s is refused while its user listens. A worker whose leader has ended by the signs waits up to 1.5 s where it is and is answered by the new leader.

--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -63,6 +63,12 @@
   /** Sockets for what this node itself asks, and for its siblings. */
   private static final int OWN_SOCKETS = 100;
 
+  /** Well below the 4 s that a worker waits for its answer. */
+  private static final Span STRAYS_WAIT = Span.millis(1500);
+
+  /** Reports of some kilobytes each. */
+  private static final int MOST_STRAYS = 1500;
+
   /** Sockets of probes that are under way. */
   private static final int MOST_PROBES = 24;
 
@@ -82,6 +88,12 @@
   private final Map<String, MachineType> types = new HashMap<>();
   private final Map<String, Heard> siblings = new HashMap<>();
   private final Signs signs = new Signs();
+  private final List<Runnable> strays = new ArrayList<>();
+  private boolean strayTimer;
+
+  /** Until when the office that this node has claimed may come to it. */
+  private Time claimsUntil = Time.LONG_AGO;
+
   private Map<JobId, Beat.Counts> counts = new HashMap<>();
   private final AmqpFront amqp;
   private final ServiceApi serviceApi;
@@ -288,6 +300,7 @@
               server::takeTurnedAway);
       duty.start();
       beat();
+      releaseStrays();
     }
 
     @Override
@@ -408,6 +421,7 @@
     String ended = signs.ended(loop.now());
     if (ended != null && state.failingFor().ms() == 0) {
       signs.leads(null, Term.NONE);
+      claimsUntil = loop.now().plus(STRAYS_WAIT);
       leadership.succeed(ended);
     }
   }
@@ -460,7 +474,11 @@
     if (!beat.leading()) {
       return;
     }
+    boolean other = !beat.host().equals(leadership.leader());
     leadership.heard(beat.host(), beat.term());
+    if (other && beat.host().equals(leadership.leader())) {
+      releaseStrays();
+    }
     if (authority.leading() && beat.term().compareTo(authority.term()) > 0) {
       leadership.stepDown(beat.host() + " leads term " + beat.term(), Span.millis(0));
     }
@@ -514,7 +532,7 @@
     int query = target.indexOf('?');
     String path = query < 0 ? target : target.substring(0, query);
     if (path.equals(Wire.PATH_CHECKIN)) {
-      on("POST", method, answer, () -> answer.accept(workers.checkin(body, loop.now())));
+      on("POST", method, answer, () -> checkin(body, answer));
     } else if (path.equals(Wire.PATH_HEALTH)) {
       on("GET", method, answer, () -> answer.accept(HttpReply.empty(healthy() ? 200 : 503)));
     } else if (loop.pile()) {
@@ -541,6 +559,32 @@
     }
   }
 
+  /**
+   * A worker whose leader seems to have ended waits here for the next one: sent back to the dead,
+   * and then around all others, it was some 5 s late, and so was every task that waits for all
+   * machines to be accounted for.
+   */
+  private void checkin(byte[] body, Consumer<HttpReply> answer) {
+    boolean between = signs.suspects() || loop.now().before(claimsUntil);
+    HttpReply now = workers.checkin(body, loop.now());
+    if (now.status() != WorkerApi.ELSEWHERE || !between || strays.size() >= MOST_STRAYS) {
+      answer.accept(now);
+      return;
+    }
+    strays.add(() -> answer.accept(workers.checkin(body, loop.now())));
+    if (!strayTimer) {
+      strayTimer = true;
+      loop.after(STRAYS_WAIT, this, this::releaseStrays);
+    }
+  }
+
+  private void releaseStrays() {
+    strayTimer = false;
+    List<Runnable> all = List.copyOf(strays);
+    strays.clear();
+    all.forEach(Runnable::run);
+  }
+
   private static void on(
       String wanted, String method, Consumer<HttpReply> answer, Runnable action) {
     if (method.equals(wanted)) {
--- a/src/main/java/io/saltflow/app/WorkerApi.java
+++ b/src/main/java/io/saltflow/app/WorkerApi.java
@@ -20,6 +20,9 @@
 
 /** Answers workers' reports. A node that is not entitled never answers 200. */
 final class WorkerApi {
+  /** Says that another leads, and who if that is known. */
+  static final int ELSEWHERE = 421;
+
   private static final Logger LOG = LoggerFactory.getLogger(WorkerApi.class);
 
   private final String host;
@@ -93,6 +96,6 @@
     if (name != null && !name.equals(host)) {
       body.with(Wire.LEADER, name);
     }
-    return HttpReply.of(421, MsgPack.encode(body));
+    return HttpReply.of(ELSEWHERE, MsgPack.encode(body));
   }
 }
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -63,6 +63,7 @@
   private final Loop loop;
   private final StateClient state;
   private final LiveCheck live;
+  private final FirstLooks firstLooks;
   private final Admissions admissions;
   private final Map<JobId, Known> over =
       new LinkedHashMap<>(64, 0.75f, false) {
@@ -83,6 +84,7 @@
     this.state = state;
     int valueBytes = (int) (valueKb * 1024);
     live = new LiveCheck(this, loop, state, txnOps);
+    firstLooks = new FirstLooks(this, loop, state, live);
     admissions = new Admissions(this, loop, state, live, this::find, valueBytes, txnOps, process);
   }
 
@@ -126,7 +128,46 @@
           switch (verdict) {
             case LIVE -> then.accept(new Outcome.Found(new Known(id, Phase.LIVE, 0)));
             case UNKNOWN -> then.accept(new Outcome.Unknown());
-            case TO_READ -> read(id, rank, then, () -> findBundled(id, rank, then));
+            case TO_READ -> {
+              if (rank == StateClient.Rank.POLLS) {
+                firstLook(id, then);
+              } else {
+                read(id, rank, then, () -> findBundled(id, rank, then));
+              }
+            }
+          }
+        });
+  }
+
+  /** Together with others where there are many: after that its version is known here. */
+  private void firstLook(JobId id, Consumer<Outcome> then) {
+    StateClient.Rank rank = StateClient.Rank.POLLS;
+    firstLooks.ask(
+        id,
+        new FirstLooks.Asker() {
+          @Override
+          public void live() {
+            then.accept(new Outcome.Found(new Known(id, Phase.LIVE, 0)));
+          }
+
+          @Override
+          public void alone() {
+            // One that the list had in a bundle is compared, which also says that it has not ended.
+            JobStore.this.live.ask(
+                id,
+                rank,
+                verdict -> {
+                  switch (verdict) {
+                    case LIVE -> live();
+                    case UNKNOWN -> unknown();
+                    case TO_READ -> read(id, rank, then, () -> findBundled(id, rank, then));
+                  }
+                });
+          }
+
+          @Override
+          public void unknown() {
+            then.accept(new Outcome.Unknown());
           }
         });
   }
--- a/src/main/java/io/saltflow/bookkeeping/LiveCheck.java
+++ b/src/main/java/io/saltflow/bookkeeping/LiveCheck.java
@@ -82,6 +82,10 @@
         id, new Seen(List.of(new Guard(bundle, version), new Guard(Keys.over(id), Stamp.ABSENT))));
   }
 
+  boolean knows(JobId id) {
+    return seen.containsKey(id);
+  }
+
   void forget(JobId id) {
     seen.remove(id);
   }
--- a/src/main/java/io/saltflow/bookkeeping/StateClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -6,6 +6,7 @@
 import io.saltflow.protocol.MsgPack;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Throttle;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
 import io.saltflow.transport.HttpClient;
@@ -30,6 +31,11 @@
   private static final byte[] NOTHING = new byte[0];
   private static final Span PUMP = Span.millis(20);
 
+  private static final Span POLL_WAITS = Span.millis(600);
+
+  /** The part of its rate that a node's polls may always use. */
+  private static final double LEAST_POLLS = 0.1;
+
   /** What goes first. */
   public enum Rank {
     LEADERSHIP,
@@ -70,6 +76,10 @@
   private final HttpClient watches;
   private final double wps;
   private final Budget requests;
+
+  /** What polls may use of it: less when the service, which all nodes ask, says it is too much. */
+  private final Throttle polls;
+
   private Budget writes;
   private final Map<Rank, ArrayDeque<Pending>> queues = new EnumMap<>(Rank.class);
   private boolean pumping;
@@ -83,6 +93,7 @@
     this.client = client;
     this.watches = watches;
     this.requests = new Budget(rps, rps, loop.now());
+    this.polls = new Throttle(rps * LEAST_POLLS, rps, loop.now());
     this.wps = wps;
     this.writes = new Budget(wps, wps, loop.now());
     this.lastGood = loop.now();
@@ -121,8 +132,9 @@
       Span timeout,
       Consumer<Answer> then) {
     Time now = loop.now();
-    Pending p =
-        new Pending(rank, method, target, body, writeCount, now.plus(timeout), timeout, then);
+    // Who polls waits 2 s: what does not go soon is refused while its user still listens.
+    Span waits = rank == Rank.POLLS && timeout.longerThan(POLL_WAITS) ? POLL_WAITS : timeout;
+    Pending p = new Pending(rank, method, target, body, writeCount, now.plus(waits), timeout, then);
     if (rank == Rank.LEADERSHIP) {
       requests.takeAnyway(1, now);
       writes.takeAnyway(writeCount, now);
@@ -201,6 +213,9 @@
         return false;
       }
     }
+    if (p.rank == Rank.POLLS && (!requests.has(1, now) || !polls.take(now))) {
+      return false;
+    }
     if (!requests.take(1, now)) {
       return false;
     }
@@ -217,6 +232,9 @@
   }
 
   private void answered(HttpClient.Answer a, Consumer<Answer> then) {
+    if (a.status() == 429) {
+      polls.refused(loop.now());
+    }
     boolean good = a.status() != 0 && a.status() != 503;
     if (good) {
       if (firstBad != Time.NEVER && failingFor().longerThan(Span.seconds(1))) {
--- /dev/null
+++ b/src/test/java/io/saltflow/app/SuccessionTest.java
@@ -0,0 +1,191 @@
+package io.saltflow.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.kv.KeyStore;
+import io.saltflow.kv.Limits;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two controllers and some workers on loopback; the leader's lease is longer than the test. */
+class SuccessionTest {
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  @TempDir Path folder;
+  private final Root root = new Root();
+  private final List<Integer> answers = new ArrayList<>();
+  private Loop loop;
+  private Outside outside;
+  private String state;
+  private OperatorSettings settings;
+  private InetSocketAddress[] mesh;
+  private int lives;
+  private Node one;
+  private Node other;
+
+  @BeforeEach
+  void start() throws IOException, ConfigError {
+    loop = new Loop();
+    outside = new Outside(loop, new Limits(1000, 1000, 8, 8));
+    state = outside.serve(loop, outside.handler());
+    settings =
+        OperatorSettings.read(
+            Files.writeString(folder.resolve("ops.json"), "{\"leaderLeaseS\": 60}"));
+    mesh = new InetSocketAddress[] {freePort(), freePort()};
+    one = node("node-a", 0);
+    runUntil(() -> one.ready());
+    other = node("node-b", 1);
+    // Beats have gone both ways.
+    run(1500);
+  }
+
+  @AfterEach
+  void end() {
+    one.cancel();
+    other.cancel();
+    root.cancel();
+    outside.cancel();
+  }
+
+  private static InetSocketAddress freePort() throws IOException {
+    try (ServerSocketChannel any = ServerSocketChannel.open()) {
+      any.bind(Addresses.parse("127.0.0.1:0"));
+      return (InetSocketAddress) any.getLocalAddress();
+    }
+  }
+
+  private Node node(String name, int place) throws IOException, ConfigError {
+    Config config =
+        Config.parse(
+            ConfigTest.SETTINGS
+                .replace("10.9.9.9:1", state)
+                .replace("node-0", name)
+                .replaceAll(
+                    "mesh_addr = \"[^\"]*\"", "mesh_addr = \"" + Addresses.text(mesh[place]) + '"')
+                .replace(
+                    "[endpoints]",
+                    "[[siblings]]\nhost_name = \""
+                        + (place == 0 ? "node-b" : "node-a")
+                        + "\"\nzone = \"a\"\naddr = \""
+                        + Addresses.text(mesh[1 - place])
+                        + "\"\n[endpoints]"));
+    Node node = new Node(loop, config, settings, ++lives);
+    node.start();
+    return node;
+  }
+
+  private void run(long ms) throws IOException {
+    loop.after(Span.millis(ms), root, loop::pause);
+    loop.run();
+  }
+
+  private void runUntil(BooleanSupplier reached) throws IOException {
+    for (int i = 0; i < 1000 && !reached.getAsBoolean(); i++) {
+      run(10);
+    }
+    assertTrue(reached.getAsBoolean());
+  }
+
+  private Object leads() {
+    KeyStore.Value lead = outside.store.value("lead");
+    return lead == null ? null : lead.data().get("host");
+  }
+
+  /** A worker that has seen this token reports to a controller. */
+  private void report(Node to, int worker, long token) {
+    HttpClient http = new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + to.port()), 1, 4);
+    byte[] body =
+        MsgPack.encode(
+            Body.of()
+                .with("host", "vm-" + worker)
+                .with("addr", "10.1.0.9:9000")
+                .with("rig", "box")
+                .with("yard", "a")
+                .with("loaners", true)
+                .with("shift", 1L)
+                .with("tick", 1L)
+                .with("baton", token)
+                .with("shards", List.of()));
+    http.call("POST", "/checkin", body, Span.seconds(4), a -> answers.add(a.status()));
+  }
+
+  @Test
+  void anEndedLeadersOfficeAndWorkersGoOverBeforeItsLease() throws IOException {
+    assertEquals("node-a", leads());
+    long term = (Long) outside.store.value("lead").data().get("term");
+    one.cancel();
+    run(600);
+    report(other, 1, term);
+    run(50);
+    assertEquals("node-a", leads(), "one worker is no sign");
+    report(other, 2, term);
+    runUntil(() -> "node-b".equals(leads()));
+    assertEquals(term + 1, outside.store.value("lead").data().get("term"));
+    runUntil(() -> answers.size() == 2);
+    assertEquals(List.of(200, 200), answers, "they waited here and were served by the new leader");
+  }
+
+  /** Connections between controllers are cut, and new machines come: the leader stays. */
+  @Test
+  void aLeaderThatItsWorkersStillReachStays() throws IOException, ConfigError {
+    one.cancel();
+    // The same host is back at once, as a leader of its own key. Its port is free once the loop,
+    // which
+    // both lives share here, has turned.
+    run(5);
+    one = node("node-a", 0);
+    runUntil(() -> one.ready());
+    assertEquals("node-a", leads());
+    Object term = outside.store.value("lead").data().get("term");
+    run(1200);
+    for (int worker = 1; worker <= 5; worker++) {
+      report(other, worker, 0);
+    }
+    runUntil(() -> answers.size() == 5);
+    assertEquals(List.of(421, 421, 421, 421, 421), answers);
+    assertEquals(term, outside.store.value("lead").data().get("term"));
+    assertNotNull(leads());
+  }
+
+  /** A leader whose key was replaced sees it by itself, though its own lease is renewed. */
+  @Test
+  void aSupersededLeaderLeaves() throws IOException, BadMessage {
+    one.cancel();
+    run(600);
+    long term = (Long) outside.store.value("lead").data().get("term");
+    report(other, 1, term);
+    report(other, 2, term);
+    runUntil(() -> "node-b".equals(leads()) && other.ready());
+    Body write =
+        Body.of()
+            .with("put", "lead")
+            .with("data", Body.of().with("host", "node-x").with("term", 99L));
+    Body txn = Body.of().with("guards", List.of()).with("writes", List.of(write));
+    outside.store.commit(MsgPack.decode(MsgPack.encode(txn)));
+    runUntil(() -> !other.ready());
+  }
+}
--- a/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
@@ -137,6 +137,28 @@
     return told.get(id);
   }
 
+  /**
+   * A wall of polls of jobs that this node has not seen: a few requests for all of them. With up to
+   * three each, 2,000 small jobs used the whole rate for minutes, and the leader lost its lease.
+   */
+  @Test
+  void manyFirstPollsAreAnsweredByOneList() throws IOException {
+    admit(node("one"), 0, 60);
+    JobStore other = node("other");
+    asked.clear();
+    told.clear();
+    for (int n = 0; n < 61; n++) {
+      JobId each = id(n);
+      other.poll(each, o -> told.put(each, o));
+    }
+    runUntil(() -> told.size() == 61);
+    for (int n = 0; n < 60; n++) {
+      assertEquals(live(id(n)), told.get(id(n)));
+    }
+    assertEquals(new JobStore.Outcome.Absent(), told.get(id(60)));
+    assertTrue(asked.size() < 16, asked.size() + " requests: " + asked);
+  }
+
   private static Body txn(Txn txn) throws BadMessage {
     return MsgPack.decode(MsgPack.encode(txn.body()));
   }
