A leader of a build that does not look at its key is not superseded early

Cause: in a mixed roll a former build's leader, superseded by a wrong verdict, would not notice while its own lease lives, and would keep workers that its successor holds to be over. Change: the key says that its holder looks; without the mark its lease is waited for.

--- a/src/main/java/io/saltflow/bookkeeping/Leadership.java
+++ b/src/main/java/io/saltflow/bookkeeping/Leadership.java
@@ -26,6 +26,12 @@
   private static final String AGAIN = "again";
   private static final String SINCE = "since";
 
+  /**
+   * The holder looks at its key with each renewal. A build that does not would not notice that its
+   * office is another's while its own lease lives, and would keep workers that are held to be over.
+   */
+  private static final String LOOKS = "looks";
+
   /** A term that lasted so long was no vain one: the host may take its own key over anew. */
   private static final Span NOT_IN_VAIN = Span.seconds(30);
 
@@ -227,6 +233,7 @@
               e != null
                   && e.value() != null
                   && gone.equals(e.value().get(HOST))
+                  && Boolean.TRUE.equals(e.value().get(LOOKS))
                   && e.value().get(NUMBER) instanceof Long n
                   && n == of.number();
           if (same && !wornOut) {
@@ -315,7 +322,8 @@
             .with(NUMBER, term.number())
             .with(NONCE, nonce + "/" + term)
             .with(AGAIN, again)
-            .with(SINCE, loop.dayMs());
+            .with(SINCE, loop.dayMs())
+            .with(LOOKS, true);
     Txn txn =
         new Txn()
             .guard(Keys.LEADER, before)
--- a/src/test/java/io/saltflow/app/SuccessionTest.java
+++ b/src/test/java/io/saltflow/app/SuccessionTest.java
@@ -149,6 +149,27 @@
     assertEquals(List.of(200, 200), answers, "they waited here and were served by the new leader");
   }
 
+  /** A holder of a former build would not notice; its lease is waited for. */
+  @Test
+  void aHolderThatDoesNotLookAtItsKeyIsNotSuperseded() throws IOException, BadMessage {
+    long term = (Long) outside.store.value("lead").data().get("term");
+    one.cancel();
+    Body key = Body.of().with("host", "node-a").with("term", term).with("nonce", "n");
+    put("lead", key);
+    run(600);
+    report(other, 1, term);
+    report(other, 2, term);
+    runUntil(() -> answers.size() == 2);
+    assertEquals(List.of(421, 421), answers);
+    assertEquals("node-a", leads());
+  }
+
+  private void put(String where, Body data) throws BadMessage {
+    Body write = Body.of().with("put", where).with("data", data);
+    Body txn = Body.of().with("guards", List.of()).with("writes", List.of(write));
+    outside.store.commit(MsgPack.decode(MsgPack.encode(txn)));
+  }
+
   /** Connections between controllers are cut, and new machines come: the leader stays. */
   @Test
   void aLeaderThatItsWorkersStillReachStays() throws IOException, ConfigError {
@@ -180,12 +201,7 @@
     report(other, 1, term);
     report(other, 2, term);
     runUntil(() -> "node-b".equals(leads()) && other.ready());
-    Body write =
-        Body.of()
-            .with("put", "lead")
-            .with("data", Body.of().with("host", "node-x").with("term", 99L));
-    Body txn = Body.of().with("guards", List.of()).with("writes", List.of(write));
-    outside.store.commit(MsgPack.decode(MsgPack.encode(txn)));
+    put("lead", Body.of().with("host", "node-x").with("term", 99L));
     runUntil(() -> !other.ready());
   }
 }
