--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -401,7 +401,8 @@
 
     @Override
     public void refused(int sibling) {
-      signs.linkRefused(host(sibling));
+      signs.leads(leadership.leader(), leadership.leaderTerm());
+      signs.linkRefused(host(sibling), loop.now());
       succeed();
     }
 
--- a/src/main/java/io/saltflow/bookkeeping/Leadership.java
+++ b/src/main/java/io/saltflow/bookkeeping/Leadership.java
@@ -10,6 +10,7 @@
 import io.saltflow.protocol.Wire;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -123,20 +124,27 @@
     return Span.millis(base + Math.floorMod(random.getAsLong(), spread));
   }
 
-  /** Reads who leads; stands for election when nobody does. */
-  private void look() {
-    if (authority.leading() || standing) {
-      return;
-    }
+  /** Reads the leader's key; null: it can't be told. What an earlier look waits for is void. */
+  private void readKey(Consumer<StateClient.Entry> then) {
     long mine = ++looks;
     state.get(
         StateClient.Rank.LEADERSHIP,
         Keys.LEADER,
         TRY,
         e -> {
-          if (authority.leading() || mine != looks) {
-            return;
+          if (!authority.leading() && mine == looks) {
+            then.accept(e);
           }
+        });
+  }
+
+  /** Reads who leads; stands for election when nobody does. */
+  private void look() {
+    if (authority.leading() || standing) {
+      return;
+    }
+    readKey(
+        e -> {
           if (e == null) {
             later(jitter(300, 300), this::look);
           } else if (e.value() == null) {
@@ -219,16 +227,9 @@
     if (authority.leading() || standing || !gone.equals(leader)) {
       return;
     }
-    long mine = ++looks;
     Term of = leaderTerm;
-    state.get(
-        StateClient.Rank.LEADERSHIP,
-        Keys.LEADER,
-        TRY,
+    readKey(
         e -> {
-          if (authority.leading() || mine != looks) {
-            return;
-          }
           boolean same =
               e != null
                   && e.value() != null
--- a/src/main/java/io/saltflow/succession/Signs.java
+++ b/src/main/java/io/saltflow/succession/Signs.java
@@ -58,10 +58,16 @@
   }
 
   /** Its system refused another. */
-  public void linkRefused(String sibling) {
-    if (sibling.equals(leader) && suspects()) {
-      refused++;
+  public void linkRefused(String sibling, Time now) {
+    if (!sibling.equals(leader)) {
+      return;
+    }
+    if (!suspects()) {
+      // Its last beat was read after the end of the connection that it does not come by.
+      lost = now;
+      forget();
     }
+    refused++;
   }
 
   /** It can be reached, or was heard. */
