A list that is a moment old takes back no end that this node recorded

Cause, found by reading the change once more: polls answered by one list were told "live" from it even where this node had recorded, and told, the job's end while the list was on its way; with single reads that window was a few milliseconds, with a list up to 1.2 s. Change: what this node knows of an end goes first. The test was seen to fail without.

--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -147,7 +147,9 @@
         new FirstLooks.Asker() {
           @Override
           public void live() {
-            then.accept(new Outcome.Found(new Known(id, Phase.LIVE, 0)));
+            // Its end may have been recorded, and told, here while the list was on its way.
+            Known ended = over.get(id);
+            then.accept(new Outcome.Found(ended == null ? new Known(id, Phase.LIVE, 0) : ended));
           }
 
           @Override
--- a/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
@@ -159,6 +159,29 @@
     assertTrue(asked.size() < 16, asked.size() + " requests: " + asked);
   }
 
+  /** A list that is a moment old takes back no end that this node recorded meanwhile. */
+  @Test
+  void anEndThatIsRecordedWhileTheListIsOnItsWayStands() throws IOException {
+    JobStore node = node("one");
+    for (int n = 0; n < 20; n++) {
+      admit(node, n, n + 1);
+    }
+    JobStore other = node("other");
+    told.clear();
+    asked.clear();
+    onNext = () -> other.remember(id(3), 16);
+    for (int n = 0; n < 20; n++) {
+      JobId each = id(n);
+      other.poll(each, o -> told.put(each, o));
+    }
+    runUntil(() -> told.size() == 20);
+    assertTrue(asked.get(0).contains("prefix=live/"), asked.get(0));
+    assertEquals(
+        new JobStore.Outcome.Found(new JobStore.Known(id(3), JobStore.Phase.DONE, 16)),
+        told.get(id(3)));
+    assertEquals(live(id(4)), told.get(id(4)));
+  }
+
   private static Body txn(Txn txn) throws BadMessage {
     return MsgPack.decode(MsgPack.encode(txn.body()));
   }
