--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -57,6 +57,9 @@
   private static final Span STATE_TROUBLE = Span.seconds(2);
   private static final Span BEAT_FRESH = Span.seconds(4);
 
+  /** The watch of the leader's key is answered at least so often, if by nothing new. */
+  private static final Span KEY_WATCHED = Span.seconds(11);
+
   /** A leader's share of the changes that the state service takes, in usual shares of a node. */
   private static final double LEADERS_SHARE = 1.6;
 
@@ -156,12 +159,18 @@
     mesh.watch(new Links());
     users =
         new UserApi(
-            jobs, state, config.teams(), types::values, this::countsOf, System::currentTimeMillis);
+            jobs,
+            state,
+            config.teams(),
+            types::values,
+            this::countsOf,
+            System::currentTimeMillis,
+            loop::now);
     workers =
         new WorkerApi(
             config.host(),
             authority,
-            leadership::leader,
+            this::leaderForWorkers,
             () -> duty == null ? null : duty.leader(),
             () -> leadership.stepDown("a worker knows a higher token", Span.seconds(1)),
             signs::suspects,
@@ -383,7 +392,8 @@
             authority.leading(),
             state.failingFor().ms() > 0 ? Math.max(1, state.quiet().ms()) : 0,
             list,
-            servant != null);
+            servant != null,
+            users.unanswered());
     mesh.broadcast(beat.encode());
   }
 
@@ -427,6 +437,20 @@
     }
   }
 
+  /**
+   * Whom workers are sent to; null: that is not known now. A node that hears neither the state
+   * service nor the leader itself knows only who led: a worker that it sends there and that is sent
+   * back loses its lease and all that it runs.
+   */
+  private String leaderForWorkers() {
+    String name = leadership.leader();
+    Heard h = siblings.get(name);
+    boolean heard =
+        h != null && h.beat.leading() && loop.now().since(h.at).compareTo(BEAT_FRESH) < 0;
+    boolean told = state.failingFor().ms() == 0 && !state.quiet().longerThan(KEY_WATCHED);
+    return heard || told ? name : null;
+  }
+
   /** Siblings that can be heard and probe for others. */
   private List<String> probers() {
     List<String> out = new ArrayList<>();
@@ -472,6 +496,7 @@
       siblings.put(beat.host(), new Heard(beat, loop.now()));
     }
     signs.alive(beat.host());
+    users.unansweredElsewhere(beat.unanswered());
     if (!beat.leading()) {
       return;
     }
--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -21,6 +21,7 @@
     double leastPart,
     double leastPartAfterS,
     double oldestPart,
+    double beginWithinS,
     double dearFactor,
     double dearShare,
     double horizonS,
@@ -34,7 +35,7 @@
 
   public static OperatorSettings defaults() {
     return new OperatorSettings(
-        5, 0.2, 1800, "high", 6, 60, 4, 0.67, 120, 0.25, 1.8, 0.25, 75, 90, 0.4, 60, 10, 3, 2);
+        5, 0.2, 1800, "high", 6, 60, 4, 0.67, 120, 0.25, 240, 1.8, 0.25, 75, 90, 0.4, 60, 10, 3, 2);
   }
 
   /** Reads and checks the file. Only here are the JSON libraries loaded. */
@@ -52,6 +53,7 @@
         node.path("leastPart").asDouble(d.leastPart),
         node.path("leastPartAfterS").asDouble(d.leastPartAfterS),
         node.path("oldestPart").asDouble(d.oldestPart),
+        node.path("beginWithinS").asDouble(d.beginWithinS),
         node.path("dearFactor").asDouble(d.dearFactor),
         node.path("dearShare").asDouble(d.dearShare),
         node.path("horizonS").asDouble(d.horizonS),
@@ -84,6 +86,7 @@
         Span.seconds(pressedSlackS),
         lengthWeight,
         new Rules(leastPart, Span.seconds(leastPartAfterS), oldestPart),
+        Span.seconds(beginWithinS),
         dearFactor,
         dearShare,
         Span.seconds(horizonS),
--- a/src/main/java/io/saltflow/app/UserApi.java
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -3,6 +3,7 @@
 import io.saltflow.bookkeeping.JobStore;
 import io.saltflow.bookkeeping.StateClient;
 import io.saltflow.coordination.Policy;
+import io.saltflow.polls.Fairness;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Beat;
 import io.saltflow.protocol.Body;
@@ -13,9 +14,12 @@
 import io.saltflow.protocol.MsgPack;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
 import io.saltflow.transport.HttpReply;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -32,6 +36,12 @@
   /** So many of them polls: a wall of these leaves room for who submits or cancels. */
   private static final int MOST_POLLS = 192;
 
+  /** From here on polls of users who were answered just now are refused. */
+  private static final int SOME_POLLS = 96;
+
+  /** Polls of jobs that were refused before may take some of what is left, too. */
+  private static final int ALL_POLLS = 224;
+
   private static final Span STATE_GIVEN_UP = Span.seconds(2);
 
   private final JobStore jobs;
@@ -40,6 +50,9 @@
   private final Supplier<Collection<MachineType>> types;
   private final Function<JobId, Beat.Counts> counts;
   private final LongSupplier wallMs;
+  private final Supplier<Time> now;
+  private final Fairness fairness =
+      new Fairness(new Fairness.Bounds(SOME_POLLS, MOST_POLLS, ALL_POLLS));
   private int underWay;
 
   UserApi(
@@ -48,13 +61,15 @@
       Map<String, Policy.Team> teams,
       Supplier<Collection<MachineType>> types,
       Function<JobId, Beat.Counts> counts,
-      LongSupplier wallMs) {
+      LongSupplier wallMs,
+      Supplier<Time> now) {
     this.jobs = jobs;
     this.state = state;
     this.teams = teams;
     this.types = types;
     this.counts = counts;
     this.wallMs = wallMs;
+    this.now = now;
   }
 
   void submit(byte[] body, Consumer<HttpReply> answer) {
@@ -159,11 +174,46 @@
       answer.accept(Replies.error(404, "no such job"));
       return;
     }
-    Consumer<HttpReply> bounded = admitted(answer, MOST_POLLS);
-    if (bounded != null) {
-      JobId job = new JobId(id);
-      jobs.poll(job, o -> bounded.accept(reply(job, o, Replies.error(404, "no such job"))));
+    JobId job = new JobId(id);
+    JobStore.Known ended = jobs.ended(job);
+    if (ended != null) {
+      // An end never changes: it is told whatever else goes on.
+      answer.accept(told(ended));
+      return;
     }
+    Fairness.Verdict verdict = fairness.asked(job, underWay, now.get());
+    Consumer<HttpReply> bounded =
+        admitted(
+            reply -> {
+              if (verdict != Fairness.Verdict.REFUSED) {
+                boolean answered = reply.status() == 200 || reply.status() == 404;
+                fairness.ended(job, verdict, answered, now.get());
+              }
+              answer.accept(reply);
+            },
+            verdict == Fairness.Verdict.REFUSED ? 0 : MOST_AT_ONCE);
+    if (bounded == null) {
+      return;
+    }
+    Consumer<JobStore.Outcome> then =
+        o -> bounded.accept(reply(job, o, Replies.error(404, "no such job")));
+    if (verdict == Fairness.Verdict.OVERDUE) {
+      jobs.find(job, then);
+    } else {
+      jobs.poll(job, then);
+    }
+  }
+
+  /** Jobs about which nobody was answered here for a while, for the siblings. */
+  List<Beat.Unanswered> unanswered() {
+    List<Beat.Unanswered> out = new ArrayList<>();
+    fairness.unanswered(now.get()).forEach((id, since) -> out.add(new Beat.Unanswered(id, since)));
+    return out;
+  }
+
+  /** The same of a sibling: whoever asks here about one of them goes first. */
+  void unansweredElsewhere(List<Beat.Unanswered> jobs) {
+    jobs.forEach(u -> fairness.refusedElsewhere(u.job(), u.since(), now.get()));
   }
 
   void withdraw(String id, Consumer<HttpReply> answer) {
--- a/src/main/java/io/saltflow/bookkeeping/Bundles.java
+++ b/src/main/java/io/saltflow/bookkeeping/Bundles.java
@@ -4,6 +4,7 @@
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobId;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -30,6 +31,16 @@
     return body;
   }
 
+  /** The jobs that lie in it, as far as it can be read. */
+  static List<JobId> ids(Body bundle) {
+    return bundle.fields().keySet().stream().filter(JobId::valid).map(JobId::new).toList();
+  }
+
+  /** Whether each of its fields is a job's. */
+  static boolean whole(Body bundle) {
+    return bundle.fields().keySet().stream().allMatch(JobId::valid);
+  }
+
   /** Its jobs' records; a field that is no job's id is an error, never skipped. */
   static Map<JobId, Body> decode(Body bundle) throws BadMessage {
     Map<JobId, Body> records = new LinkedHashMap<>();
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -10,9 +10,11 @@
 import io.saltflow.protocol.Time;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,6 +26,7 @@
 public final class JobStore extends Routine {
   private static final Logger LOG = LoggerFactory.getLogger(JobStore.class);
   private static final int REMEMBERED = 4000;
+  private static final int MOST_TOLD = 100;
   private static final String SPEC = "spec";
   private static final String ARRIVED = "at";
   private static final String DONE_COUNT = "n";
@@ -65,6 +68,7 @@
   private final LiveCheck live;
   private final FirstLooks firstLooks;
   private final Admissions admissions;
+  private final Set<String> toldOf = new HashSet<>();
   private final Map<JobId, Known> over =
       new LinkedHashMap<>(64, 0.75f, false) {
         @Override
@@ -110,6 +114,11 @@
     find(id, StateClient.Rank.USER, then);
   }
 
+  /** How it ended, where this node knows; null: it may be live, or have ended elsewhere. */
+  public Known ended(JobId id) {
+    return over.get(id);
+  }
+
   /** The same for one who only asks and will ask again: what others do goes first. */
   public void poll(JobId id, Consumer<Outcome> then) {
     find(id, StateClient.Rank.POLLS, then);
@@ -231,21 +240,21 @@
             return;
           }
           boolean found = false;
-          try {
-            for (StateClient.Entry e : bundles.entries()) {
-              for (JobId each : Bundles.decode(e.value()).keySet()) {
-                found |= each.equals(id);
-                if (!over.containsKey(each)) {
-                  live.seenIn(each, e.key(), e.version());
-                }
+          String unreadable = null;
+          for (StateClient.Entry e : bundles.entries()) {
+            // What can't be read of one bundle says nothing of the others, nor of its other jobs.
+            unreadable = Bundles.whole(e.value()) ? unreadable : e.key();
+            for (JobId each : Bundles.ids(e.value())) {
+              found |= each.equals(id);
+              if (!over.containsKey(each)) {
+                live.seenIn(each, e.key(), e.version());
               }
             }
-          } catch (BadMessage e) {
-            LOG.error("a bundle can't be read: {}", e.getMessage());
-            then.accept(new Outcome.Unknown());
-            return;
           }
-          if (found) {
+          if (!found && unreadable != null) {
+            tellOnce(id, unreadable);
+            then.accept(new Outcome.Unknown());
+          } else if (found) {
             then.accept(new Outcome.Found(new Known(id, Phase.LIVE, 0)));
           } else {
             read(id, rank, then, () -> then.accept(new Outcome.Absent()));
@@ -253,6 +262,17 @@
         });
   }
 
+  /** For people: what to look at, and for whom. Once for each bundle. */
+  private void tellOnce(JobId id, String bundle) {
+    if (toldOf.size() < MOST_TOLD && toldOf.add(bundle)) {
+      LOG.error(
+          "whether {} was accepted can't be told: a part of {} can't be read. Restore that key from"
+              + " a backup, or delete its unreadable field and ask its users to submit again",
+          id,
+          bundle);
+    }
+  }
+
   /** How a job ended; null when the record does not say so clearly. */
   private static Known ended(JobId id, Body record) {
     for (Phase phase : List.of(Phase.DONE, Phase.CANCELLED)) {
--- a/src/main/java/io/saltflow/coordination/Account.java
+++ b/src/main/java/io/saltflow/coordination/Account.java
@@ -32,6 +32,7 @@
   /** What may last; the texts follow a count. */
   enum Trouble {
     SILENT("machines have fallen silent"),
+    DEAF("machines report and hear no answer"),
     LATE_BOOT("machines are late to come up"),
     FULL("machines are as many as this controller can serve, no more are rented"),
     LATE_JOBS("jobs are past their deadline"),
--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -1,5 +1,7 @@
 package io.saltflow.coordination;
 
+import io.saltflow.hearing.Hearing;
+import io.saltflow.hearing.Next;
 import io.saltflow.protocol.Attempt;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MachineId;
@@ -139,8 +141,10 @@
   /**
    * Takes a report in; null when it is older than one seen before, and must not be answered with
    * orders.
+   *
+   * @param late whether this leader's own answers may have been too late to be heard
    */
-  Machine onReport(Report r, Map<String, MachineType> types, Time now) {
+  Machine onReport(Report r, Map<String, MachineType> types, boolean late, Time now) {
     Machine m = machines.get(r.machine());
     if (m == null) {
       m = new Machine(r.machine(), types.get(r.type()), r.type(), r.zone(), r.spot(), now);
@@ -151,6 +155,11 @@
       return null;
     }
     boolean newSession = m.session != 0 && r.session() != m.session;
+    if (m.hearing == null) {
+      m.hearing = new Hearing(policy.report(), policy.lease());
+    }
+    boolean seen = r.token().equals(term);
+    m.hearing.reported(new Next(r.session(), r.sequence(), seen, launches(m, r)), late, now);
     m.session = r.session();
     m.sequence = r.sequence();
     m.lastHeard = now;
@@ -205,6 +214,22 @@
     return m;
   }
 
+  /** What became of the launches that the machine's last answer held. */
+  private static Next.Launches launches(Machine m, Report r) {
+    Next.Launches found = Next.Launches.NONE;
+    for (Presence p : m.presences.values()) {
+      if (p.state == Presence.State.SENT && r.newerThan(p.sentSession, p.sentSequence)) {
+        for (Report.TaskReport t : r.tasks()) {
+          if (t.task().equals(p.task()) && t.attempt().equals(p.attempt)) {
+            return Next.Launches.CARRIED_OUT;
+          }
+        }
+        found = Next.Launches.NOT_LISTED;
+      }
+    }
+    return found;
+  }
+
   private void take(Machine m, Report.TaskReport t, boolean ours, Time now) {
     Job job = jobs.get(t.task().job());
     Presence p = m.presences.get(t.task());
@@ -250,6 +275,7 @@
         };
     if (p.state == Presence.State.RUNNING && p.runningSince == null) {
       p.runningSince = now;
+      TaskOutcomes.begins(job, now);
       if (!p.found) {
         job.started(now.since(p.launchedAt));
       }
@@ -346,12 +372,10 @@
       missing = false;
     }
     for (Machine m : machines.values()) {
-      Time last = Time.later(m.lastHeard, formerAnswers);
-      if (m.accounted) {
-        last = m.lastHeard;
-      }
-      // The answer to the last report may have been sent up to the worker's patience later, but
-      // the lease counts from when the report was sent.
+      // The lease counts from when the last answered report was sent, which was before it came. A
+      // report that got no 200 renews nothing: a worker that hears nobody kept a takeover waiting
+      // for ever when each of its reports counted.
+      Time last = m.accounted ? m.lastAnswered : Time.later(m.lastAnswered, formerAnswers);
       if (now.before(last.plus(policy.leaseSurelyOver()))) {
         continue;
       }
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -77,7 +77,7 @@
     Coming coming = new Coming();
     double fleetCores = 0;
     for (Machine m : machines) {
-      if (m.type == null || m.leaving || m.faulty) {
+      if (m.type == null || m.leaving || m.faulty || m.deaf()) {
         continue;
       }
       boolean late = m.late(now);
--- a/src/main/java/io/saltflow/coordination/HeadReservation.java
+++ b/src/main/java/io/saltflow/coordination/HeadReservation.java
@@ -134,6 +134,10 @@
     Time first = null;
     while (left > 0 && !soonest.isEmpty()) {
       End end = soonest.poll();
+      if (end.at.equals(Time.NEVER)) {
+        // Replicas stay: room behind them is promised to nobody, and small work may use it.
+        break;
+      }
       Machine m = end.machine;
       Size sum = future.get(m).plus(end.size);
       for (Need need : least.fitsIn(sum) ? needs : List.<Need>of()) {
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -72,6 +72,9 @@
   boolean startAsked;
   int errors;
 
+  /** A task of it was seen to run, by this leader or, as a result tells, by a former one. */
+  private boolean begun;
+
   /** Fails wherever it is started, until a task succeeds. */
   private boolean mistaken;
 
@@ -82,7 +85,7 @@
   double lostToOthersS;
 
   /** By this leader's clock; what another node wrote down may be off by the skew of both. */
-  Time arrivedAt;
+  Time arrivedAt = Time.LONG_AGO;
 
   /** When it should be complete, by its deadline or its class's aim; null: no such time. */
   Time dueAt;
@@ -136,6 +139,7 @@
     this.done = done;
     this.taken = (BitSet) done.clone();
     this.recorded = (BitSet) done.clone();
+    this.begun = !done.isEmpty();
   }
 
   public JobId id() {
@@ -251,6 +255,18 @@
     return staying.subList(most, staying.size());
   }
 
+  /** A task of it runs. True: it is the first that is known of. */
+  boolean begins() {
+    boolean first = !begun;
+    begun = true;
+    return first;
+  }
+
+  /** Whether none of its tasks has run, is on a machine or was given to one. */
+  boolean waitsForItsFirst() {
+    return !begun && present.isEmpty() && heldCount() == 0;
+  }
+
   /** A task of it ran so long after its launch. */
   void started(Span took) {
     if (service() && starts.size() < MOST_ENDS) {
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -270,8 +270,6 @@
 
   /** A worker's report; the orders that answer it, or null when it must not be obeyed. */
   public List<Order> onReport(Report r, boolean mayLaunch, Time now) {
-    lastReport = now;
-    heardAny = true;
     if (goneForGood.contains(r.machine())) {
       // A cut held the report back until its machine was deleted. Taken for a machine that is up,
       // it kept its tasks from starting elsewhere until it was found silent and deleted again.
@@ -280,13 +278,26 @@
     }
     Machine before = fencing.find(r.machine());
     boolean knownUsable = before != null && before.accounted && !before.quiet;
-    Machine m = fencing.onReport(r, types, now);
+    Machine m = fencing.onReport(r, types, capacity.hardOfHearing(now), now);
     if (m == null) {
+      // A copy that comes late is no sign of anything, not even that somebody can reach us.
       return null;
     }
-    m.quiet = false;
+    lastReport = now;
+    heardAny = true;
+    m.quiet = m.deaf();
+    if (m.quiet) {
+      scheduler.takeBack(m);
+    }
     changed |= m.accounted && !knownUsable;
     checkAccounted(now);
+    if (m.mightHoldOldTasks && m.hearing.surelyDeaf()) {
+      // It shows no answer of ours and lives by none, or by the next one alone, and then nobody
+      // knows what it does. Without that its lease is over for certain before long.
+      return null;
+    }
+    m.lastAnswered = now;
+    m.hearing.answered(r.session(), r.sequence(), r.token().equals(term), now);
     List<Order> orders = new ArrayList<>();
     answers.clear(r, orders);
     if (roundDue(now)) {
@@ -352,7 +363,7 @@
     for (Machine m : fencing.machines()) {
       drain(m, now);
       Time heard = Time.later(m.lastHeard, awake);
-      m.quiet = m.up && now.since(heard).longerThan(policy.reportOverdue());
+      m.quiet = m.up && (m.deaf() || now.since(heard).longerThan(policy.reportOverdue()));
     }
     for (Job job : new ArrayList<>(jobs.values())) {
       stopSurplus(job, now);
--- a/src/main/java/io/saltflow/coordination/Lineup.java
+++ b/src/main/java/io/saltflow/coordination/Lineup.java
@@ -25,7 +25,9 @@
     /** Urgent, in a class and team within their even share: before what is owed to others. */
     URGENT,
     /** Its class or team has waited for long and holds less than its least part. */
-    OWED
+    OWED,
+    /** It has waited for long and nothing of it has begun: one task of it, before what is owed. */
+    FIRST
   }
 
   /** A job's place in the order. One job may have several, on different accounts. */
@@ -48,6 +50,11 @@
       return most;
     }
 
+    /** Whether room that is gathered on a machine for such entries is this one's to use. */
+    boolean gathers() {
+      return why == Why.OWED || why == Why.FIRST;
+    }
+
     /** On whose account; null: nobody's. */
     Party party() {
       return party;
@@ -63,17 +70,25 @@
         case QUEUE -> true;
         case URGENT -> parts.belowEven(job);
         case OWED -> most > 0 && parts.owed(party);
+        case FIRST -> most > 0 && job.waitsForItsFirst();
       };
     }
   }
 
   private Lineup() {}
 
-  /** Guarantees, then urgent work within an even share, then what is owed, then the queue. */
+  /**
+   * Guarantees, then urgent work within an even share, then one task of each job that has waited
+   * too long for its first, then what is owed, then the queue.
+   */
   static List<Entry> of(
-      List<Job> order, Set<JobId> guaranteed, List<Turn> turns, Priority urgentFrom) {
+      List<Job> order,
+      Set<JobId> guaranteed,
+      List<Job> firsts,
+      List<Turn> turns,
+      Priority urgentFrom) {
     List<Entry> out = new ArrayList<>();
-    if (!turns.isEmpty()) {
+    if (!turns.isEmpty() || !firsts.isEmpty()) {
       Map<JobId, Job> byId = new HashMap<>();
       for (Job job : order) {
         byId.put(job.id(), job);
@@ -83,6 +98,9 @@
           out.add(new Entry(job, Why.URGENT, null, Integer.MAX_VALUE));
         }
       }
+      for (Job job : firsts) {
+        out.add(new Entry(job, Why.FIRST, null, 1));
+      }
       for (Turn turn : turns) {
         if (!guaranteed.contains(turn.job())) {
           out.add(new Entry(byId.get(turn.job()), Why.OWED, turn.party(), turn.most()));
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -1,5 +1,6 @@
 package io.saltflow.coordination;
 
+import io.saltflow.hearing.Hearing;
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Size;
@@ -63,6 +64,13 @@
   boolean leaving;
   boolean deleteAsked;
   Time lastHeard;
+
+  /** When the last report that was answered came: what its lease is counted from. */
+  Time lastAnswered = Time.LONG_AGO;
+
+  /** Whether answers reach it; null until the first report. */
+  Hearing hearing;
+
   long session;
   long sequence;
   Time noticeAt;
@@ -114,6 +122,16 @@
         && type != null;
   }
 
+  /** It reports, and nothing that it is answered reaches it. */
+  boolean deaf() {
+    return hearing != null && hearing.deaf();
+  }
+
+  /** When it was last known to be well: heard, and hearing. */
+  Time lastWell() {
+    return deaf() ? Time.earlier(lastHeard, hearing.deafSince()) : lastHeard;
+  }
+
   /** What runs here will be gone before long, without the machine having failed it yet. */
   boolean goesSoon() {
     return noticeAt != null || faulty || leaving;
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -22,6 +22,7 @@
     Span pressedSlack,
     double lengthWeight,
     Rules shares,
+    Span beginWithin,
     double dearFactor,
     double dearShare,
     Span horizon,
--- a/src/main/java/io/saltflow/coordination/Returns.java
+++ b/src/main/java/io/saltflow/coordination/Returns.java
@@ -9,6 +9,9 @@
 
 /** Which machines to give back, and why. */
 final class Returns {
+  /** Fewer that report without hearing are looked at one by one. */
+  private static final int MANY_DEAF = 4;
+
   private final Policy policy;
   private final Account account;
 
@@ -42,10 +45,13 @@
     }
     // When many fall silent at once, the cut is more likely to be ours than theirs.
     boolean cut = silent >= 3 && silent * 2 > heard;
+    long deaf = machines.stream().filter(Machine::deaf).count();
+    // The same of many that do not hear: a network's trouble is not theirs.
+    boolean deafTogether = deaf >= MANY_DEAF && deaf * 10 > heard;
     // A new leader that has heard nearly all waits less for the rest: they hold everything up.
     Span patience = policy.silence().times(unheard * 5 <= old ? 0.65 : 1);
     for (Machine m : machines) {
-      if (m.deleteAsked) {
+      if (m.deleteAsked || (deafTogether && m.deaf())) {
         continue;
       }
       String why = reason(m, cut, patience, deafUntil, tookOver, accountedAt, now);
@@ -76,7 +82,7 @@
   }
 
   private Span silentFor(Machine m, Time deafUntil, Time tookOver, Time now) {
-    Time heard = Time.later(m.lastHeard, tookOver);
+    Time heard = Time.later(m.lastWell(), tookOver);
     Time granted = Time.earlier(deafUntil, heard.plus(policy.leaseSurelyOver()));
     return now.since(Time.later(heard, granted));
   }
@@ -97,7 +103,7 @@
       most = policy.leaseSurelyOver();
     }
     if ((m.up || m.mightHoldOldTasks) && silence.longerThan(most)) {
-      return "they have been silent for too long";
+      return m.deaf() ? "they report and hear no answer" : "they have been silent for too long";
     }
     if (m.type == null) {
       return m.presences.isEmpty() ? "their type is not known" : null;
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -23,6 +23,12 @@
  * machine that reports, with the queue and the reservation of the last whole round.
  */
 final class Scheduler {
+  /** After this part of the time in which each job has to begin, its first task goes ahead. */
+  private static final double FIRST_AFTER = 0.4;
+
+  /** Of so many jobs in a round: one task of each of hundreds would be the whole fleet. */
+  private static final int MOST_FIRSTS = 32;
+
   private final Policy policy;
   private final Estimates estimates;
   private final TeamUse use;
@@ -114,7 +120,9 @@
     }
     parts.look(jobs, new HashSet<>(order), usable, now);
     order = parts.soonestFirst(order, guaranteed);
-    entries = Lineup.of(order, guaranteed, parts.turns(), policy.preemptFrom());
+    use.holdNothing();
+    entries =
+        Lineup.of(order, guaranteed, overdue(order, now), parts.turns(), policy.preemptFrom());
     least(order);
     List<Machine> open = withRoomFor(smallestWaiting);
     Map<JobId, Waiting> left = new LinkedHashMap<>();
@@ -144,6 +152,21 @@
     return waiting;
   }
 
+  /**
+   * Jobs that have waited for a good part of the time in which each has to begin, the longest
+   * first. A wide job stands behind all that is shorter, one that needs much of a machine or of its
+   * team's limit behind whatever narrow work keeps coming: one task of it costs the others little.
+   */
+  private List<Job> overdue(List<Job> order, Time now) {
+    Span after = policy.beginWithin().times(FIRST_AFTER);
+    return order.stream()
+        .filter(j -> j.startRecorded && j.waitsForItsFirst() && !j.service())
+        .filter(j -> !j.failsEverywhere() && now.since(j.arrivedAt).compareTo(after) >= 0)
+        .sorted(Comparator.comparing((Job j) -> j.arrivedWallMs).thenComparing(Job::id))
+        .limit(MOST_FIRSTS)
+        .toList();
+  }
+
   /** Places the entry's job, and notes what is left of it. */
   private void place(
       Lineup.Entry e,
@@ -159,10 +182,14 @@
       return;
     }
     int tasks = place(e, open, now);
-    if (e.why == Lineup.Why.OWED) {
+    if (e.gathers()) {
       if (tasks > 0) {
-        int most = Math.min(tasks, parts.owedTasks(e.party(), needs.values(), job));
-        needs.putIfAbsent(job.id(), new HeadReservation.Need(job, most));
+        int most =
+            e.why == Lineup.Why.FIRST
+                ? 1
+                : Math.min(tasks, parts.owedTasks(e.party(), needs.values(), job));
+        needs.merge(
+            job.id(), new HeadReservation.Need(job, most), (a, b) -> a.tasks >= b.tasks ? a : b);
       }
       return;
     }
@@ -225,6 +252,9 @@
     while (index >= 0) {
       if (!use.mayGive(job) || !e.inTurn(parts)) {
         // Its team's limit stands in its way, not room: no room is made or reserved for it.
+        if (e.why == Lineup.Why.FIRST && e.inTurn(parts)) {
+          use.hold(job);
+        }
         return 0;
       }
       Candidate best = candidates.poll();
@@ -300,7 +330,7 @@
     }
     if (claimed(m, now)) {
       for (Lineup.Entry e : entries) {
-        if (e.why == Lineup.Why.OWED && !fill(m, e, false, accounted, now)) {
+        if (e.gathers() && !fill(m, e, false, accounted, now)) {
           return;
         }
       }
@@ -338,7 +368,7 @@
   /** Where the head stands among the entries; what comes after it may only fill the gap. */
   private int headAt() {
     for (int i = 0; i < entries.size(); i++) {
-      if (entries.get(i).job == head && entries.get(i).why != Lineup.Why.OWED) {
+      if (entries.get(i).job == head && !entries.get(i).gathers()) {
         return i;
       }
     }
@@ -374,7 +404,7 @@
 
   /** Whether a claim on the machine binds the entry: the head's what is behind it, others' all. */
   private static boolean bound(Lineup.Entry e, Machine m, boolean backfilling) {
-    return m.reserved != null && m.reserved.owed ? e.why != Lineup.Why.OWED : backfilling;
+    return m.reserved != null && m.reserved.owed ? !e.gathers() : backfilling;
   }
 
   private boolean mayBackfill(Job job, Machine m, Span run, Time now) {
@@ -388,7 +418,7 @@
 
   private void give(Lineup.Entry e, int index, Machine m, Time now) {
     Job job = e.job;
-    boolean backfilling = e.why != Lineup.Why.OWED && head != null && head != job;
+    boolean backfilling = !e.gathers() && head != null && head != job;
     e.given();
     m.room = m.room.minus(job.spec.size());
     use.given(job);
@@ -399,7 +429,7 @@
     }
     Reservation r = m.reserved;
     if (r != null
-        && !(r.owed && e.why == Lineup.Why.OWED)
+        && !(r.owed && e.gathers())
         && !endsBefore(job, m, estimates.predict(job, index), now, r)) {
       r.extra = r.extra.minus(job.spec.size());
     }
--- a/src/main/java/io/saltflow/coordination/TaskOutcomes.java
+++ b/src/main/java/io/saltflow/coordination/TaskOutcomes.java
@@ -8,6 +8,7 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -61,8 +62,18 @@
     changed = false;
   }
 
+  /** Told once of each job: how long its user waited until anything happened. */
+  static void begins(Job job, Time now) {
+    if (job.begins()) {
+      double afterS = Math.max(0, now.since(job.arrivedAt).toSeconds());
+      LOG.info(
+          "{} begins {} s after it arrived", job.id(), String.format(Locale.ROOT, "%.1f", afterS));
+    }
+  }
+
   @Override
   public void done(Job job, int index, Presence p, Time now) {
+    begins(job, now);
     if (p != null && p.wholeRunSeen()) {
       estimates.observed(job.spec, now.since(p.runningSince));
     }
--- a/src/main/java/io/saltflow/coordination/TeamUse.java
+++ b/src/main/java/io/saltflow/coordination/TeamUse.java
@@ -2,6 +2,7 @@
 
 import io.saltflow.protocol.Size;
 import io.saltflow.shares.Party;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -16,6 +17,9 @@
   private Size unknown = Size.ZERO;
   private List<Leader.Demand> messages = List.of();
 
+  /** A job of each team for whose task the others of its team leave room within the limit. */
+  private final Map<String, Job> held = new HashMap<>();
+
   TeamUse(Map<String, Policy.Team> teams) {
     this.teams = teams;
   }
@@ -90,9 +94,25 @@
     return present.of(party).plus(given.of(party));
   }
 
+  /** Until {@link #holdNothing} what the team's others give back is left for one task of it. */
+  void hold(Job job) {
+    held.putIfAbsent(job.spec.team(), job);
+  }
+
+  void holdNothing() {
+    held.clear();
+  }
+
+  private Size heldFrom(Job job) {
+    Job first = held.get(job.spec.team());
+    return first == null || first == job || !first.waitsForItsFirst()
+        ? Size.ZERO
+        : first.spec.size();
+  }
+
   /** Whether one more task may be given out. */
   boolean mayGive(Job job) {
-    return within(job, most(job.spec.team()));
+    return within(job, most(job.spec.team()).plus(heldFrom(job)));
   }
 
   /** Whether one more task may be launched, whatever else has been given out. */
@@ -118,7 +138,7 @@
     if (team == null || team.coresLimit() <= 0 || job.spec.size().cores() <= 0) {
       return Integer.MAX_VALUE;
     }
-    double used = most(job.spec.team()).plus(messagesBefore(job)).cores();
+    double used = most(job.spec.team()).plus(messagesBefore(job)).plus(heldFrom(job)).cores();
     double left = team.coresLimit() - used + 1e-6;
     return (int) Math.max(0, Math.floor(left / job.spec.size().cores()));
   }
--- a/src/main/java/io/saltflow/coordination/Watchman.java
+++ b/src/main/java/io/saltflow/coordination/Watchman.java
@@ -41,8 +41,10 @@
     int silent = 0;
     int tasks = 0;
     int late = 0;
+    int deaf = 0;
     for (Machine m : machines) {
-      if (m.quiet && !m.leaving) {
+      deaf += m.deaf() && !m.leaving ? 1 : 0;
+      if (m.quiet && !m.deaf() && !m.leaving) {
         silent++;
         tasks += m.presences.size();
       }
@@ -51,6 +53,7 @@
       }
     }
     account.level(Account.Trouble.SILENT, silent, tasks + " tasks are on them", now);
+    account.level(Account.Trouble.DEAF, deaf, "they are given nothing more", now);
     account.level(Account.Trouble.LATE_BOOT, late, "others are rented instead", now);
   }
 
--- a/src/main/java/io/saltflow/protocol/Beat.java
+++ b/src/main/java/io/saltflow/protocol/Beat.java
@@ -12,11 +12,23 @@
  * field by field: reading the schema at start would cost a small machine seconds.
  *
  * @param probes whether the sender probes services' replicas for the leader
+ * @param unanswered jobs that the sender could not answer its users about
  */
 public record Beat(
-    String host, Term term, boolean leading, long stateQuietMs, List<Counts> jobs, boolean probes) {
+    String host,
+    Term term,
+    boolean leading,
+    long stateQuietMs,
+    List<Counts> jobs,
+    boolean probes,
+    List<Unanswered> unanswered) {
   private static final int MOST_JOBS = 5000;
 
+  private static final int MOST_UNANSWERED = 200;
+
+  /** Questions about the job have been refused for so long. */
+  public record Unanswered(JobId job, Span since) {}
+
   /** A job's live counts. */
   public record Counts(JobId job, int done, int running) {}
 
@@ -39,6 +51,15 @@
       }
       out.writeArrayEnd();
       out.writeBoolean(probes);
+      out.writeArrayStart();
+      int m = Math.min(unanswered.size(), MOST_UNANSWERED);
+      out.setItemCount(m);
+      for (Unanswered u : unanswered.subList(0, m)) {
+        out.startItem();
+        out.writeString(u.job.text());
+        out.writeLong(u.since.ms());
+      }
+      out.writeArrayEnd();
       out.flush();
       return bytes.toByteArray();
     } catch (IOException e) {
@@ -60,6 +81,14 @@
     }
     // Earlier versions do not say whether they probe for others: they don't.
     boolean probes = !in.atEnd() && in.flag();
-    return new Beat(host, term, leading, quiet, jobs, probes);
+    // Nor do they say whom they could not answer.
+    List<Unanswered> unanswered = new ArrayList<>();
+    long m = in.atEnd() ? 0 : in.firstItems(MOST_UNANSWERED);
+    for (; m != 0; m = in.nextItems(MOST_UNANSWERED - unanswered.size())) {
+      for (long i = 0; i < m; i++) {
+        unanswered.add(new Unanswered(new JobId(in.text()), Span.millis(in.number())));
+      }
+    }
+    return new Beat(host, term, leading, quiet, jobs, probes, unanswered);
   }
 }
--- a/src/test/java/io/saltflow/coordination/FaultsTest.java
+++ b/src/test/java/io/saltflow/coordination/FaultsTest.java
@@ -8,6 +8,7 @@
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -73,6 +74,13 @@
         default -> worker.failsAll = true;
       }
     }
+    if (worker != null && w.oneWay && w.chance(0.03)) {
+      if (w.chance(0.3)) {
+        worker.startAgain();
+      } else {
+        worker.deafUntil = w.now + w.random.nextInt(160) * 500L;
+      }
+    }
     if (jobs > 1 && w.chance(0.005)) {
       w.cancel(new JobId(Jobs.id(1 + w.random.nextInt(jobs - 1))));
     }
@@ -115,6 +123,37 @@
     assertTrue(w.allOver(), "work was left undone");
   }
 
+  /**
+   * Answers that are lost one way, late copies, machines that are back at once; cut-off leaders.
+   */
+  private static World oneWay(long seed, boolean supersede) {
+    World w = new World(seed, World.policy(Span.millis(World.LEASE)));
+    w.oneWay = true;
+    w.copies = 0.05;
+    w.supersede = supersede;
+    return play(w, DAY_S, 14);
+  }
+
+  private static void assertServed(World w, String which) {
+    assertEquals("", String.join("\n", w.broken), which);
+    assertTrue(w.allOver(), "work was left undone: " + which);
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {41, 42, 43, 44, 45, 46, 47, 48})
+  void rulesHoldWhenAnswersAreLostAndCopiesComeLate(long seed) {
+    assertServed(oneWay(seed, seed % 2 == 0), "seed " + seed);
+  }
+
+  /** Off CI: {@code mvn test -Dtest=FaultsTest -Dfaults.seeds=2000}. */
+  @Test
+  @EnabledIfSystemProperty(named = "faults.seeds", matches = "\\d+")
+  void manySeeds() {
+    for (long seed = 1000; seed < 1000 + Long.getLong("faults.seeds"); seed++) {
+      assertServed(oneWay(seed, seed % 2 == 0), "seed " + seed);
+    }
+  }
+
   @Test
   void withoutTheLedgerSomethingRunsTwice() {
     assertBreaks("ran_twice", World.policy(Span.millis(World.LEASE)), true);
--- a/src/test/java/io/saltflow/coordination/FencingTest.java
+++ b/src/test/java/io/saltflow/coordination/FencingTest.java
@@ -36,6 +36,59 @@
     assertEquals(List.of(Floor.task(1, 1)), orders.stream().map(Order::task).toList());
   }
 
+  /**
+   * It reports every few seconds with the token of before, and hears nobody. Each report counted as
+   * a sign of life, so a takeover was never accounted for and nothing of before was started again.
+   */
+  @Test
+  void aMachineThatDoesNotHearHoldsNoTakeoverUp() {
+    Floor f = takenOver();
+    f.checkIn("vm-1");
+    long launched = 0;
+    for (int s = 0; s < 90 && launched == 0; s += 5) {
+      f.pass(5);
+      f.leader.onReport(f.report("vm-2", new Term(6)), true, f.time());
+      launched = launches(f.checkIn("vm-1"));
+    }
+    assertEquals(1, launched);
+    assertTrue(f.now - 100_000 <= 65_000, "after " + (f.now - 100_000) + " ms");
+  }
+
+  /** Its launches go in vain, and with all its room it was given the same task again and again. */
+  @Test
+  void aMachineThatDoesNotHearIsGivenNothingMoreAndReturned() {
+    Floor f = new Floor(POLICY, List.of());
+    f.checkIn("vm-1");
+    f.checkIn("vm-2");
+    f.arrive(Jobs.job(1).tasks(2).cores(8).estimateS(60).build());
+    f.checkIn("vm-2");
+    int inVain = 0;
+    List<MachineId> returned = List.of();
+    for (int s = 0; s < 60 && returned.isEmpty(); s += 5) {
+      f.pass(5);
+      f.checkIn("vm-2");
+      List<Order> lost = f.leader.onReport(f.report("vm-1", Floor.TERM), true, f.time());
+      inVain += launches(lost);
+      returned = f.leader.toDelete(f.time());
+    }
+    assertTrue(inVain <= 3, inVain + " launches went in vain");
+    assertEquals(List.of(new MachineId("vm-1")), returned);
+  }
+
+  /** What reports show and a copy does not: that somebody can reach us. */
+  @Test
+  void copiesAreNoSignOfLife() {
+    Floor f = new Floor(POLICY, List.of());
+    Report one = f.report("vm-1", Floor.TERM);
+    f.leader.onReport(one, true, f.time());
+    f.checkIn("vm-2");
+    for (int s = 0; s < 30; s++) {
+      f.pass(1);
+      assertNull(f.leader.onReport(one, true, f.time()));
+    }
+    assertTrue(f.leader.deaf(f.time()), "nobody was heard for half a minute");
+  }
+
   private static final Policy POLICY = World.policy(Span.millis(World.LEASE));
 
   private static Floor takenOver() {
--- a/src/test/java/io/saltflow/coordination/Policies.java
+++ b/src/test/java/io/saltflow/coordination/Policies.java
@@ -41,6 +41,7 @@
         Span.seconds(30),
         1,
         new Rules(0.5, Span.seconds(120), 0.25),
+        Span.seconds(240),
         1.8,
         0.25,
         Span.seconds(45),
@@ -54,14 +55,15 @@
 
   /** The same settings on a machine with a part of a core: whole rounds keep some way apart. */
   static Policy onPartOfACore(Policy p, double share) {
-    return with(p, share, p.shares());
+    return with(p, share, p.shares(), p.beginWithin());
   }
 
+  /** Least parts by themselves: nobody's first task goes ahead. */
   static Policy withShares(Policy p, Rules shares) {
-    return with(p, p.cpuShare(), shares);
+    return with(p, p.cpuShare(), shares, Span.seconds(1e6));
   }
 
-  private static Policy with(Policy p, double share, Rules shares) {
+  private static Policy with(Policy p, double share, Rules shares, Span beginWithin) {
     return new Policy(
         share,
         p.report(),
@@ -78,6 +80,7 @@
         p.pressedSlack(),
         p.lengthWeight(),
         shares,
+        beginWithin,
         p.dearFactor(),
         p.dearShare(),
         p.horizon(),
--- a/src/test/java/io/saltflow/coordination/RoundsTest.java
+++ b/src/test/java/io/saltflow/coordination/RoundsTest.java
@@ -16,6 +16,8 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Rounds of one leader, most of them as traces to read. */
 class RoundsTest {
@@ -290,6 +292,38 @@
     assertEquals(List.of(Floor.task(2, 0)), launches(f.checkIn("vm-1")));
   }
 
+  /**
+   * The largest of a class begin within four minutes although smaller work keeps coming: one with
+   * the most tasks stands behind all that is shorter, one that needs all of a machine finds none
+   * free, and one that needs most of its team's limit finds it in use.
+   */
+  @ParameterizedTest
+  @CsvSource({"200, 3, blue", "2, 10, blue", "2, 10, red"})
+  void theLargestBeginThoughSmallerWorkKeepsComing(int tasks, int cores, String team) {
+    Floor f = oneMachine(1800);
+    f.checkIn("vm-2");
+    int next = 2;
+    double begunS = -1;
+    f.arrive(Jobs.job(next++).team(team).tasks(20).cores(3).estimateS(16).build());
+    f.arrive(Jobs.job(1).team(team).tasks(tasks).cores(cores).estimateS(30).build());
+    for (int s = 0; s < 300 && begunS < 0; s += 2) {
+      f.pass(2);
+      if (s % 4 == 0) {
+        f.arrive(Jobs.job(next++).team(team).tasks(2).cores(3).estimateS(16).build());
+      }
+      for (String m : List.of("vm-1", "vm-2")) {
+        f.checkIn(m);
+        for (TaskId task : List.copyOf(f.on.get(m).keySet())) {
+          begunS = task.job().equals(new JobId(Jobs.id(1))) ? s : begunS;
+          if ((s / 2 + task.index()) % 8 == 0) {
+            f.ends(m, task, Report.ExitCause.DONE);
+          }
+        }
+      }
+    }
+    assertTrue(begunS >= 0 && begunS <= 240, "begins after " + begunS + " s");
+  }
+
   /** Work of low priority whose time runs out queues with work of normal priority. */
   @Test
   void pressedWorkRises() {
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -89,6 +89,9 @@
     long cutUntil;
     long hungUntil;
 
+    /** Until then its reports arrive and no answer reaches it. */
+    long deafUntil;
+
     Worker(MachineId id, String zone, boolean spot, long upAt) {
       this.id = id;
       this.zone = zone;
@@ -105,6 +108,17 @@
       return new Report(this.id, "", TYPE.name(), zone, spot, session, ++tick, token, null, list);
     }
 
+    /** Its process, or all of the machine, was gone for a moment: the same name, all forgotten. */
+    void startAgain() {
+      tasks.clear();
+      session = 1;
+      tick = 0;
+      token = Term.NONE;
+      leaseFrom = now;
+      nextReport = now;
+      say(id + " is back at once, with nothing");
+    }
+
     private boolean works() {
       return !dead && now >= upAt && now >= hungUntil;
     }
@@ -225,6 +239,12 @@
 
   double loss;
 
+  /** How often a copy of a report comes once more, up to three leases later. */
+  double copies;
+
+  /** Whether machines go deaf and come back at once, beside the other faults. */
+  boolean oneWay;
+
   /** What the cloud has to give. */
   int mostMachines = 24;
 
@@ -442,6 +462,9 @@
       held.add(new Held(w.cutUntil, r));
       return;
     }
+    if (chance(copies)) {
+      held.add(new Held(now + 1000 + random.nextInt(3 * (int) LEASE), r));
+    }
     // Workers that the old one serves stay with it until it sends them away.
     Lead to =
         unaware != null && (lead == null || w.token.equals(unaware.core.term())) ? unaware : lead;
@@ -464,7 +487,17 @@
       return;
     }
     List<Order> orders = to.core.onReport(r, to.authority.mayLaunch(time()), time());
-    if (orders == null || !inTime || chance(loss)) {
+    if (!inTime) {
+      return;
+    }
+    if (now < w.deafUntil) {
+      // It waits for 4 s, and a second later it asks the other nodes, which it does not hear
+      // either.
+      w.tick += 2;
+      w.nextReport = now + 15_000;
+      return;
+    }
+    if (orders == null || chance(loss)) {
       return;
     }
     if (to.core.term().compareTo(w.token) >= 0) {
--- /dev/null
+++ b/src/test/java/io/saltflow/hearing/HearingTest.java
@@ -0,0 +1,49 @@
+package io.saltflow.hearing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What a worker's reports say of whether it hears. Reports every 3 s, leases of 16 s. */
+class HearingTest {
+  /**
+   * Reports that are each answered, as: seconds, number, then {@code t} the token was seen, {@code
+   * s} in the next session, {@code l} launched what it was told, {@code x} lists none of it, {@code
+   * o} our answers may have been late.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "well, 0 1 t | 3 2 t | 6 3 t, false",
+    "one answer lost, 0 1 t | 15 4 t | 18 5 t, false",
+    "each answer lost, 0 1 t | 15 4 t | 30 7 t, true",
+    "hears again, 0 1 t | 15 4 t | 30 7 t | 33 8 t, false",
+    "never takes the token, 0 1 - | 15 4 - | 30 7 -, true",
+    "takes it late, 0 1 - | 15 4 - | 30 7 t, false",
+    "its lease ran out though it was answered, 0 1 t | 15 2 ts, true",
+    "its lease ran out in a cut, 0 1 t | 40 2 ts, false",
+    "launches in vain at the only node, 0 1 t | 5 2 tx | 10 3 tx, true",
+    "launches carried out after a gap, 0 1 t | 15 4 t | 30 7 tl, false",
+    "a burst of old copies, 0 1 - | 0 2 - | 1 3 - | 2 4 - | 3 5 -, false",
+    "we answered too late, 0 1 t | 15 4 to | 30 7 to | 45 9 to, false"
+  })
+  void whatReportsShow(String name, String reports, boolean deaf) {
+    Hearing h = new Hearing(Span.seconds(3), Span.seconds(16));
+    for (String report : reports.split("\\|")) {
+      String[] r = report.trim().split(" ");
+      Time now = new Time(1_000_000 + Long.parseLong(r[0]) * 1000);
+      boolean token = r[2].contains("t");
+      long session = r[2].contains("s") ? 2 : 1;
+      Next.Launches launches =
+          r[2].contains("l")
+              ? Next.Launches.CARRIED_OUT
+              : r[2].contains("x") ? Next.Launches.NOT_LISTED : Next.Launches.NONE;
+      long number = Long.parseLong(r[1]);
+      h.reported(new Next(session, number, token, launches), r[2].contains("o"), now);
+      h.answered(session, number, token, now);
+    }
+    assertEquals(deaf, h.deaf(), name);
+  }
+}
--- a/src/test/java/io/saltflow/protocol/WireTest.java
+++ b/src/test/java/io/saltflow/protocol/WireTest.java
@@ -176,7 +176,15 @@
   void beatIsAvroByItsSchema() throws IOException, BadMessage {
     List<Beat.Counts> counts = new ArrayList<>();
     counts.add(new Beat.Counts(new JobId("req-1"), 2, 3));
-    Beat beat = new Beat("saltbox-1", new Term(9), true, 40, counts, true);
+    Beat beat =
+        new Beat(
+            "saltbox-1",
+            new Term(9),
+            true,
+            40,
+            counts,
+            true,
+            List.of(new Beat.Unanswered(new JobId("req-000003"), Span.seconds(7))));
     assertEquals(beat, Beat.decode(beat.encode()));
     try (InputStream in = Beat.class.getResourceAsStream("/mesh.avsc")) {
       Schema schema = new Schema.Parser().parse(in);
@@ -188,8 +196,11 @@
           "[{\"job\": \"req-1\", \"done\": 2, \"running\": 3}]", record.get("jobs").toString());
     }
     assertThrows(BadMessage.class, () -> Beat.decode(new byte[] {2, 'x', 1}));
-    byte[] before = Arrays.copyOf(beat.encode(), beat.encode().length - 1);
-    assertFalse(Beat.decode(before).probes(), "a node of an earlier version does not say");
+    byte[] bytes = new Beat("b", new Term(9), true, 40, counts, true, List.of()).encode();
+    Beat before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 1));
+    assertTrue(before.probes() && before.unanswered().isEmpty(), "of a version before that");
+    before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 2));
+    assertFalse(before.probes(), "a node of an earlier version does not say");
   }
 
   @Test
