Packing: pieces judged, moves planned so that a large model fits; plans are records

Change: packing (Fragments after Weng et al., Planner with a bounded search), coordination.Moves (room kept by machine, replicas stopped one by one, started again only by the proofs that there were), plan/moves/ records read by whoever takes over.

--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -151,6 +151,7 @@
                   System.currentTimeMillis());
           books.serve(leader);
           books.adopt(inherited);
+          leader.moves(inherited.moves(), loop.now());
           authority.synced(sent);
           begin(listed.revision());
           onReady.accept(this);
@@ -190,6 +191,7 @@
     loop.every(Span.millis(200), this, this::tick);
     loop.every(LEDGER_EVERY, this, books::ledger);
     loop.every(Span.seconds(2), this, books::record);
+    loop.every(Span.millis(500), this, this::move);
     loop.every(Span.millis(200), this, this::rent);
     loop.every(Span.millis(500), this, this::giveBack);
     loop.every(new Span(Math.max(2000, listLag.ms())), this, this::list);
@@ -203,6 +205,11 @@
     leader.load(gauge.busy(), gauge.heap(), turnedAway.getAsInt(), loop.now());
   }
 
+  private void move() {
+    leader.mayMove(authority.mayLaunch(loop.now()) && state.failingFor().ms() == 0);
+    books.moves();
+  }
+
   private void tick() {
     leader.tick(loop.now());
     books.finish();
--- a/src/main/java/io/saltflow/bookkeeping/Keys.java
+++ b/src/main/java/io/saltflow/bookkeeping/Keys.java
@@ -12,6 +12,11 @@
   static final String FLEET = "fleet/";
   static final String PROGRESS = "progress/";
   static final String QUEUES = "queues/";
+
+  /** What leaders have decided and go on with: read at once by each that is elected. */
+  static final String PLANS = "plan/";
+
+  static final String MOVES = PLANS + "moves/";
   static final String SERVICES = "services/";
 
   /** What is active, and under {@link #ANNOUNCED} what each host's build can act on. */
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -3,6 +3,7 @@
 import io.saltflow.coordination.Authority;
 import io.saltflow.coordination.Job;
 import io.saltflow.coordination.Leader;
+import io.saltflow.packing.Kept;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.CloudCodec;
@@ -264,6 +265,31 @@
     ledger.flush(false);
   }
 
+  /** Plans of moves: each is written before its first step, and once more when it has ended. */
+  public void moves() {
+    for (Kept plan : leader.movesToRecord()) {
+      commit(
+          StateClient.Rank.BOOKS,
+          guarded().put(Keys.MOVES + plan.name(), MoveBooks.encode(plan)),
+          ok -> leader.recorded(plan, ok));
+    }
+    for (String name : leader.movesToForget()) {
+      // One that stays for want of an answer is forgotten by a later leader.
+      commit(
+          StateClient.Rank.BOOKS,
+          guarded().delete(Keys.MOVES + name),
+          ok -> LOG.debug("the plan {} is forgotten: {}", name, ok));
+    }
+  }
+
+  private void readMoves(Inherited in, StateClient.Entry e) {
+    try {
+      in.moves.add(MoveBooks.decode(e.key().substring(Keys.MOVES.length()), e.value()));
+    } catch (BadMessage bad) {
+      LOG.error("{} can't be read: {}; its replicas wait like others", e.key(), bad.getMessage());
+    }
+  }
+
   /** Machines that are gone leave the ledger when there is time. */
   public void gone(List<MachineId> ids) {
     for (MachineId id : ids) {
@@ -276,6 +302,7 @@
     private final List<Leader.LedgerEntry> machines = new ArrayList<>();
     private final Map<JobId, String> started = new HashMap<>();
     private final Map<JobId, String> pageOf = new HashMap<>();
+    private final List<Kept> moves = new ArrayList<>();
     private boolean ledgerWhole = true;
     private boolean progressWhole = true;
 
@@ -283,6 +310,11 @@
       return machines;
     }
 
+    /** What was planned to be moved. */
+    public List<Kept> moves() {
+      return moves;
+    }
+
     /** Whether every machine of the ledger could be read. */
     public boolean ledgerWhole() {
       return ledgerWhole;
@@ -329,11 +361,29 @@
                   return;
                 }
                 pages.entries().forEach(e -> readProgress(in, e));
-                then.accept(in);
+                readPlans(in, then);
               });
         });
   }
 
+  private void readPlans(Inherited in, Consumer<Inherited> then) {
+    state.list(
+        StateClient.Rank.LEADERSHIP,
+        Keys.PLANS,
+        plans -> {
+          if (cancelled() || plans == null) {
+            then.accept(null);
+            return;
+          }
+          for (StateClient.Entry e : plans.entries()) {
+            if (e.key().startsWith(Keys.MOVES)) {
+              readMoves(in, e);
+            }
+          }
+          then.accept(in);
+        });
+  }
+
   private void readMachines(Inherited in, StateClient.Entry page) {
     ledger.found(page.key(), page.version());
     for (Map.Entry<String, Object> e : page.value().fields().entrySet()) {
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -22,6 +22,9 @@
   private static final Span FIRST_BACKOFF = Span.seconds(8);
   private static final Span LONGEST_BACKOFF = Span.seconds(60);
 
+  /** Asked again after this a kind may be there. */
+  private static final Span REFUSED_LATELY = Span.seconds(60);
+
   /** One request to the cloud; its name is never used for another. */
   record Hire(String name, MachineType type, String zone, boolean spot, int count, Time asked) {
     String kind() {
@@ -182,13 +185,17 @@
     }
     double waitS = backlog.work() / Math.max(1, cheapCores);
     boolean late = false;
+    boolean accelerators = false;
     for (Job job : jobs) {
+      accelerators |= job.pendingCount() > 0 && job.spec.size().gpus() > 0;
       late |= job.pendingCount() > 0 && !job.failsEverywhere() && wouldBeLate(job, waitS, now);
     }
     boolean enough = !late && waitS < policy.ordinaryHorizon().toSeconds() * 0.7;
     boolean tooLittle = late || waitS > policy.ordinaryHorizon().toSeconds();
     for (Machine m : up) {
       boolean dear = m.pricePerCore() > cheapest * policy.dearFactor();
+      // Cores say nothing of what accelerators are worth: while work waits for these they stay.
+      dear &= m.type.size().gpus() <= 0 || !accelerators;
       if (!dear || tooLittle) {
         m.retiring = false;
       } else if (enough) {
@@ -282,6 +289,28 @@
     return false;
   }
 
+  /**
+   * Whether a machine for the job may still be had: some kind that it may use was not refused
+   * lately.
+   */
+  boolean mayHave(Job job, Collection<MachineType> types, Time now) {
+    for (MachineType type : types) {
+      for (String zone : type.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          Option option = new Option(type, zone, spot);
+          Backoff b = backoffs.get(option.kind());
+          boolean refused = b != null && now.before(b.until.plus(REFUSED_LATELY));
+          if (!refused
+              && job.spec.allows(type.name(), zone, spot)
+              && job.spec.size().fitsIn(type.size())) {
+            return true;
+          }
+        }
+      }
+    }
+    return false;
+  }
+
   void answered(Hire hire, int got, Time now) {
     open.remove(hire.name);
     if (got >= hire.count) {
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -1,5 +1,6 @@
 package io.saltflow.coordination;
 
+import io.saltflow.packing.Kept;
 import io.saltflow.protocol.CloudCodec;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
@@ -68,6 +69,7 @@
   private final Fleet fleet;
   private final Returns returns;
   private final Watchman watchman;
+  private final Moves moves;
   private final TeamUse use;
   private final Usage usage = new Usage();
   private final Capacity capacity = new Capacity();
@@ -87,6 +89,9 @@
 
   private boolean heardAny;
 
+  /** Whether replicas may be moved: nothing holds the state service or the machines up. */
+  private boolean mayMove;
+
   public Leader(
       Policy policy,
       Term term,
@@ -117,6 +122,7 @@
     fleet = new Fleet(policy, term, estimates, account);
     returns = new Returns(policy, account);
     watchman = new Watchman(policy, account);
+    moves = new Moves(this.jobs, fencing::find, estimates, account, term, wallMinusClockMs);
     typesKnown(knownTypes);
     if (!ledgerWhole) {
       fencing.missesMachines();
@@ -394,7 +400,17 @@
     lastRound = now;
     backlog = Backlog.of(jobs.values(), types.values(), policy, estimates, now);
     fleet.retire(fencing.machines(), jobs.values(), backlog, now);
+    moves.proceed(fencing.machines(), accounted, now);
     waiting = scheduler.round(jobs.values(), fencing.machines(), accounted, now);
+    if (mayMove) {
+      moves.plan(
+          waiting,
+          scheduler.usable(),
+          scheduler.booting(),
+          job -> fleet.mayHave(job, types.values(), now),
+          accounted,
+          now);
+    }
     int items = jobs.size();
     for (Machine m : fencing.machines()) {
       items += 1 + m.presences.size();
@@ -422,6 +438,36 @@
     }
   }
 
+  /** What former leaders planned to move, as it was recorded. */
+  public void moves(Collection<Kept> recorded, Time now) {
+    moves.inherit(recorded, now);
+  }
+
+  /** Whether replicas may be moved now, as far as the state service goes. */
+  public void mayMove(boolean may) {
+    mayMove = may;
+  }
+
+  /** Plans of moves to write; each is told of by {@link #recorded(Kept, boolean)}. */
+  public List<Kept> movesToRecord() {
+    return moves.takeToRecord();
+  }
+
+  public void recorded(Kept plan, boolean ok) {
+    moves.recorded(plan, ok);
+    changed = true;
+  }
+
+  /** Names of plans whose records may go. */
+  public List<String> movesToForget() {
+    return moves.takeToForget();
+  }
+
+  /** What is planned, done and given up, and why a model waits, a line each. */
+  public List<String> movesTold() {
+    return moves.told();
+  }
+
   /** What the work queues use of the teams' limits, which they share with native jobs. */
   public void demands(List<Demand> demands) {
     use.messages(demands);
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -1,6 +1,7 @@
 package io.saltflow.coordination;
 
 import io.saltflow.hearing.Hearing;
+import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Size;
@@ -91,6 +92,9 @@
   /** The head's claim on it, or null. */
   Reservation reserved;
 
+  /** Room that moves keep here, for one task of each of these jobs. */
+  final Map<JobId, Size> keeps = new LinkedHashMap<>();
+
   final LinkedHashSet<String> images = new LinkedHashSet<>();
 
   Machine(
@@ -163,6 +167,28 @@
     return type.size().minus(used);
   }
 
+  void keep(JobId job, Size size) {
+    keeps.put(job, size);
+  }
+
+  /** What is kept here for anybody. */
+  Size keptInAll() {
+    Size sum = Size.ZERO;
+    for (Size s : keeps.values()) {
+      sum = sum.plus(s);
+    }
+    return sum;
+  }
+
+  /** The room that a task of the job may take: what is kept for others is not its. */
+  Size roomFor(Job job) {
+    return keeps.isEmpty() ? room : room.minus(keptInAll()).plus(keptFor(job));
+  }
+
+  Size keptFor(Job job) {
+    return keeps.getOrDefault(job.id(), Size.ZERO);
+  }
+
   void put(Presence p) {
     Presence before = presences.put(p.task(), p);
     used = (before == null ? used : used.minus(before.job.spec.size())).plus(p.job.spec.size());
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -1,5 +1,6 @@
 package io.saltflow.coordination;
 
+import io.saltflow.packing.Fragments;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
@@ -29,6 +30,12 @@
   /** Of so many jobs in a round: one task of each of hundreds would be the whole fleet. */
   private static final int MOST_FIRSTS = 32;
 
+  /** Where room is kept for a task it goes, whatever else speaks for another place. */
+  private static final double KEPT = 1e6;
+
+  /** Seconds of fetching that are spent so that no accelerator more becomes useless. */
+  private static final double PIECES_S = 30;
+
   private final Policy policy;
   private final Estimates estimates;
   private final TeamUse use;
@@ -36,7 +43,9 @@
   private final HeadReservation reservation;
   private final Preemption preemption;
   private final LeastParts parts;
+  private final Fragments fragments = new Fragments();
   private List<Machine> usable = List.of();
+  private List<Machine> booting = List.of();
   private List<Waiting> waiting = List.of();
 
   /** Who is asked in which order when a machine reports between two rounds. */
@@ -78,6 +87,15 @@
     return guaranteed;
   }
 
+  /** The machines that may be used, and those that are on their way, as of the last round. */
+  List<Machine> usable() {
+    return usable;
+  }
+
+  List<Machine> booting() {
+    return booting;
+  }
+
   long looks() {
     return looks;
   }
@@ -91,7 +109,7 @@
   List<Waiting> round(
       Collection<Job> jobs, Collection<Machine> machines, boolean accounted, Time now) {
     usable = new ArrayList<>();
-    List<Machine> booting = new ArrayList<>();
+    booting = new ArrayList<>();
     double cores = 0;
     for (Machine m : machines) {
       takeBack(m);
@@ -118,6 +136,10 @@
         order.add(job);
       }
     }
+    fragments.clear();
+    for (Job job : jobs) {
+      fragments.usual(job.spec.size(), job.present.size() + job.pendingCount());
+    }
     parts.look(jobs, new HashSet<>(order), usable, now);
     order = parts.soonestFirst(order, guaranteed);
     use.holdNothing();
@@ -297,13 +319,19 @@
   /** A service's tasks are spread; others go where they fetch least and leave most room. */
   private double score(Job job, Machine m, Crowd crowd) {
     boolean dear = m.pricePerCore() > cheapest * policy.dearFactor();
-    return Placement.score(job, m, m.room, estimates, dear) + (crowd == null ? 0 : crowd.score(m));
+    double kept = m.keeps.containsKey(job.id()) ? -KEPT : 0;
+    double pieces =
+        m.type.size().gpus() <= 0 ? 0 : fragments.more(m.type.size(), m.room, job.spec.size());
+    return Placement.score(job, m, m.room, estimates, dear)
+        + kept
+        + pieces * PIECES_S
+        + (crowd == null ? 0 : crowd.score(m));
   }
 
   private boolean mayTake(Lineup.Entry e, int index, Machine m, boolean backfilling, Time now) {
     Job job = e.job;
     looks++;
-    return job.spec.size().fitsIn(m.room)
+    return job.spec.size().fitsIn(m.roomFor(job))
         && Placement.allowed(job, m)
         && (!bound(e, m, backfilling) || mayBackfill(job, m, estimates.predict(job, index), now))
         && (job.errorMachines.isEmpty()
@@ -311,6 +339,7 @@
             || job.failsEverywhere()
             || usable.size() <= 1)
         && (!m.retiring
+            || job.spec.size().gpus() > 0
             || guaranteed.contains(job.id())
             || job.spec.priority().compareTo(policy.preemptFrom()) >= 0);
   }
@@ -421,6 +450,7 @@
     boolean backfilling = !e.gathers() && head != null && head != job;
     e.given();
     m.room = m.room.minus(job.spec.size());
+    m.keeps.remove(job.id());
     use.given(job);
     job.given(index);
     m.assigned.add(new Machine.Assigned(job, index, backfilling));
--- a/src/test/java/io/saltflow/coordination/Floor.java
+++ b/src/test/java/io/saltflow/coordination/Floor.java
@@ -19,28 +19,45 @@
 /** One leader and a few machines that a test reports for by hand. */
 final class Floor {
   static final Term TERM = new Term(7);
-  private static final MachineType TYPE =
-      new MachineType("box", new Size(10, 0, 100), 1, 1, 0.5, Span.seconds(15), List.of("a", "b"));
+  private static final MachineType TYPE = type(new Size(10, 0, 100));
 
   final List<String> trace = new ArrayList<>();
   final Map<String, Map<TaskId, Report.TaskReport>> on = new LinkedHashMap<>();
   private final Map<String, Long> sequence = new LinkedHashMap<>();
   private final Map<String, Long> session = new LinkedHashMap<>();
-  final Leader leader;
+  Leader leader;
 
   /** Machines that the cloud will take, and how soon. */
   final Map<String, Span> notices = new LinkedHashMap<>();
 
+  private Term term = TERM;
+
   long now = 100_000;
 
   Floor(Policy policy, List<Job> jobs, String... oldMachines) {
     List<Leader.LedgerEntry> ledger = new ArrayList<>();
     for (String m : oldMachines) {
-      ledger.add(new Leader.LedgerEntry(new MachineId(m), "box", "a", false));
+      ledger.add(entry(m));
     }
     leader = new Leader(policy, TERM, jobs, ledger, true, List.of(TYPE), time(), now);
   }
 
+  static MachineType type(Size size) {
+    return new MachineType("box", size, 1, 1, 0.5, Span.seconds(15), List.of("a", "b"));
+  }
+
+  /** Another leader takes over: machines and what is on them stay. */
+  void takeOver(Policy policy, Term by, List<Job> jobs, Size machine) {
+    List<Leader.LedgerEntry> ledger = new ArrayList<>();
+    on.keySet().forEach(m -> ledger.add(entry(m)));
+    term = by;
+    leader = new Leader(policy, by, jobs, ledger, true, List.of(type(machine)), time(), now);
+  }
+
+  private static Leader.LedgerEntry entry(String machine) {
+    return new Leader.LedgerEntry(new MachineId(machine), "box", "a", false);
+  }
+
   static Job job(JobSpec spec, boolean maybeStarted) {
     return new Job(spec, 0, new BitSet(), maybeStarted);
   }
@@ -114,7 +131,7 @@
 
   /** Reports and obeys: launched tasks run at the next report. */
   List<Order> checkIn(String machine) {
-    Report r = report(machine, TERM);
+    Report r = report(machine, term);
     List<Order> orders = leader.onReport(r, true, time());
     leader.ledgered(leader.toLedger());
     obey(machine, orders);
--- a/src/test/java/io/saltflow/coordination/Jobs.java
+++ b/src/test/java/io/saltflow/coordination/Jobs.java
@@ -15,6 +15,7 @@
   private Priority priority = Priority.NORMAL;
   private int tasks = 1;
   private double cores = 1;
+  private double gpus;
   private double estimateS = 10;
   private double checkpointS;
   private boolean oneZone;
@@ -65,6 +66,11 @@
     return this;
   }
 
+  Jobs gpus(double value) {
+    gpus = value;
+    return this;
+  }
+
   Jobs estimateS(double value) {
     estimateS = value;
     return this;
@@ -108,7 +114,7 @@
         daemon,
         priority,
         tasks,
-        new Size(cores, 0, cores),
+        new Size(cores, gpus, cores),
         null,
         zone,
         oneZone,
