--- a/src/main/java/io/saltflow/app/Descriptions.java
+++ b/src/main/java/io/saltflow/app/Descriptions.java
@@ -6,6 +6,7 @@
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.Wire;
 import io.saltflow.services.ServiceDuty;
 import java.util.function.Function;
@@ -21,7 +22,7 @@
   JobSpec of(JobId id) {
     Body live = records.apply(JobStore.keyOfLive(id));
     try {
-      return live == null ? null : JobStore.decode(live).spec();
+      return live == null ? null : JobStore.decode(live, Stamp.ABSENT).spec();
     } catch (BadMessage e) {
       return null;
     }
--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -15,6 +15,7 @@
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
 import io.saltflow.transport.Loop;
@@ -36,6 +37,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(LeaderDuty.class);
   private static final Span AGAIN = Span.millis(300);
   private static final Span HOLD = Span.seconds(1);
+
+  /** Operators seldom decide anything: a request in so long. */
+  private static final Span ORDER_HOLD = Span.seconds(20);
+
   private static final Span WATCH_PAUSE = Span.millis(120);
 
   /** Well below the half second after which a machine that came up reports again. */
@@ -130,10 +135,10 @@
           }
           List<Job> found = new ArrayList<>();
           for (StateClient.Entry e : listed.entries()) {
-            if (bundle(e.key(), e.value())) {
+            if (bundle(e.key(), e.value(), e.version())) {
               continue;
             }
-            JobStore.Recorded r = decode(e.key(), e.value());
+            JobStore.Recorded r = decode(e.key(), e.value(), e.version());
             if (r != null) {
               found.add(inherited.job(r));
             }
@@ -151,7 +156,6 @@
                   System.currentTimeMillis());
           books.serve(leader);
           books.adopt(inherited);
-          leader.moves(inherited.moves(), loop.now());
           authority.synced(sent);
           begin(listed.revision());
           onReady.accept(this);
@@ -159,10 +163,10 @@
   }
 
   /** Whether it is a bundle of jobs: those are given records of their own by and by. */
-  private boolean bundle(String key, Body value) {
+  private boolean bundle(String key, Body value, Stamp version) {
     boolean is = JobStore.isBundle(key);
     if (is) {
-      books.bundle(key, value);
+      books.bundle(key, value, version);
     }
     return is;
   }
@@ -171,13 +175,13 @@
   private void seen(JobStore.Recorded r) {
     JobId id = r.spec().id();
     if (leader.job(id) == null) {
-      leader.jobSeen(r.spec(), r.arrivedWallMs(), former.maybeStarted(r));
+      leader.jobSeen(r.spec(), r.arrivedWallMs(), former.maybeStarted(r), r.lane(), r.place());
     }
   }
 
-  private static JobStore.Recorded decode(String key, Body value) {
+  private static JobStore.Recorded decode(String key, Body value, Stamp version) {
     try {
-      return JobStore.decode(value);
+      return JobStore.decode(value, version);
     } catch (BadMessage e) {
       LOG.error("record {} can't be read: {}", key, e.getMessage());
       return null;
@@ -192,6 +196,8 @@
     loop.every(LEDGER_EVERY, this, books::ledger);
     loop.every(Span.seconds(2), this, books::record);
     loop.every(Span.millis(500), this, this::move);
+    loop.every(Span.seconds(1), this, books::order);
+    watchOrder(former.plansAt());
     loop.every(Span.millis(200), this, this::rent);
     loop.every(Span.millis(500), this, this::giveBack);
     loop.every(new Span(Math.max(2000, listLag.ms())), this, this::list);
@@ -205,6 +211,13 @@
     leader.load(gauge.busy(), gauge.heap(), turnedAway.getAsInt(), loop.now());
   }
 
+  private void watchOrder(long after) {
+    if (after < 0) {
+      return;
+    }
+    books.watchOrder(after, ORDER_HOLD, next -> loop.after(AGAIN, this, () -> watchOrder(next)));
+  }
+
   private void move() {
     leader.mayMove(authority.mayLaunch(loop.now()) && state.failingFor().ms() == 0);
     books.moves();
@@ -259,12 +272,13 @@
       }
       return;
     }
-    if (bundle(put, event.map(Wire.VALUE))) {
+    Stamp version = new Stamp(event.integer(Wire.VERSION));
+    if (bundle(put, event.map(Wire.VALUE), version)) {
       return;
     }
     JobId id = JobStore.idOfLive(put);
     if (id != null && leader.job(id) == null) {
-      JobStore.Recorded r = decode(put, event.map(Wire.VALUE));
+      JobStore.Recorded r = decode(put, event.map(Wire.VALUE), version);
       if (r != null) {
         seen(r);
       }
@@ -285,12 +299,12 @@
           }
           Set<JobId> live = new HashSet<>();
           for (StateClient.Entry e : listed.entries()) {
-            if (bundle(e.key(), e.value())) {
+            if (bundle(e.key(), e.value(), e.version())) {
               continue;
             }
             // One that can't be read is there all the same.
             live.add(JobStore.idOfLive(e.key()));
-            JobStore.Recorded r = decode(e.key(), e.value());
+            JobStore.Recorded r = decode(e.key(), e.value(), e.version());
             if (r != null) {
               seen(r);
             }
--- a/src/main/java/io/saltflow/app/Main.java
+++ b/src/main/java/io/saltflow/app/Main.java
@@ -35,6 +35,8 @@
              saltflow rollout start NAME IMAGE [--plan FILE] [--param NAME=VALUE ...]
                             [--server ADDR:PORT] [--json]
              saltflow rollout status|watch|pause|resume|approve|abort|undo|history NAME
+             saltflow queue | moves  [--server ADDR:PORT] [--json]
+             saltflow lane ID LANE|front  [--server ADDR:PORT]
              saltflow hash-password
              saltflow submit FILE|-  [--server ADDR:PORT] [--json] [--wait SECONDS]
              saltflow status|watch|cancel ID  [--server ADDR:PORT] [--json] [--wait SECONDS]
@@ -50,6 +52,9 @@
       cancel        cancel it
       service       set services up, and show them
       rollout       bring a version of a service out in steps, each held until its gate passes
+      queue         the lanes, what waits in order, and why the first of each does not start
+      lane          move a waiting job to another lane, or in front of its own
+      moves         which replicas are moved to make room, and why a model waits
       hash-password read a password and print its hash for a queues file
 
         --config FILE      the platform's settings (TOML)
@@ -103,6 +108,10 @@
         setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
         return new ServiceCommands(out, err).run(command, Arrays.copyOfRange(args, 1, args.length));
       }
+      case "queue", "lane", "moves" -> {
+        setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
+        return new OrderCommands(out, err).run(command, Arrays.copyOfRange(args, 1, args.length));
+      }
       case "local" -> {
         setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
         return LocalCommand.run(Arrays.copyOfRange(args, 1, args.length), out, err);
@@ -148,6 +157,7 @@
       AmqpSettings queues = line.hasOption("queues") ? queues(line) : null;
       if (command.equals("check-config")) {
         config.doubts().forEach(d -> out.println("doubtful: " + d));
+        operator.doubts(config).forEach(d -> out.println("doubtful: " + d));
         if (queues != null) {
           QueueSettings.doubts(queues, config.teams()).forEach(d -> out.println("doubtful: " + d));
         }
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -100,6 +100,7 @@
   private Map<JobId, Beat.Counts> counts = new HashMap<>();
   private final AmqpFront amqp;
   private final ServiceApi serviceApi;
+  private final OrderApi orderApi;
   private final ProbeLinks probeLinks;
   private final ProbeServant servant;
   private ServiceDuty services;
@@ -143,7 +144,9 @@
     double wps = config.stateWriteRps() * 0.5;
     state = new StateClient(this, loop, stateHttp, watchHttp, rps, wps);
     String process = config.host() + "-" + Long.toHexString(random.nextLong());
-    jobs = new JobStore(this, loop, state, config.valueKb(), config.txnOps(), process);
+    jobs =
+        new JobStore(
+            this, loop, state, config.valueKb(), config.txnOps(), process, operator.lanes());
     cloud = new CloudClient(this, loop, cloudHttp, config.cloudRps() * 0.75);
     leadership =
         new Leadership(
@@ -184,6 +187,13 @@
                 config.host(), new Prober(this, loop, MOST_PROBES), this::probers, mesh::broadcast)
             : null;
     servant = probeLinks == null ? null : new ProbeServant(this, loop, probeLinks);
+    orderApi =
+        new OrderApi(
+            jobs,
+            operator.lanes(),
+            () -> duty == null ? null : duty.leader(),
+            leadership::leader,
+            loop::now);
     serviceApi = extras.services() ? new ServiceApi(() -> services, leadership::leader) : null;
     server =
         new HttpServer(
@@ -569,6 +579,8 @@
       answer.accept(Replies.comeBack("it came while this controller stood still", 1));
     } else if (path.equals(Wire.PATH_JOBS)) {
       on("POST", method, answer, () -> users.submit(body, answer));
+    } else if (OrderApi.serves(path)) {
+      orderApi.handle(method, path, body, answer);
     } else if (serviceApi != null
         && (path.equals(Wire.PATH_SERVICES) || path.startsWith(Wire.PATH_SERVICES + "/"))) {
       serviceApi.handle(method, path, body, answer);
--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -3,11 +3,18 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.saltflow.coordination.Authority;
 import io.saltflow.coordination.Policy;
+import io.saltflow.lanes.LaneRule;
+import io.saltflow.lanes.Lanes;
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
 import io.saltflow.shares.Rules;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
 
 /** What operators may set beyond the platform's file. The defaults fit any site. */
 public record OperatorSettings(
@@ -30,18 +37,43 @@
     double minimumChargeS,
     double silenceS,
     double bootPatience,
-    int faultyAfter) {
+    int faultyAfter,
+    Lanes lanes) {
   static final String SCHEMA = "/operator-settings.schema.json";
 
   public static OperatorSettings defaults() {
     return new OperatorSettings(
-        5, 0.2, 1800, "high", 6, 60, 4, 0.67, 120, 0.25, 240, 1.8, 0.25, 75, 90, 0.4, 60, 10, 3, 2);
+        5,
+        0.2,
+        1800,
+        "high",
+        6,
+        60,
+        4,
+        0.67,
+        120,
+        0.25,
+        240,
+        1.8,
+        0.25,
+        75,
+        90,
+        0.4,
+        60,
+        10,
+        3,
+        2,
+        Lanes.NONE);
   }
 
   /** Reads and checks the file. Only here are the JSON libraries loaded. */
   public static OperatorSettings read(Path file) throws ConfigError {
     JsonNode node = JsonSettings.read(file, SCHEMA);
     OperatorSettings d = defaults();
+    Lanes lanes = lanes(node.path("lanes"));
+    if (!lanes.faults().isEmpty()) {
+      throw new ConfigError(file + ": " + String.join("; ", lanes.faults()));
+    }
     return new OperatorSettings(
         node.path("leaderLeaseS").asDouble(d.leaderLeaseS),
         node.path("scaleDown").asDouble(d.scaleDown),
@@ -62,7 +94,36 @@
         node.path("minimumChargeS").asDouble(d.minimumChargeS),
         node.path("silenceS").asDouble(d.silenceS),
         node.path("bootPatience").asDouble(d.bootPatience),
-        node.path("faultyAfter").asInt(d.faultyAfter));
+        node.path("faultyAfter").asInt(d.faultyAfter),
+        lanes);
+  }
+
+  private static Lanes lanes(JsonNode list) {
+    List<LaneRule> rules = new ArrayList<>();
+    for (JsonNode lane : list) {
+      Set<Priority> urgency = EnumSet.noneOf(Priority.class);
+      texts(lane.path("urgency")).forEach(u -> urgency.add(Priority.of(u)));
+      rules.add(
+          new LaneRule(
+              lane.path("name").asText(),
+              texts(lane.path("classes")),
+              texts(lane.path("teams")),
+              urgency));
+    }
+    return new Lanes(rules);
+  }
+
+  private static Set<String> texts(JsonNode list) {
+    Set<String> out = new TreeSet<>();
+    list.forEach(item -> out.add(item.asText()));
+    return out;
+  }
+
+  /** What is allowed and yet hardly meant at this site. */
+  List<String> doubts(Config c) {
+    Set<String> classes = new TreeSet<>(c.dueByClass().keySet());
+    classes.addAll(c.startByClass().keySet());
+    return lanes.doubts(classes, c.teams().keySet());
   }
 
   Span leaderLease() {
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -1,5 +1,8 @@
 package io.saltflow.bookkeeping;
 
+import io.saltflow.lanes.Lane;
+import io.saltflow.lanes.Lanes;
+import io.saltflow.lanes.Place;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobCodec;
@@ -32,6 +35,13 @@
   private static final String DONE_COUNT = "n";
   private static final String STARTED = "started";
   private static final String PHASE = "phase";
+
+  /** Rank and name, where operators have set lanes up. */
+  private static final String LANE = "lane";
+
+  /** Of a job that was accepted in a bundle: its place, as its record is of a later revision. */
+  private static final String PLACE = "place";
+
   private static final Span TRY = Span.millis(1500);
   private static final Span PAUSE = Span.millis(100);
   private static final Span PATIENCE = Span.millis(3500);
@@ -61,10 +71,12 @@
   }
 
   /** A live job as it was recorded. */
-  public record Recorded(JobSpec spec, long arrivedWallMs, boolean marked) {}
+  public record Recorded(
+      JobSpec spec, long arrivedWallMs, boolean marked, Lane lane, Place place) {}
 
   private final Loop loop;
   private final StateClient state;
+  private final Lanes lanes;
   private final LiveCheck live;
   private final FirstLooks firstLooks;
   private final Admissions admissions;
@@ -80,10 +92,18 @@
   /**
    * @param txnOps how many writes a transaction of the state service may have
    * @param process differs from that of every other process that was ever started
+   * @param lanes by which jobs are accepted
    */
   public JobStore(
-      Routine parent, Loop loop, StateClient state, double valueKb, int txnOps, String process) {
+      Routine parent,
+      Loop loop,
+      StateClient state,
+      double valueKb,
+      int txnOps,
+      String process,
+      Lanes lanes) {
     super(parent);
+    this.lanes = lanes;
     this.loop = loop;
     this.state = state;
     int valueBytes = (int) (valueKb * 1024);
@@ -94,7 +114,7 @@
 
   /** Writes a new job down, or finds that it is known. */
   public void admit(JobSpec spec, long wallMs, Consumer<Outcome> then) {
-    admissions.add(spec.id(), encode(spec, wallMs), then);
+    admissions.add(spec.id(), encode(spec, wallMs, lanes.of(spec)), then);
   }
 
   /** A request that got no clear answer is tried again at once, or given up on at once. */
@@ -337,14 +357,77 @@
     over.put(id, new Known(id, Phase.DONE, tasks));
   }
 
-  private static Body encode(JobSpec spec, long wallMs) {
-    return Body.of().with(SPEC, JobCodec.encode(spec)).with(ARRIVED, wallMs);
+  private static Body encode(JobSpec spec, long wallMs, Lane lane) {
+    Body body = Body.of().with(SPEC, JobCodec.encode(spec)).with(ARRIVED, wallMs);
+    // The lane of an urgency says nothing that the description does not.
+    return lane.name().isEmpty() ? body : body.with(LANE, List.of(lane.rank(), lane.name()));
+  }
+
+  /** The record of a job that a bundle held, with the place that it was accepted at. */
+  static Body withPlace(Body record, Place place) {
+    return new Body(new LinkedHashMap<>(record.fields()))
+        .with(PLACE, List.of(place.revision(), place.index()));
   }
 
-  public static Recorded decode(Body record) throws BadMessage {
+  /**
+   * A record as it stands.
+   *
+   * @param version of its key: what was written at the acceptance is of its revision
+   */
+  public static Recorded decode(Body record, Stamp version) throws BadMessage {
+    JobSpec spec = JobCodec.decode(record.map(SPEC));
+    Place place = new Place(version.number(), 0);
+    if (record.get(PLACE) instanceof List<?> l
+        && l.size() == 2
+        && l.get(0) instanceof Long revision
+        && l.get(1) instanceof Long index) {
+      place = new Place(revision, index.intValue());
+    }
     // Records of earlier versions say in themselves that a job may have been started.
     return new Recorded(
-        JobCodec.decode(record.map(SPEC)), record.integer(ARRIVED), record.flagOr(STARTED, false));
+        spec,
+        record.integer(ARRIVED),
+        record.flagOr(STARTED, false),
+        lane(record.get(LANE), Lane.of(spec.priority())),
+        place);
+  }
+
+  /** A lane as it is recorded; what can't be read is the other. */
+  static Lane lane(Object recorded, Lane otherwise) {
+    return recorded instanceof List<?> l
+            && l.size() == 2
+            && l.get(0) instanceof Long rank
+            && l.get(1) instanceof String name
+            && rank >= 0
+            && rank < 1000
+        ? new Lane(rank.intValue(), name)
+        : otherwise;
+  }
+
+  /**
+   * An operator moves a live job to another lane, or in front of its own; any node may write that.
+   *
+   * @param lane null: its lane stays
+   * @param then what was found: a live job was moved, any other outcome changed nothing
+   */
+  public void move(JobId id, Lane lane, Consumer<Outcome> then) {
+    find(
+        id,
+        outcome -> {
+          if (!(outcome instanceof Outcome.Found found) || found.job().phase() != Phase.LIVE) {
+            then.accept(outcome);
+            return;
+          }
+          Txn txn =
+              new Txn()
+                  .guard(Keys.over(id), Stamp.ABSENT)
+                  .put(Keys.moved(id), OrderBooks.encode(lane));
+          state.commit(
+              StateClient.Rank.USER,
+              txn,
+              TRY,
+              a -> then.accept(a.ok() ? outcome : new Outcome.Unknown()));
+        });
   }
 
   /** Whether a key found among the live jobs is that of a bundle of them. */
--- a/src/main/java/io/saltflow/bookkeeping/Keys.java
+++ b/src/main/java/io/saltflow/bookkeeping/Keys.java
@@ -25,8 +25,17 @@
   static final String ACTIVE = LEVELS + "active";
   static final String ANNOUNCED = LEVELS + "on/";
 
+  /** What the order rests on beside the jobs' records, and what operators did with jobs. */
+  static final String BASIS = PLANS + "basis";
+
+  static final String MOVED = PLANS + "order/";
+
   private Keys() {}
 
+  static String moved(JobId id) {
+    return MOVED + id.text();
+  }
+
   static String live(JobId id) {
     return LIVE + id.text();
   }
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -3,6 +3,7 @@
 import io.saltflow.coordination.Authority;
 import io.saltflow.coordination.Job;
 import io.saltflow.coordination.Leader;
+import io.saltflow.lanes.Basis;
 import io.saltflow.packing.Kept;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
@@ -11,7 +12,9 @@
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
 import io.saltflow.transport.Routine;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -20,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -228,8 +232,8 @@
   }
 
   /** A bundle of jobs was found among the live ones. */
-  public void bundle(String key, Body value) {
-    unpacking.found(key, value);
+  public void bundle(String key, Body value, Stamp version) {
+    unpacking.found(key, value, version);
   }
 
   /** Jobs that were admitted in bundles get records of their own; then they can be started. */
@@ -282,6 +286,59 @@
     }
   }
 
+  /**
+   * What the order of jobs rests on, when it has changed; operators' moves of jobs that are over.
+   */
+  public void order() {
+    Basis basis = leader.basisToRecord(now.get());
+    if (basis != null) {
+      commit(
+          StateClient.Rank.BOOKS,
+          guarded().put(Keys.BASIS, OrderBooks.encode(basis)),
+          ok -> leader.basisRecorded(basis, ok));
+    }
+    List<JobId> over = leader.movedAndOver();
+    if (!over.isEmpty()) {
+      List<JobId> some = over.subList(0, Math.min(txnOps, over.size()));
+      Txn txn = guarded();
+      some.forEach(id -> txn.delete(Keys.moved(id)));
+      commit(StateClient.Rank.BOOKS, txn, ok -> leader.forgotten(some, ok));
+    }
+  }
+
+  /** A change beneath {@link Keys#PLANS}, which operators write to as well. */
+  private void planned(String key, Body value, Stamp version) {
+    if (key.startsWith(Keys.MOVED) && JobId.valid(key.substring(Keys.MOVED.length()))) {
+      JobId id = new JobId(key.substring(Keys.MOVED.length()));
+      leader.moved(id, OrderBooks.decode(value, version));
+    }
+  }
+
+  /** Waits for what operators decide. */
+  public void watchOrder(long after, Span hold, LongConsumer then) {
+    state.watch(
+        Keys.MOVED,
+        after,
+        hold,
+        a -> {
+          if (cancelled()) {
+            return;
+          }
+          try {
+            for (Body event : a.ok() ? a.body().maps(Wire.EVENTS) : List.<Body>of()) {
+              String key = event.textOr(Wire.PUT, null);
+              if (key != null) {
+                planned(key, event.map(Wire.VALUE), new Stamp(event.integer(Wire.VERSION)));
+              }
+            }
+          } catch (BadMessage bad) {
+            LOG.error("watch of {}: {}", Keys.MOVED, bad.getMessage());
+          }
+          // What was missed because the service no longer keeps it is read at the next election.
+          then.accept(a.ok() ? Math.max(after, a.revision()) : a.status() == 410 ? -1 : after);
+        });
+  }
+
   private void readMoves(Inherited in, StateClient.Entry e) {
     try {
       in.moves.add(MoveBooks.decode(e.key().substring(Keys.MOVES.length()), e.value()));
@@ -303,6 +360,9 @@
     private final Map<JobId, String> started = new HashMap<>();
     private final Map<JobId, String> pageOf = new HashMap<>();
     private final List<Kept> moves = new ArrayList<>();
+    private final List<StateClient.Entry> plans = new ArrayList<>();
+    private Basis basis;
+    private long plansAt;
     private boolean ledgerWhole = true;
     private boolean progressWhole = true;
 
@@ -310,6 +370,16 @@
       return machines;
     }
 
+    /** What the order of jobs rests on; null: nothing was recorded. */
+    public Basis basis() {
+      return basis;
+    }
+
+    /** From when on changes of what was planned are to be watched. */
+    public long plansAt() {
+      return plansAt;
+    }
+
     /** What was planned to be moved. */
     public List<Kept> moves() {
       return moves;
@@ -336,7 +406,9 @@
           LOG.error("progress of {}: {}; its tasks are asked for again", id, e.getMessage());
         }
       }
-      return new Job(r.spec(), r.arrivedWallMs(), done, maybeStarted(r));
+      Job job = new Job(r.spec(), r.arrivedWallMs(), done, maybeStarted(r));
+      job.stands(r.lane(), r.place());
+      return job;
     }
   }
 
@@ -378,12 +450,25 @@
           for (StateClient.Entry e : plans.entries()) {
             if (e.key().startsWith(Keys.MOVES)) {
               readMoves(in, e);
+            } else if (e.key().equals(Keys.BASIS)) {
+              readBasis(in, e);
+            } else {
+              in.plans.add(e);
             }
           }
+          in.plansAt = plans.revision();
           then.accept(in);
         });
   }
 
+  private static void readBasis(Inherited in, StateClient.Entry e) {
+    try {
+      in.basis = OrderBooks.decode(e.value());
+    } catch (BadMessage bad) {
+      LOG.error("{} can't be read: {}; it is learnt anew", e.key(), bad.getMessage());
+    }
+  }
+
   private void readMachines(Inherited in, StateClient.Entry page) {
     ledger.found(page.key(), page.version());
     for (Map.Entry<String, Object> e : page.value().fields().entrySet()) {
@@ -417,6 +502,9 @@
 
   /** Jobs that are still live stay on the pages on which they were found. */
   public void adopt(Inherited in) {
+    leader.moves(in.moves(), now.get());
+    leader.basis(in.basis());
+    in.plans.forEach(e -> planned(e.key(), e.value(), e.version()));
     for (Job job : leader.jobs()) {
       String page = in.pageOf.get(job.id());
       if (page != null) {
--- a/src/main/java/io/saltflow/bookkeeping/Unpacking.java
+++ b/src/main/java/io/saltflow/bookkeeping/Unpacking.java
@@ -1,9 +1,11 @@
 package io.saltflow.bookkeeping;
 
+import io.saltflow.lanes.Place;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.Priority;
+import io.saltflow.protocol.Stamp;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -24,7 +26,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Unpacking.class);
 
   /** One job of a bundle. */
-  record Item(JobId id, Body record, Priority priority, long order, String bundle) {}
+  record Item(JobId id, Body record, Priority priority, Place place, String bundle) {}
 
   /** What one transaction does: records to write, and bundles of which nothing is left. */
   record Step(List<Item> items, List<String> empty) {
@@ -35,7 +37,8 @@
     /** Written only where there is neither a record nor an end: a job may lie in two bundles. */
     Txn into(Txn txn) {
       for (Item item : items) {
-        Admissions.absent(txn, item.id).put(Keys.live(item.id), item.record);
+        Admissions.absent(txn, item.id)
+            .put(Keys.live(item.id), JobStore.withPlace(item.record, item.place));
       }
       empty.forEach(txn::delete);
       return txn;
@@ -45,25 +48,32 @@
   private static final Comparator<Item> URGENT_FIRST =
       Comparator.comparing(Item::priority)
           .reversed()
-          .thenComparingLong(Item::order)
+          .thenComparing(Item::place)
           .thenComparing(Item::id);
 
   private final TreeSet<Item> left = new TreeSet<>(URGENT_FIRST);
   private final Map<String, Integer> open = new HashMap<>();
   private final List<String> empty = new ArrayList<>();
   private final Set<String> found = new HashSet<>();
-  private long order;
   private boolean oneByOne;
 
-  /** A bundle was read; one that is known already changes nothing. */
-  void found(String key, Body bundle) {
+  /**
+   * A bundle was read; one that is known already changes nothing.
+   *
+   * @param version its revision, at which all of its jobs were accepted
+   */
+  void found(String key, Body bundle, Stamp version) {
     if (!found.add(key)) {
       return;
     }
     try {
       Map<JobId, Body> records = Bundles.decode(bundle);
       open.put(key, records.size());
-      records.forEach((id, r) -> left.add(new Item(id, r, priority(r), order++, key)));
+      int index = 0;
+      for (Map.Entry<JobId, Body> e : records.entrySet()) {
+        Place place = new Place(version.number(), index++);
+        left.add(new Item(e.getKey(), e.getValue(), priority(e.getValue()), place, key));
+      }
       if (records.isEmpty()) {
         empty.add(key);
       }
@@ -75,7 +85,7 @@
 
   private static Priority priority(Body record) {
     try {
-      return JobStore.decode(record).spec().priority();
+      return JobStore.decode(record, Stamp.ABSENT).spec().priority();
     } catch (BadMessage e) {
       return Priority.NORMAL;
     }
--- a/src/main/java/io/saltflow/coordination/Estimates.java
+++ b/src/main/java/io/saltflow/coordination/Estimates.java
@@ -64,18 +64,30 @@
    */
   Span predict(Job job, int index) {
     JobSpec spec = job.spec;
-    Span base = spec.estimate().times(correction(spec));
-    if (spec.checkpoints()) {
-      Span ran = job.ranBefore.get(index);
-      if (ran != null) {
-        base = base.minus(ran).plus(spec.save().times(2));
-      } else if (spec.estimate().compareTo(policy.scaleThreshold()) >= 0) {
-        base = base.times(policy.scaleDown());
-      }
-    }
+    Span ran = spec.checkpoints() ? job.ranBefore.get(index) : null;
+    Span base =
+        ran == null
+            ? byItsOwner(spec).times(correction(spec))
+            : spec.estimate().times(correction(spec)).minus(ran).plus(spec.save().times(2));
     return base.longerThan(SHORTEST) ? base : SHORTEST;
   }
 
+  /**
+   * The owner's estimate, scaled where the paper does that, without what its class was seen to
+   * take.
+   */
+  Span byItsOwner(JobSpec spec) {
+    boolean scaled = spec.checkpoints() && spec.estimate().compareTo(policy.scaleThreshold()) >= 0;
+    return scaled ? spec.estimate().times(policy.scaleDown()) : spec.estimate();
+  }
+
+  /** What each class was seen to take, in parts of what was estimated. */
+  Map<String, Double> corrections() {
+    Map<String, Double> out = new HashMap<>();
+    ratios.forEach((c, seen) -> out.put(c, seen.median));
+    return out;
+  }
+
   Span fetch(Job job, Machine m) {
     if (m.images.contains(job.spec.image())) {
       return new Span(0);
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -1,5 +1,9 @@
 package io.saltflow.coordination;
 
+import io.saltflow.lanes.Lane;
+import io.saltflow.lanes.Moved;
+import io.saltflow.lanes.Place;
+import io.saltflow.lanes.Standing;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
 import io.saltflow.protocol.MachineId;
@@ -93,8 +97,13 @@
   /** When its tasks should have started, by its class's aim; null: no such time. */
   Time startBy;
 
-  /** Its place among jobs of the same priority, in milliseconds of arrival. */
-  double place;
+  /** Where it queues, and its place there: as they were recorded when it was accepted. */
+  private Lane lane;
+
+  private Place place = new Place(0, 0);
+
+  /** What an operator did with it; null: nothing. */
+  Moved moved;
 
   /** Its time is running out: it queues above its own priority. */
   boolean pressed;
@@ -132,6 +141,7 @@
     this.maybeStartedBefore = maybeStarted;
     this.startRecorded = maybeStarted;
     this.spec = spec;
+    this.lane = Lane.of(spec.priority());
     this.jobClass = Party.ofClass(spec.jobClass());
     this.team = Party.ofTeam(spec.team());
     this.most = service() ? UNSAID : Integer.MAX_VALUE;
@@ -146,6 +156,34 @@
     return spec.id();
   }
 
+  /** As it was recorded when it was accepted. */
+  public void stands(Lane in, Place at) {
+    lane = in;
+    place = at;
+  }
+
+  /** In the order, as of what is recorded. */
+  Standing standing(boolean guaranteed, double estimateS) {
+    int left = Math.max(0, spec.tasks() - recorded.cardinality());
+    return new Standing(
+        id(),
+        spec.jobClass(),
+        lane,
+        place,
+        moved,
+        arrivedWallMs,
+        left * spec.size().cores() * Math.max(1, estimateS),
+        pressed,
+        guaranteed,
+        failsEverywhere(),
+        spec.daemon());
+  }
+
+  /** Where it queues now. */
+  Lane queuesIn() {
+    return moved == null || moved.lane() == null ? lane : moved.lane();
+  }
+
   public JobSpec spec() {
     return spec;
   }
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -1,5 +1,9 @@
 package io.saltflow.coordination;
 
+import io.saltflow.lanes.Basis;
+import io.saltflow.lanes.Lane;
+import io.saltflow.lanes.Moved;
+import io.saltflow.lanes.Place;
 import io.saltflow.packing.Kept;
 import io.saltflow.protocol.CloudCodec;
 import io.saltflow.protocol.JobId;
@@ -39,6 +43,9 @@
   /** So many times as far apart are whole rounds while there are machines to be heard first. */
   private static final double ROUNDS_WAIT = 3;
 
+  /** By then every job that a bundle held has its own record. */
+  private static final Span MOVED_WAITS = Span.seconds(60);
+
   private static final int MOST_REMEMBERED_GONE = 4000;
 
   /**
@@ -70,6 +77,11 @@
   private final Returns returns;
   private final Watchman watchman;
   private final Moves moves;
+  private final OrderBasis basis = new OrderBasis();
+
+  /** What operators did with jobs that were live. */
+  private final Map<JobId, Moved> moved = new LinkedHashMap<>();
+
   private final TeamUse use;
   private final Usage usage = new Usage();
   private final Capacity capacity = new Capacity();
@@ -117,7 +129,7 @@
     outcomes = new TaskOutcomes(policy, this.jobs, estimates, usage, account);
     fencing = new Fencing(policy, term, this.jobs, use, outcomes, account, now);
     outcomes.of(fencing);
-    scheduler = new Scheduler(policy, estimates, use, account);
+    scheduler = new Scheduler(policy, estimates, use, account, basis);
     answers = new Answers(policy, term, tookOver, this.jobs, fencing, scheduler, use);
     fleet = new Fleet(policy, term, estimates, account);
     returns = new Returns(policy, account);
@@ -180,9 +192,17 @@
     }
   }
 
+  /** A job whose lane is that of its urgency, and whose place is told by its arrival. */
   public void jobSeen(JobSpec spec, long arrivedWallMs, boolean maybeStarted) {
+    jobSeen(spec, arrivedWallMs, maybeStarted, Lane.of(spec.priority()), new Place(0, 0));
+  }
+
+  public void jobSeen(
+      JobSpec spec, long arrivedWallMs, boolean maybeStarted, Lane lane, Place place) {
     if (!jobs.containsKey(spec.id())) {
       Job job = new Job(spec, arrivedWallMs, new BitSet(), maybeStarted);
+      job.stands(lane, place);
+      job.moved = moved.get(spec.id());
       setTimes(job);
       jobs.put(spec.id(), job);
       changed = true;
@@ -468,6 +488,74 @@
     return moves.told();
   }
 
+  /** What the order of jobs rests on, as it was recorded; null: it was not. */
+  public void basis(Basis recorded) {
+    basis.inherit(recorded);
+  }
+
+  /** What of it is to be written now, or null; {@link #basisRecorded} tells what became of it. */
+  public Basis basisToRecord(Time now) {
+    return basis.toRecord(now);
+  }
+
+  public void basisRecorded(Basis written, boolean ok) {
+    basis.written(written, ok);
+  }
+
+  /** An operator moved a job. */
+  public void moved(JobId id, Moved how) {
+    Moved before = moved.put(id, how);
+    Job job = jobs.get(id);
+    if (job != null && !how.equals(before)) {
+      job.moved = how;
+      changed = true;
+      LOG.info(
+          "{} was moved by an operator {}",
+          id,
+          how.lane() == null ? "in front of its lane" : "to the lane " + how.lane());
+    }
+  }
+
+  /** Jobs that were moved and are over: what was recorded of that may go. */
+  public List<JobId> movedAndOver() {
+    if (!accounted) {
+      return List.of();
+    }
+    Time until = new Time(accountedAt.ms() + MOVED_WAITS.ms());
+    return lastReport.before(until)
+        ? List.of()
+        : moved.keySet().stream().filter(id -> !jobs.containsKey(id)).toList();
+  }
+
+  public void forgotten(List<JobId> ids, boolean ok) {
+    if (ok) {
+      moved.keySet().removeAll(ids);
+    }
+  }
+
+  /** What waits, lane by lane, and why the first of each does not start. */
+  public List<Line> queue(Time now) {
+    return QueueTold.of(waiting, accounted, scheduler.guaranteed(), use, moves.reasons(), now);
+  }
+
+  /**
+   * A lane for people.
+   *
+   * @param why the first of it does not start
+   * @param first its first jobs in order, with since when they wait
+   */
+  public record Line(String lane, int jobs, int tasks, String why, List<String> first) {}
+
+  /** Whether all machines that a former leader may have used are accounted for. */
+  public boolean accountedFor() {
+    return accounted;
+  }
+
+  /** Waiting jobs as the last round had them in order. */
+  public List<JobId> waitingInOrder() {
+    return waiting.stream().map(w -> w.job().id()).toList();
+  }
+
   /** What the work queues use of the teams' limits, which they share with native jobs. */
   public void demands(List<Demand> demands) {
     use.messages(demands);
--- a/src/main/java/io/saltflow/coordination/LeastParts.java
+++ b/src/main/java/io/saltflow/coordination/LeastParts.java
@@ -1,6 +1,5 @@
 package io.saltflow.coordination;
 
-import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Time;
 import io.saltflow.shares.Ask;
@@ -11,12 +10,11 @@
 import io.saltflow.shares.Turn;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * The least parts of classes and teams, over jobs and machines: who takes a turn before the queue's
@@ -37,9 +35,6 @@
   private Plan plan = Plan.NONE;
   private Size fleet = Size.ZERO;
 
-  /** What is left of each job that asks, in seconds of the whole fleet. */
-  private final Map<JobId, Double> leftS = new HashMap<>();
-
   /** What is under way to be stopped: held still, and soon no longer. */
   private final Map<Party, Size> stopping = new HashMap<>();
 
@@ -59,7 +54,6 @@
   void look(Collection<Job> jobs, Set<Job> startable, List<Machine> usable, Time now) {
     fleet = Size.ZERO;
     stopping.clear();
-    leftS.clear();
     Map<Kind, Integer> kinds = new HashMap<>();
     for (Machine m : usable) {
       fleet = fleet.plus(m.type.size());
@@ -98,7 +92,6 @@
     }
     double runS = estimates.predict(job, 0).toSeconds();
     double left = each * (job.pendingCount() + held / 2.0) * runS;
-    leftS.put(job.id(), left);
     asks.add(
         new Ask(
             job.id(),
@@ -137,35 +130,15 @@
     return all <= 0 ? 0 : Math.min(1, some / all);
   }
 
-  /**
-   * The queue, in which the jobs of a class that is short have changed places among themselves:
-   * those that can end soonest come first. None starves for it, as the oldest has its part.
-   *
-   * @param fixed jobs that keep their places
-   */
-  List<Job> soonestFirst(List<Job> order, Set<JobId> fixed) {
-    Map<Party, PriorityQueue<Job>> soonest = new HashMap<>();
-    for (Job job : order) {
-      if (!fixed.contains(job.id()) && leftS.containsKey(job.id()) && plan.isShort(job.jobClass)) {
-        soonest.computeIfAbsent(job.jobClass, p -> new PriorityQueue<>(bySoonest())).add(job);
-      }
-    }
-    if (soonest.isEmpty()) {
-      return order;
-    }
-    List<Job> out = new ArrayList<>(order.size());
-    for (Job job : order) {
-      PriorityQueue<Job> its = soonest.get(job.jobClass);
-      boolean moves = its != null && !fixed.contains(job.id()) && leftS.containsKey(job.id());
-      out.add(moves ? its.poll() : job);
-    }
+  /** Classes that are short: of these the jobs that can end soonest come first. */
+  Set<String> shortClasses() {
+    Set<String> out = new TreeSet<>();
+    plan.standings().keySet().stream()
+        .filter(p -> p.kind() == Party.Kind.CLASS && plan.isShort(p))
+        .forEach(p -> out.add(p.name()));
     return out;
   }
 
-  private Comparator<Job> bySoonest() {
-    return Comparator.comparing((Job j) -> leftS.get(j.id())).thenComparing(Job::id);
-  }
-
   /** Whose turns come before those of the queue. */
   List<Turn> turns() {
     return plan.turns();
--- a/src/main/java/io/saltflow/coordination/Moves.java
+++ b/src/main/java/io/saltflow/coordination/Moves.java
@@ -461,6 +461,11 @@
         + ")";
   }
 
+  /** Why those wait whom moves might help. */
+  Map<JobId, String> reasons() {
+    return why;
+  }
+
   /** For people: what is planned, what became of earlier plans, and why others wait. */
   List<String> told() {
     List<String> out = new ArrayList<>();
--- a/src/main/java/io/saltflow/coordination/Queue.java
+++ b/src/main/java/io/saltflow/coordination/Queue.java
@@ -1,5 +1,8 @@
 package io.saltflow.coordination;
 
+import io.saltflow.lanes.Basis;
+import io.saltflow.lanes.Order;
+import io.saltflow.lanes.Standing;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
@@ -23,35 +26,23 @@
     this.estimates = estimates;
   }
 
-  /** Guarantee first, then priority, then arrival; ids settle what arrived together. */
-  List<Job> inOrder(Collection<Job> jobs, Set<JobId> guaranteed, double fleetCores, Time now) {
-    for (Job job : jobs) {
-      job.pressed = pressed(job, now);
-      job.place = place(job, fleetCores);
-    }
-    List<Job> order = new ArrayList<>(jobs);
-    order.sort(
-        Comparator.comparing((Job j) -> j.failsEverywhere())
-            .thenComparing(j -> !guaranteed.contains(j.id()))
-            .thenComparing(Job::queuedAs, Comparator.reverseOrder())
-            .thenComparing(j -> j.place)
-            .thenComparing(Job::id));
-    return order;
-  }
-
   /**
-   * Arrival, put back by the time that what the job still has to start would keep the whole fleet:
-   * a short job passes a long one that came a little earlier, which it hardly delays. The delay of
-   * the long one is bounded by its own length, so it can't starve. Our extension; a weight of 0 is
-   * the paper's order of arrival.
+   * The waiting jobs in order.
+   *
+   * @param basis what is recorded beside them
    */
-  private double place(Job job, double fleetCores) {
-    double lengthS =
-        job.pendingCount()
-            * job.spec.size().cores()
-            * estimates.predict(job, 0).toSeconds()
-            / Math.max(1, fleetCores);
-    return job.arrivedWallMs + policy.lengthWeight() * lengthS * 1000;
+  List<Job> inOrder(Collection<Job> waiting, Set<JobId> guaranteed, Basis basis, Time now) {
+    List<Standing> standings = new ArrayList<>();
+    Map<JobId, Job> byId = new HashMap<>();
+    for (Job job : waiting) {
+      job.pressed = pressed(job, basis, now);
+      double estimateS = estimates.byItsOwner(job.spec).toSeconds();
+      standings.add(job.standing(guaranteed.contains(job.id()), estimateS));
+      byId.put(job.id(), job);
+    }
+    List<Job> out = new ArrayList<>();
+    Order.of(standings, basis, policy.lengthWeight()).forEach(id -> out.add(byId.get(id)));
+    return out;
   }
 
   /**
@@ -59,13 +50,13 @@
    * its class should be started or finished in. Our extension: without it such work starves while
    * work of normal priority keeps coming.
    */
-  private boolean pressed(Job job, Time now) {
+  private boolean pressed(Job job, Basis basis, Time now) {
     Span slack = policy.pressedSlack();
     if (job.startBy != null && !job.startBy.since(now).longerThan(slack)) {
       return true;
     }
-    return job.dueAt != null
-        && !job.dueAt.since(now).minus(estimates.predict(job, 0).times(1.3)).longerThan(slack);
+    Span run = estimates.byItsOwner(job.spec).times(basis.correction(job.spec.jobClass()));
+    return job.dueAt != null && !job.dueAt.since(now).minus(run.times(1.3)).longerThan(slack);
   }
 
   /** Jobs that fit in their team's guarantee together with the team's earlier unfinished jobs. */
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -43,6 +43,7 @@
   private final HeadReservation reservation;
   private final Preemption preemption;
   private final LeastParts parts;
+  private final OrderBasis basis;
   private final Fragments fragments = new Fragments();
   private List<Machine> usable = List.of();
   private List<Machine> booting = List.of();
@@ -60,7 +61,8 @@
   /** How often a machine was looked at for a task: what a round's work grows with. */
   private long looks;
 
-  Scheduler(Policy policy, Estimates estimates, TeamUse use, Account account) {
+  Scheduler(Policy policy, Estimates estimates, TeamUse use, Account account, OrderBasis basis) {
+    this.basis = basis;
     this.policy = policy;
     this.estimates = estimates;
     this.use = use;
@@ -127,21 +129,23 @@
     }
     cheapest = Placement.cheapestPerCore(usable);
     guaranteed = queue.guaranteed(jobs);
-    List<Job> order = new ArrayList<>();
-    for (Job job : queue.inOrder(jobs, guaranteed, cores, now)) {
+    List<Job> wait = new ArrayList<>();
+    for (Job job : jobs) {
       if (!job.cancelled
           && !job.finishing
           && job.pendingCount() > 0
           && (accounted || !job.maybeStartedBefore)) {
-        order.add(job);
+        wait.add(job);
       }
     }
+    basis.fleet(cores, estimates.corrections());
+    List<Job> order = queue.inOrder(wait, guaranteed, basis.now(), now);
     fragments.clear();
     for (Job job : jobs) {
       fragments.usual(job.spec.size(), job.present.size() + job.pendingCount());
     }
     parts.look(jobs, new HashSet<>(order), usable, now);
-    order = parts.soonestFirst(order, guaranteed);
+    basis.learnt(cores, estimates.corrections(), parts.shortClasses(), accounted);
     use.holdNothing();
     entries =
         Lineup.of(order, guaranteed, overdue(order, now), parts.turns(), policy.preemptFrom());
--- /dev/null
+++ b/src/main/java/io/saltflow/lanes/Lane.java
@@ -0,0 +1,25 @@
+package io.saltflow.lanes;
+
+import io.saltflow.protocol.Priority;
+
+/**
+ * Where a job queues.
+ *
+ * @param rank 0 is first
+ * @param name empty: the lane of an urgency, where operators set none up
+ */
+public record Lane(int rank, String name) {
+  /** Not set up by operators: one for each urgency. */
+  public static Lane of(Priority priority) {
+    return new Lane(Priority.values().length - 1 - priority.ordinal(), "");
+  }
+
+  boolean named() {
+    return !name.isEmpty();
+  }
+
+  @Override
+  public String toString() {
+    return named() ? name : Priority.values()[Priority.values().length - 1 - rank].wireName();
+  }
+}
--- /dev/null
+++ b/src/main/java/io/saltflow/lanes/LaneRule.java
@@ -0,0 +1,32 @@
+package io.saltflow.lanes;
+
+import io.saltflow.protocol.Priority;
+import java.util.Set;
+
+/**
+ * An operator's lane: a job is of it when all fields that are given match. Empty: not given.
+ *
+ * @param name as people call it
+ */
+public record LaneRule(String name, Set<String> classes, Set<String> teams, Set<Priority> urgency) {
+  boolean matches(String jobClass, String team, Priority priority) {
+    return (classes.isEmpty() || classes.contains(jobClass))
+        && (teams.isEmpty() || teams.contains(team))
+        && (urgency.isEmpty() || urgency.contains(priority));
+  }
+
+  boolean takesAll() {
+    return classes.isEmpty() && teams.isEmpty() && urgency.isEmpty();
+  }
+
+  /** Whether whatever matches the other matches this one, too. */
+  boolean covers(LaneRule other) {
+    return covers(classes, other.classes)
+        && covers(teams, other.teams)
+        && covers(urgency, other.urgency);
+  }
+
+  private static <T> boolean covers(Set<T> mine, Set<T> theirs) {
+    return mine.isEmpty() || (!theirs.isEmpty() && mine.containsAll(theirs));
+  }
+}
--- a/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.saltflow.kv.Limits;
+import io.saltflow.lanes.Lanes;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobCodec;
@@ -81,7 +82,13 @@
     HttpClient http =
         new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + server.port()), 8, 64);
     return new JobStore(
-        root, loop, new StateClient(root, loop, http, http, 450, 15), 8, TXN_OPS, process);
+        root,
+        loop,
+        new StateClient(root, loop, http, http, 450, 15),
+        8,
+        TXN_OPS,
+        process,
+        Lanes.NONE);
   }
 
   private void runUntil(BooleanSupplier reached) throws IOException {
@@ -208,7 +215,8 @@
   private Unpacking found() {
     Unpacking unpacking = new Unpacking();
     for (Body pair : pairs()) {
-      unpacking.found((String) pair.get(Wire.KEY), asBody(pair));
+      long version = (Long) pair.get(Wire.VERSION);
+      unpacking.found((String) pair.get(Wire.KEY), asBody(pair), new Stamp(version));
     }
     return unpacking;
   }
@@ -293,7 +301,7 @@
       records.put(id(n), Body.of().with("spec", JobCodec.encode(spec(n))).with("at", 5L));
     }
     Body sent = MsgPack.decode(MsgPack.encode(Bundles.encode(records)));
-    unpacking.found(Bundles.key("b"), sent);
+    unpacking.found(Bundles.key("b"), sent, new Stamp(7));
     List<JobId> order = new ArrayList<>();
     unpacking.next(6).items().forEach(i -> order.add(i.id()));
     assertEquals(List.of(id(2), id(4), id(6), id(1), id(3), id(5)), order);
--- a/src/test/java/io/saltflow/bookkeeping/PagesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/PagesTest.java
@@ -8,6 +8,7 @@
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.MsgPack;
 import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.HttpClient;
 import io.saltflow.transport.HttpReply;
@@ -221,8 +222,9 @@
             .with("flushS", 0.0);
     Body record = Body.of().with("spec", spec).with("at", 5L);
     LeaderBooks.Inherited nothing = new LeaderBooks.Inherited();
-    assertFalse(nothing.maybeStarted(JobStore.decode(sent(record))));
-    assertTrue(nothing.maybeStarted(JobStore.decode(sent(record.with("started", true)))));
+    assertFalse(nothing.maybeStarted(JobStore.decode(sent(record), Stamp.ABSENT)));
+    assertTrue(
+        nothing.maybeStarted(JobStore.decode(sent(record.with("started", true)), Stamp.ABSENT)));
   }
 
   private static Body sent(Body body) throws BadMessage {
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -1,5 +1,8 @@
 package io.saltflow.coordination;
 
+import io.saltflow.lanes.Basis;
+import io.saltflow.lanes.Lane;
+import io.saltflow.lanes.Place;
 import io.saltflow.protocol.Attempt;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
@@ -49,9 +52,17 @@
     /** When its first task ran; -1: none has. */
     long startedAt = -1;
 
-    JobRecord(JobSpec spec, long at) {
+    /** The revision at which it was accepted. */
+    final Place place;
+
+    JobRecord(JobSpec spec, long at, long revision) {
       this.spec = spec;
       this.at = at;
+      this.place = new Place(revision, 0);
+    }
+
+    Lane lane() {
+      return Lane.of(spec.priority());
     }
   }
 
@@ -151,7 +162,7 @@
         }
         checkStart(this, id, job);
         t.state = Report.TaskState.RUNNING;
-        t.endsAt = now + job.spec.estimate().ms();
+        t.endsAt = now + job.spec.estimate().times(runsTimes).ms();
       } else if (t.state == Report.TaskState.RUNNING && now >= t.endsAt) {
         t.state = Report.TaskState.EXITED;
         t.cause = Report.ExitCause.DONE;
@@ -239,6 +250,17 @@
 
   double loss;
 
+  /** Whether clocks of nodes differ, and what tasks take beside their estimates. */
+  boolean clocksApart;
+
+  double runsTimes = 1;
+  private long revision;
+
+  /** What the order rests on, as the state service holds it; null: nothing yet. */
+  private Basis basis;
+
+  int basisWrites;
+
   /** How often a copy of a report comes once more, up to three leases later. */
   double copies;
 
@@ -279,10 +301,15 @@
   }
 
   void submit(JobSpec spec) {
-    records.put(spec.id(), new JobRecord(spec, now));
+    // Clocks of the nodes that take jobs are apart by up to a quarter of a second.
+    records.put(spec.id(), new JobRecord(spec, now - skewMs(spec), ++revision));
     say(spec.id() + " is submitted");
   }
 
+  private long skewMs(JobSpec spec) {
+    return clocksApart ? Math.floorMod(spec.id().hashCode(), 250) : 0;
+  }
+
   void cancel(JobId id) {
     JobRecord r = records.get(id);
     if (!r.over) {
@@ -384,7 +411,9 @@
     for (JobRecord r : records.values()) {
       if (!r.over) {
         long arrived = forgetArrivals ? now : r.at;
-        jobs.add(new Job(r.spec, arrived, (BitSet) r.done.clone(), r.started));
+        Job job = new Job(r.spec, arrived, (BitSet) r.done.clone(), r.started);
+        job.stands(r.lane(), r.place);
+        jobs.add(job);
       }
     }
     Term term = new Term(++termNumber);
@@ -394,6 +423,7 @@
     lead =
         new Lead(
             new Leader(policy, term, jobs, known, true, List.of(TYPE), time(), now), authority);
+    lead.core.basis(basis);
     say("term " + term + " begins");
   }
 
@@ -526,7 +556,7 @@
       if (r.over && core.job(r.spec.id()) != null) {
         core.jobGone(r.spec.id(), time());
       } else if (!r.over) {
-        core.jobSeen(r.spec, r.at, r.started);
+        core.jobSeen(r.spec, r.at, r.started, r.lane(), r.place);
       }
     }
     for (Job j : core.toMark()) {
@@ -546,6 +576,12 @@
       records.get(j.id()).done = (BitSet) j.doneTasks().clone();
       core.recorded(j, (BitSet) j.doneTasks().clone());
     }
+    Basis written = core.basisToRecord(time());
+    if (written != null) {
+      basis = written;
+      basisWrites++;
+      core.basisRecorded(written, true);
+    }
     List<Leader.LedgerEntry> entries = core.toLedger();
     ledger.addAll(entries);
     core.ledgered(entries);
