--- a/src/main/java/io/saltflow/coordination/Estimates.java
+++ b/src/main/java/io/saltflow/coordination/Estimates.java
@@ -21,6 +21,10 @@
     private double median = 1.0;
     private long nextLook = ENOUGH;
 
+    boolean enough() {
+      return histogram.getTotalCount() >= ENOUGH;
+    }
+
     /** The median is read anew as the count grows, not at each prediction: reading it is slow. */
     void add(long ratio) {
       histogram.recordValue(ratio);
@@ -33,6 +37,7 @@
 
   private final Policy policy;
   private final Map<String, Seen> ratios = new HashMap<>();
+  private Map<String, Double> inherited = Map.of();
 
   Estimates(Policy policy) {
     this.policy = policy;
@@ -55,7 +60,14 @@
 
   private double correction(JobSpec spec) {
     Seen seen = ratios.get(spec.jobClass());
-    return seen == null ? 1.0 : seen.median;
+    return seen == null || !seen.enough()
+        ? inherited.getOrDefault(spec.jobClass(), 1.0)
+        : seen.median;
+  }
+
+  /** What former leaders had seen of each class: it holds until enough was seen here. */
+  void inherit(Map<String, Double> corrections) {
+    inherited = Map.copyOf(corrections);
   }
 
   /**
@@ -84,7 +96,12 @@
   /** What each class was seen to take, in parts of what was estimated. */
   Map<String, Double> corrections() {
     Map<String, Double> out = new HashMap<>();
-    ratios.forEach((c, seen) -> out.put(c, seen.median));
+    ratios.forEach(
+        (c, seen) -> {
+          if (seen.enough()) {
+            out.put(c, seen.median);
+          }
+        });
     return out;
   }
 
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -491,6 +491,9 @@
   /** What the order of jobs rests on, as it was recorded; null: it was not. */
   public void basis(Basis recorded) {
     basis.inherit(recorded);
+    if (recorded != null) {
+      estimates.inherit(recorded.corrections());
+    }
   }
 
   /** What of it is to be written now, or null; {@link #basisRecorded} tells what became of it. */
@@ -546,6 +549,11 @@
    */
   public record Line(String lane, int jobs, int tasks, String why, List<String> first) {}
 
+  /** Jobs within their team's guarantee, as of the last round. */
+  Set<JobId> guaranteed() {
+    return scheduler.guaranteed();
+  }
+
   /** Whether all machines that a former leader may have used are accounted for. */
   public boolean accountedFor() {
     return accounted;
--- a/src/main/java/io/saltflow/lanes/Basis.java
+++ b/src/main/java/io/saltflow/lanes/Basis.java
@@ -29,10 +29,11 @@
 
   /** The same in steps: what stays within three quarters of a step of the recorded stays it. */
   public Basis toward(double cores, Map<String, Double> now, Set<String> shortOnes) {
-    Map<String, Double> next = new TreeMap<>();
+    // Of a class that was not seen lately what is recorded stays.
+    Map<String, Double> next = new TreeMap<>(corrections);
     now.forEach(
         (c, v) -> {
-          if (next.size() < MOST_CLASSES) {
+          if (next.size() < MOST_CLASSES || next.containsKey(c)) {
             next.put(c, step(correction(c), v));
           }
         });
--- /dev/null
+++ b/src/test/java/io/saltflow/lanes/LanesTest.java
@@ -0,0 +1,99 @@
+package io.saltflow.lanes;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.Priority;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Lanes as operators set them up, and the order as a function of what is recorded. */
+class LanesTest {
+  private static LaneRule rule(String name, Set<String> classes, Set<Priority> urgency) {
+    return new LaneRule(name, classes, Set.of(), urgency);
+  }
+
+  @Test
+  void whatCannotBeMeantIsSaid() {
+    LaneRule urgent = rule("look-ups", Set.of("warrant"), Set.of(Priority.HIGH));
+    LaneRule all = rule("bulk", Set.of(), Set.of());
+    assertEquals(List.of(), new Lanes(List.of(urgent, all)).faults());
+    assertEquals(
+        List.of("lanes[1].name: 'look-ups' is there twice"),
+        new Lanes(List.of(urgent, rule("look-ups", Set.of("x"), Set.of()), all)).faults());
+    assertEquals(
+        List.of("lanes[1]: nothing comes to it, 'w' takes all"),
+        new Lanes(List.of(rule("w", Set.of("warrant", "x"), Set.of()), urgent, all)).faults());
+    assertTrue(new Lanes(List.of(all, urgent)).faults().size() >= 2, "a lane behind all others");
+    assertEquals(
+        List.of("lane 'look-ups': no aim of this site names the class warrant"),
+        new Lanes(List.of(urgent, all)).doubts(Set.of("purge"), Set.of()));
+  }
+
+  private static Standing job(int n, Lane lane, long revision, long atMs, double leftCoreS) {
+    JobId id = new JobId(String.format("req-%06d", n));
+    Place place = new Place(revision, 0);
+    return new Standing(
+        id, "c" + n % 2, lane, place, null, atMs, leftCoreS, false, false, false, false);
+  }
+
+  private static List<Integer> order(List<Standing> jobs, Basis basis, double weight) {
+    List<Integer> out = new ArrayList<>();
+    Order.of(jobs, basis, weight).forEach(id -> out.add(Integer.parseInt(id.text().substring(4))));
+    return out;
+  }
+
+  /** Every reader comes to the same order, whatever it reads first. */
+  @Test
+  void theOrderRestsOnWhatIsRecordedAlone() {
+    Lane first = new Lane(0, "look-ups");
+    Lane bulk = new Lane(1, "bulk");
+    List<Standing> jobs = new ArrayList<>();
+    jobs.add(job(1, bulk, 10, 1000, 10));
+    jobs.add(job(2, bulk, 11, 400, 10));
+    jobs.add(job(3, first, 12, 2000, 9000));
+    jobs.add(job(4, bulk, 13, 2000, 90_000));
+    jobs.add(job(5, bulk, 14, 3000, 10));
+    Standing moved = job(6, bulk, 15, 4000, 10);
+    jobs.add(
+        new Standing(
+            moved.id(),
+            "c0",
+            bulk,
+            moved.place(),
+            new Moved(null, 40),
+            4000,
+            10,
+            false,
+            false,
+            false,
+            false));
+    Basis basis = new Basis(100, Map.of("c0", 2.0), Set.of());
+    Random random = new Random(3);
+    for (int i = 0; i < 200; i++) {
+      Collections.shuffle(jobs, random);
+      // 2 came after 1 by its place, whatever its node's clock said; 4 is long, 5 passes it.
+      assertEquals(List.of(3, 6, 1, 2, 5, 4), order(jobs, basis, 4));
+      assertEquals(List.of(3, 6, 1, 2, 4, 5), order(jobs, basis, 0), "acceptance alone");
+    }
+    Basis shortOnes = new Basis(100, Map.of(), Set.of("c1"));
+    assertEquals(List.of(3, 6, 1, 2, 5, 4), order(jobs, shortOnes, 4), "one class, two lanes");
+  }
+
+  /** It is written seldom: what moves by less than three quarters of a step stays as it was. */
+  @Test
+  void theBasisIsRecordedInSteps() {
+    Basis recorded = Basis.NONE.toward(1000, Map.of("c", 1.5), Set.of());
+    assertEquals(recorded, recorded.toward(1100, Map.of("c", 1.4), Set.of()));
+    assertEquals(recorded, recorded.toward(1000, Map.of(), Set.of()), "not seen lately");
+    Basis grown = recorded.toward(2000, Map.of("d", 0.5), Set.of("c"));
+    assertTrue(Math.abs(grown.fleetCores() / 2000 - 1) < 0.1, "" + grown);
+    assertEquals(Set.of("c", "d"), grown.corrections().keySet());
+  }
+}
