Mornings: deadlines of queues, forecast, and late work pushed as it is recorded

Cause: nothing knew by when a queue's work is wanted, and nothing that did would have outlived its leader.

--- a/src/main/java/io/saltflow/app/Main.java
+++ b/src/main/java/io/saltflow/app/Main.java
@@ -35,7 +35,7 @@
              saltflow rollout start NAME IMAGE [--plan FILE] [--param NAME=VALUE ...]
                             [--server ADDR:PORT] [--json]
              saltflow rollout status|watch|pause|resume|approve|abort|undo|history NAME
-             saltflow queue | moves  [--server ADDR:PORT] [--json]
+             saltflow queue | moves | ready [QUEUE]  [--server ADDR:PORT] [--json]
              saltflow lane ID LANE|front  [--server ADDR:PORT]
              saltflow hash-password
              saltflow submit FILE|-  [--server ADDR:PORT] [--json] [--wait SECONDS]
@@ -54,6 +54,7 @@
       rollout       bring a version of a service out in steps, each held until its gate passes
       queue         the lanes, what waits in order, and why the first of each does not start
       lane          move a waiting job to another lane, or in front of its own
+      ready         how each queue's morning goes: ready, forecast, late and why, pushed
       moves         which replicas are moved to make room, and why a model waits
       hash-password read a password and print its hash for a queues file
 
@@ -108,7 +109,7 @@
         setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
         return new ServiceCommands(out, err).run(command, Arrays.copyOfRange(args, 1, args.length));
       }
-      case "queue", "lane", "moves" -> {
+      case "queue", "lane", "moves", "ready" -> {
         setLogLevel(System.getenv().getOrDefault("LOG_LEVEL", "warn"));
         return new OrderCommands(out, err).run(command, Arrays.copyOfRange(args, 1, args.length));
       }
@@ -150,10 +151,7 @@
         throw new ParseException("Unexpected argument: " + line.getArgList().get(0));
       }
       Config config = Config.read(Path.of(line.getOptionValue("config")));
-      OperatorSettings operator =
-          line.hasOption("settings")
-              ? OperatorSettings.read(Path.of(line.getOptionValue("settings")))
-              : OperatorSettings.defaults();
+      OperatorSettings operator = operator(line, command.equals("serve"), err);
       AmqpSettings queues = line.hasOption("queues") ? queues(line) : null;
       if (command.equals("check-config")) {
         config.doubts().forEach(d -> out.println("doubtful: " + d));
@@ -188,6 +186,26 @@
     }
   }
 
+  /**
+   * The operators' own settings. A process that is started again at night does not stay away for a
+   * mistake in them: it serves with the defaults and says so.
+   */
+  private static OperatorSettings operator(CommandLine line, boolean serves, PrintStream err)
+      throws ConfigError {
+    if (!line.hasOption("settings")) {
+      return OperatorSettings.defaults();
+    }
+    try {
+      return OperatorSettings.read(Path.of(line.getOptionValue("settings")));
+    } catch (ConfigError e) {
+      if (!serves) {
+        throw e;
+      }
+      err.println("saltflow: " + e.getMessage() + "; it serves with the defaults instead");
+      return OperatorSettings.defaults();
+    }
+  }
+
   private static AmqpSettings queues(CommandLine line) throws ConfigError, ParseException {
     AmqpSettings queues = QueueSettings.read(Path.of(line.getOptionValue("queues")));
     return line.hasOption("amqp") ? queues.withListen(address(line, "amqp", null)) : queues;
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -19,6 +19,7 @@
 import io.saltflow.protocol.Term;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
+import io.saltflow.readiness.Clocks;
 import io.saltflow.services.ProbeLinks;
 import io.saltflow.services.ProbeServant;
 import io.saltflow.services.RolloutEvent;
@@ -57,6 +58,9 @@
   private static final Span STATE_TROUBLE = Span.seconds(2);
   private static final Span BEAT_FRESH = Span.seconds(4);
 
+  /** Beyond twice the skew that the platform promises: packets take their time. */
+  private static final Span CLOCKS_APART = Span.seconds(1);
+
   /** The watch of the leader's key is answered at least so often, if by nothing new. */
   private static final Span KEY_WATCHED = Span.seconds(11);
 
@@ -107,7 +111,10 @@
   private LeaderDuty duty;
   private int givenUp;
 
-  private record Heard(Beat beat, Time at) {}
+  /** By how much this node's time of day was last put forward. */
+  private long clockCorrection;
+
+  private record Heard(Beat beat, Time at, long aheadMs) {}
 
   Node(Loop loop, Config config, OperatorSettings operator, long seed) throws IOException {
     this(loop, config, operator, new Extras(null, false), seed);
@@ -193,7 +200,9 @@
             operator.lanes(),
             () -> duty == null ? null : duty.leader(),
             leadership::leader,
-            loop::now);
+            state,
+            operator.mornings(),
+            loop);
     serviceApi = extras.services() ? new ServiceApi(() -> services, leadership::leader) : null;
     server =
         new HttpServer(
@@ -391,6 +400,7 @@
     List<Beat.Counts> list = new ArrayList<>();
     Leader core = duty == null ? null : duty.leader();
     if (core != null) {
+      core.timeOfDay(believedDayMs(), loop.now());
       for (Job job : core.jobs()) {
         list.add(new Beat.Counts(job.id(), job.doneCount(), job.runningCount()));
       }
@@ -403,7 +413,8 @@
             state.failingFor().ms() > 0 ? Math.max(1, state.quiet().ms()) : 0,
             list,
             servant != null,
-            users.unanswered());
+            users.unanswered(),
+            loop.dayMs());
     mesh.broadcast(beat.encode());
   }
 
@@ -461,6 +472,30 @@
     return heard || told ? name : null;
   }
 
+  private long ahead(Beat beat) {
+    return beat.wallMs() == 0 ? 0 : beat.wallMs() - loop.dayMs();
+  }
+
+  /** The time of day, unless the siblings agree that this node's is wrong. */
+  private long believedDayMs() {
+    List<Long> ahead = new ArrayList<>();
+    for (Heard h : siblings.values()) {
+      if (h.beat.wallMs() != 0 && loop.now().since(h.at).compareTo(BEAT_FRESH) < 0) {
+        ahead.add(h.aheadMs);
+      }
+    }
+    long correction = Clocks.correction(ahead, 2 * config.skew().ms() + CLOCKS_APART.ms());
+    if ((correction == 0) != (clockCorrection == 0)) {
+      LOG.warn(
+          correction == 0
+              ? "its time of day agrees with the other controllers' again"
+              : "its time of day is {} ms behind the other controllers': theirs is believed",
+          correction);
+    }
+    clockCorrection = correction;
+    return loop.dayMs() + correction;
+  }
+
   /** Siblings that can be heard and probe for others. */
   private List<String> probers() {
     List<String> out = new ArrayList<>();
@@ -503,7 +538,7 @@
       return;
     }
     if (siblings.size() < 64 || siblings.containsKey(beat.host())) {
-      siblings.put(beat.host(), new Heard(beat, loop.now()));
+      siblings.put(beat.host(), new Heard(beat, loop.now(), ahead(beat)));
     }
     signs.alive(beat.host());
     users.unansweredElsewhere(beat.unanswered());
--- a/src/main/java/io/saltflow/app/OperatorSettings.java
+++ b/src/main/java/io/saltflow/app/OperatorSettings.java
@@ -7,12 +7,18 @@
 import io.saltflow.lanes.Lanes;
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
+import io.saltflow.readiness.Rule;
 import io.saltflow.shares.Rules;
 import java.nio.file.Path;
+import java.time.DateTimeException;
+import java.time.DayOfWeek;
+import java.time.LocalTime;
+import java.time.ZoneId;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -38,7 +44,8 @@
     double silenceS,
     double bootPatience,
     int faultyAfter,
-    Lanes lanes) {
+    Lanes lanes,
+    List<Rule> mornings) {
   static final String SCHEMA = "/operator-settings.schema.json";
 
   public static OperatorSettings defaults() {
@@ -63,7 +70,8 @@
         10,
         3,
         2,
-        Lanes.NONE);
+        Lanes.NONE,
+        List.of());
   }
 
   /** Reads and checks the file. Only here are the JSON libraries loaded. */
@@ -74,6 +82,10 @@
     if (!lanes.faults().isEmpty()) {
       throw new ConfigError(file + ": " + String.join("; ", lanes.faults()));
     }
+    List<Rule> mornings = mornings(file, node.path("readiness"));
+    if (!Rule.faults(mornings).isEmpty()) {
+      throw new ConfigError(file + ": " + String.join("; ", Rule.faults(mornings)));
+    }
     return new OperatorSettings(
         node.path("leaderLeaseS").asDouble(d.leaderLeaseS),
         node.path("scaleDown").asDouble(d.scaleDown),
@@ -95,9 +107,45 @@
         node.path("silenceS").asDouble(d.silenceS),
         node.path("bootPatience").asDouble(d.bootPatience),
         node.path("faultyAfter").asInt(d.faultyAfter),
-        lanes);
+        lanes,
+        mornings);
+  }
+
+  private static List<Rule> mornings(Path file, JsonNode list) throws ConfigError {
+    List<Rule> out = new ArrayList<>();
+    for (JsonNode r : list) {
+      String zone = r.path("zone").asText("UTC");
+      Set<DayOfWeek> days = EnumSet.noneOf(DayOfWeek.class);
+      texts(r.path("days")).forEach(d -> days.add(DAYS.get(d)));
+      try {
+        out.add(
+            new Rule(
+                r.path("queue").asText(),
+                texts(r.path("classes")),
+                texts(r.path("teams")),
+                LocalTime.parse(r.path("opens").asText()),
+                LocalTime.parse(r.path("by").asText()),
+                ZoneId.of(zone),
+                days.isEmpty() ? EnumSet.allOf(DayOfWeek.class) : days,
+                r.path("share").asDouble(1)));
+      } catch (DateTimeException e) {
+        throw new ConfigError(
+            file + ": readiness[" + out.size() + "].zone: this Java knows no '" + zone + "'");
+      }
+    }
+    return out;
   }
 
+  private static final Map<String, DayOfWeek> DAYS =
+      Map.of(
+          "mon", DayOfWeek.MONDAY,
+          "tue", DayOfWeek.TUESDAY,
+          "wed", DayOfWeek.WEDNESDAY,
+          "thu", DayOfWeek.THURSDAY,
+          "fri", DayOfWeek.FRIDAY,
+          "sat", DayOfWeek.SATURDAY,
+          "sun", DayOfWeek.SUNDAY);
+
   private static Lanes lanes(JsonNode list) {
     List<LaneRule> rules = new ArrayList<>();
     for (JsonNode lane : list) {
@@ -123,7 +171,17 @@
   List<String> doubts(Config c) {
     Set<String> classes = new TreeSet<>(c.dueByClass().keySet());
     classes.addAll(c.startByClass().keySet());
-    return lanes.doubts(classes, c.teams().keySet());
+    List<String> out = new ArrayList<>(lanes.doubts(classes, c.teams().keySet()));
+    for (Rule r : mornings) {
+      r.classes().stream()
+          .filter(name -> !classes.contains(name))
+          .forEach(
+              n -> out.add("queue '" + r.queue() + "': no aim of this site names the class " + n));
+      r.teams().stream()
+          .filter(name -> !c.teams().containsKey(name))
+          .forEach(n -> out.add("queue '" + r.queue() + "': this site has no team " + n));
+    }
+    return out;
   }
 
   Span leaderLease() {
@@ -156,6 +214,7 @@
         Span.seconds(minimumChargeS),
         Span.seconds(Math.max(silenceS, c.report().toSeconds() * 3)),
         bootPatience,
-        faultyAfter);
+        faultyAfter,
+        mornings);
   }
 }
--- a/src/main/java/io/saltflow/app/OrderApi.java
+++ b/src/main/java/io/saltflow/app/OrderApi.java
@@ -1,6 +1,8 @@
 package io.saltflow.app;
 
 import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.bookkeeping.ReadyBooks;
+import io.saltflow.bookkeeping.StateClient;
 import io.saltflow.coordination.Leader;
 import io.saltflow.lanes.Lane;
 import io.saltflow.lanes.Lanes;
@@ -8,9 +10,11 @@
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MsgPack;
-import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
+import io.saltflow.readiness.Morning;
+import io.saltflow.readiness.Rule;
 import io.saltflow.transport.HttpReply;
+import io.saltflow.transport.Loop;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -18,12 +22,14 @@
 
 /**
  * What operators ask about the order of work, and say of it: {@code GET /queue}, {@code POST
- * /queue/ID}, {@code GET /moves}. A job is moved by any node; what waits now, and why, only the
- * leader knows, and any other node says who that is.
+ * /queue/ID}, {@code GET /moves}, {@code GET /ready[/QUEUE]}. Any node moves a job and tells of
+ * mornings, by what is recorded; what waits now, and why, only the leader knows, and any other node
+ * says who that is.
  */
 final class OrderApi {
   static final String QUEUE = "/queue";
   static final String MOVES = "/moves";
+  static final String READY = "/ready";
   static final String LANE = "lane";
   static final String LANES = "lanes";
   static final String LINES = "lines";
@@ -33,29 +39,41 @@
   private final Lanes lanes;
   private final Supplier<Leader> leader;
   private final Supplier<String> leaderName;
-  private final Supplier<Time> now;
+  private final StateClient state;
+  private final List<Rule> mornings;
+  private final Loop loop;
 
   OrderApi(
       JobStore jobs,
       Lanes lanes,
       Supplier<Leader> leader,
       Supplier<String> leaderName,
-      Supplier<Time> now) {
+      StateClient state,
+      List<Rule> mornings,
+      Loop loop) {
     this.jobs = jobs;
     this.lanes = lanes;
     this.leader = leader;
     this.leaderName = leaderName;
-    this.now = now;
+    this.state = state;
+    this.mornings = mornings;
+    this.loop = loop;
   }
 
   /** Whether the path is one of these. */
   static boolean serves(String path) {
-    return path.equals(QUEUE) || path.startsWith(QUEUE + "/") || path.equals(MOVES);
+    return path.equals(QUEUE)
+        || path.startsWith(QUEUE + "/")
+        || path.equals(MOVES)
+        || path.equals(READY)
+        || path.startsWith(READY + "/");
   }
 
   void handle(String method, String path, byte[] body, Consumer<HttpReply> answer) {
     boolean post = method.equals("POST");
-    if (post == (path.equals(QUEUE) || path.equals(MOVES))) {
+    if (path.startsWith(READY) && !post) {
+      ready(path.length() > READY.length() ? path.substring(READY.length() + 1) : null, answer);
+    } else if (post == !path.startsWith(QUEUE + "/")) {
       answer.accept(Replies.error(405, "use " + (post ? "GET" : "POST")));
     } else if (post) {
       move(path.substring(QUEUE.length() + 1), body, answer);
@@ -69,7 +87,7 @@
 
   private Body queue(Leader core) {
     List<Object> out = new ArrayList<>();
-    for (Leader.Line line : core.queue(now.get())) {
+    for (Leader.Line line : core.queue(loop.now())) {
       out.add(
           Body.of()
               .with(LANE, line.lane())
@@ -82,6 +100,33 @@
     return Body.of().with(LANES, out);
   }
 
+  /** By what is recorded, so by any node: the open morning of each queue and the last one. */
+  private void ready(String queue, Consumer<HttpReply> answer) {
+    ReadyBooks.read(
+        state,
+        all -> {
+          if (all == null) {
+            answer.accept(Replies.comeBack("what is recorded can't be read now", 1));
+            return;
+          }
+          List<String> lines = new ArrayList<>();
+          for (Rule r : mornings) {
+            if (queue == null || queue.equals(r.queue())) {
+              List<Morning> its = all.stream().filter(m -> m.queue().equals(r.queue())).toList();
+              its.subList(Math.max(0, its.size() - 2), its.size())
+                  .forEach(m -> lines.add(m.told(loop.dayMs(), r.zone())));
+              if (its.isEmpty()) {
+                lines.add(r.queue() + ": no morning has been open yet");
+              }
+            }
+          }
+          answer.accept(
+              queue != null && lines.isEmpty()
+                  ? Replies.error(404, "no queue '" + queue + "'")
+                  : HttpReply.of(200, MsgPack.encode(Body.of().with(LINES, lines))));
+        });
+  }
+
   private static Body moves(Leader core) {
     return Body.of().with(LINES, core.movesTold());
   }
--- a/src/main/java/io/saltflow/app/OrderCommands.java
+++ b/src/main/java/io/saltflow/app/OrderCommands.java
@@ -14,7 +14,9 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 
-/** {@code queue}, {@code lane} and {@code moves}: an operator at the command line. */
+/**
+ * {@code queue}, {@code lane}, {@code moves} and {@code ready}: an operator at the command line.
+ */
 final class OrderCommands {
   private final PrintStream out;
   private final PrintStream err;
@@ -34,8 +36,12 @@
     try {
       CommandLine line = new DefaultParser().parse(options, args);
       List<String> words = line.getArgList();
-      if (words.size() != (command.equals("lane") ? 2 : 0)) {
-        String takes = command.equals("lane") ? "an id and a lane, or front" : "nothing more";
+      boolean ready = command.equals("ready");
+      if (words.size() != (command.equals("lane") ? 2 : ready ? Math.min(1, words.size()) : 0)) {
+        String takes =
+            command.equals("lane")
+                ? "an id and a lane, or front"
+                : ready ? "one queue at the most" : "nothing more";
         throw new ParseException(command + " takes " + takes);
       }
       client =
@@ -45,7 +51,7 @@
           command.equals("lane")
               ? client.post(
                   OrderApi.QUEUE + "/" + words.get(0), Body.of().with(OrderApi.LANE, words.get(1)))
-              : client.get("/" + command);
+              : client.get("/" + command + (words.isEmpty() ? "" : "/" + words.get(0)));
       return told(command, a, line.hasOption("json"));
     } catch (ParseException e) {
       err.println("saltflow: " + e.getMessage());
--- a/src/main/java/io/saltflow/app/Rehearsal.java
+++ b/src/main/java/io/saltflow/app/Rehearsal.java
@@ -141,7 +141,8 @@
     leader.jobGone(job(2).id(), now);
     leader.summary();
     Beat beat =
-        new Beat("h", term, true, 0, List.of(new Beat.Counts(job(1).id(), 1, 1)), false, List.of());
+        new Beat(
+            "h", term, true, 0, List.of(new Beat.Counts(job(1).id(), 1, 1)), false, List.of(), 0);
     Beat.decode(beat.encode());
     JobStore.idOfLive("none");
   }
--- a/src/main/java/io/saltflow/bookkeeping/Keys.java
+++ b/src/main/java/io/saltflow/bookkeeping/Keys.java
@@ -17,6 +17,10 @@
   static final String PLANS = "plan/";
 
   static final String MOVES = PLANS + "moves/";
+
+  /** Mornings of queues, under QUEUE/DAY. */
+  static final String READY = PLANS + "ready/";
+
   static final String SERVICES = "services/";
 
   /** What is active, and under {@link #ANNOUNCED} what each host's build can act on. */
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -15,6 +15,7 @@
 import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
+import io.saltflow.readiness.Morning;
 import io.saltflow.transport.Routine;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -297,6 +298,19 @@
           guarded().put(Keys.BASIS, OrderBooks.encode(basis)),
           ok -> leader.basisRecorded(basis, ok));
     }
+    Morning morning = leader.morningToRecord(now.get());
+    if (morning != null) {
+      commit(
+          StateClient.Rank.BOOKS,
+          guarded().put(Keys.READY + morning.name(), ReadyBooks.encode(morning)),
+          ok -> leader.morningRecorded(morning, ok));
+    }
+    for (String name : leader.morningsToForget()) {
+      commit(
+          StateClient.Rank.BOOKS,
+          guarded().delete(Keys.READY + name),
+          ok -> LOG.debug("the morning {} is forgotten: {}", name, ok));
+    }
     List<JobId> over = leader.movedAndOver();
     if (!over.isEmpty()) {
       List<JobId> some = over.subList(0, Math.min(txnOps, over.size()));
@@ -361,6 +375,7 @@
     private final Map<JobId, String> pageOf = new HashMap<>();
     private final List<Kept> moves = new ArrayList<>();
     private final List<StateClient.Entry> plans = new ArrayList<>();
+    private final List<Morning> mornings = new ArrayList<>();
     private Basis basis;
     private long plansAt;
     private boolean ledgerWhole = true;
@@ -450,6 +465,8 @@
           for (StateClient.Entry e : plans.entries()) {
             if (e.key().startsWith(Keys.MOVES)) {
               readMoves(in, e);
+            } else if (e.key().startsWith(Keys.READY)) {
+              ReadyBooks.add(in.mornings, e);
             } else if (e.key().equals(Keys.BASIS)) {
               readBasis(in, e);
             } else {
@@ -504,6 +521,7 @@
   public void adopt(Inherited in) {
     leader.moves(in.moves(), now.get());
     leader.basis(in.basis());
+    leader.mornings(in.mornings);
     in.plans.forEach(e -> planned(e.key(), e.value(), e.version()));
     for (Job job : leader.jobs()) {
       String page = in.pageOf.get(job.id());
--- a/src/main/java/io/saltflow/coordination/Backlog.java
+++ b/src/main/java/io/saltflow/coordination/Backlog.java
@@ -71,11 +71,11 @@
   private static double windowS(
       Job job, double bootS, Policy policy, Estimates estimates, Time now) {
     double horizonS = policy.horizon().toSeconds();
-    if (job.spec.daemon() || job.dueAt == null) {
+    if (job.spec.daemon() || job.dueBy() == null) {
       return horizonS;
     }
     double runS = estimates.predict(job, 0).toSeconds();
-    double startS = job.dueAt.since(now).toSeconds() - bootS - runS;
+    double startS = job.dueBy().since(now).toSeconds() - bootS - runS;
     return Math.min(horizonS, Math.max(runS, startS));
   }
 
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -102,6 +102,11 @@
 
   private Place place = new Place(0, 0);
 
+  /** Its number among those that are pushed for a morning, and by when it is to be ready. */
+  int pushed = Integer.MAX_VALUE;
+
+  Time pushedDue;
+
   /** What an operator did with it; null: nothing. */
   Moved moved;
 
@@ -173,12 +178,18 @@
         moved,
         arrivedWallMs,
         left * spec.size().cores() * Math.max(1, estimateS),
+        pushed,
         pressed,
         guaranteed,
         failsEverywhere(),
         spec.daemon());
   }
 
+  /** When it should be complete: by its own time, or by the morning that it is pushed for. */
+  Time dueBy() {
+    return pushedDue == null || (dueAt != null && dueAt.before(pushedDue)) ? dueAt : pushedDue;
+  }
+
   /** Where it queues now. */
   Lane queuesIn() {
     return moved == null || moved.lane() == null ? lane : moved.lane();
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -17,6 +17,7 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Term;
 import io.saltflow.protocol.Time;
+import io.saltflow.readiness.Morning;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
@@ -77,6 +78,11 @@
   private final Returns returns;
   private final Watchman watchman;
   private final Moves moves;
+  private final Mornings mornings;
+
+  /** The time of day as far as it is believed, less the steady clock. */
+  private long believedMs;
+
   private final OrderBasis basis = new OrderBasis();
 
   /** What operators did with jobs that were live. */
@@ -134,6 +140,8 @@
     fleet = new Fleet(policy, term, estimates, account);
     returns = new Returns(policy, account);
     watchman = new Watchman(policy, account);
+    mornings = new Mornings(policy.mornings(), estimates, use, policy.teams());
+    believedMs = wallMinusClockMs;
     moves = new Moves(this.jobs, fencing::find, estimates, account, term, wallMinusClockMs);
     typesKnown(knownTypes);
     if (!ledgerWhole) {
@@ -254,7 +262,9 @@
   }
 
   public void finished(Job job, Time now) {
-    jobs.remove(job.id());
+    if (jobs.remove(job.id()) != null) {
+      mornings.done(job);
+    }
     outcomes.over(job.id());
     double lateS = job.lateS(now);
     LOG.info("{} is done{}", job.id(), lateS > 0 ? ", " + Math.round(lateS) + " s late" : "");
@@ -420,6 +430,11 @@
     lastRound = now;
     backlog = Backlog.of(jobs.values(), types.values(), policy, estimates, now);
     fleet.retire(fencing.machines(), jobs.values(), backlog, now);
+    for (Job job : jobs.values()) {
+      job.pushed = mornings.rank(job);
+      long dueMs = job.pushed == Integer.MAX_VALUE ? 0 : mornings.dueMs(job);
+      job.pushedDue = dueMs == 0 ? null : new Time(dueMs - believedMs);
+    }
     moves.proceed(fencing.machines(), accounted, now);
     waiting = scheduler.round(jobs.values(), fencing.machines(), accounted, now);
     if (mayMove) {
@@ -431,6 +446,7 @@
           accounted,
           now);
     }
+    mornings.look(jobs.values(), waiting, scheduler.fleet(), accounted, now.ms() + believedMs, now);
     int items = jobs.size();
     for (Machine m : fencing.machines()) {
       items += 1 + m.presences.size();
@@ -505,6 +521,31 @@
     basis.written(written, ok);
   }
 
+  /** The mornings of queues as they were recorded. */
+  public void mornings(Collection<Morning> recorded) {
+    mornings.inherit(recorded);
+  }
+
+  /** The time of day now, as far as it is believed. */
+  public void timeOfDay(long wallMs, Time now) {
+    believedMs = wallMs - now.ms();
+  }
+
+  /** A morning to write, or null; {@link #morningRecorded} tells what became of it. */
+  public Morning morningToRecord(Time now) {
+    return mornings.toRecord(now);
+  }
+
+  public void morningRecorded(Morning written, boolean ok) {
+    mornings.written(written, ok);
+    changed = true;
+  }
+
+  /** Names of mornings whose records may go. */
+  public List<String> morningsToForget() {
+    return mornings.takeToForget();
+  }
+
   /** An operator moved a job. */
   public void moved(JobId id, Moved how) {
     Moved before = moved.put(id, how);
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -2,7 +2,9 @@
 
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
+import io.saltflow.readiness.Rule;
 import io.saltflow.shares.Rules;
+import java.util.List;
 import java.util.Map;
 
 /** What the platform says and what operators may set, as the core needs it. */
@@ -31,7 +33,8 @@
     Span minimumCharge,
     Span silence,
     double bootPatience,
-    int faultyAfter) {
+    int faultyAfter,
+    List<Rule> mornings) {
 
   /** A team's guarantee and limit; a limit of 0 means none, a guarantee of 0 too. */
   public record Team(String name, double cores, double coresLimit, double gpus, double gpusLimit) {}
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -89,6 +89,15 @@
     return guaranteed;
   }
 
+  /** What the machines that may be used have, all together. */
+  Size fleet() {
+    Size sum = Size.ZERO;
+    for (Machine m : usable) {
+      sum = sum.plus(m.type.size());
+    }
+    return sum;
+  }
+
   /** The machines that may be used, and those that are on their way, as of the last round. */
   List<Machine> usable() {
     return usable;
--- a/src/main/java/io/saltflow/lanes/Order.java
+++ b/src/main/java/io/saltflow/lanes/Order.java
@@ -10,9 +10,9 @@
 import java.util.PriorityQueue;
 
 /**
- * Puts waiting jobs in order: guarantee, lane, what an operator put in front, then by when they
- * were accepted, a long job letting shorter ones pass that came a little later. It depends on its
- * arguments alone, never on the order in which they come.
+ * Puts waiting jobs in order: guarantee, lane, what an operator put in front, what is pushed for a
+ * morning, then by when they were accepted, a long job letting shorter ones pass that came a little
+ * later. It depends on its arguments alone, never on the order in which they come.
  */
 public final class Order {
   private Order() {}
@@ -24,6 +24,7 @@
           .thenComparing(p -> !p.job.guaranteed())
           .thenComparingInt(p -> p.rank)
           .thenComparing(p -> -p.job.front())
+          .thenComparingInt(p -> p.job.pushed())
           .thenComparing(p -> !(p.job.pressed() && p.job.queuesIn().named()))
           .thenComparingDouble(p -> p.at)
           .thenComparing(p -> p.job.place())
@@ -84,6 +85,7 @@
     return !s.stays()
         && !s.guaranteed()
         && s.front() == 0
+        && s.pushed() == Integer.MAX_VALUE
         && !s.failing()
         && basis.soonest().contains(s.jobClass());
   }
--- a/src/main/java/io/saltflow/lanes/Standing.java
+++ b/src/main/java/io/saltflow/lanes/Standing.java
@@ -9,6 +9,8 @@
  * @param arrivedMs the time of day that was recorded when it was accepted
  * @param leftCoreS what of it is left to do by its owner's estimate and the recorded progress, in
  *     core-seconds
+ * @param pushed its number among those that are pushed for a morning, as it is recorded; as large
+ *     as can be: it is not
  * @param pressed its time is running out
  * @param guaranteed it lies within its team's guarantee
  * @param failing it fails wherever it is started
@@ -22,6 +24,7 @@
     Moved moved,
     long arrivedMs,
     double leftCoreS,
+    int pushed,
     boolean pressed,
     boolean guaranteed,
     boolean failing,
--- a/src/main/java/io/saltflow/protocol/Beat.java
+++ b/src/main/java/io/saltflow/protocol/Beat.java
@@ -13,6 +13,7 @@
  *
  * @param probes whether the sender probes services' replicas for the leader
  * @param unanswered jobs that the sender could not answer its users about
+ * @param wallMs the sender's time of day; 0: it does not say
  */
 public record Beat(
     String host,
@@ -21,7 +22,8 @@
     long stateQuietMs,
     List<Counts> jobs,
     boolean probes,
-    List<Unanswered> unanswered) {
+    List<Unanswered> unanswered,
+    long wallMs) {
   private static final int MOST_JOBS = 5000;
 
   private static final int MOST_UNANSWERED = 200;
@@ -60,6 +62,7 @@
         out.writeLong(u.since.ms());
       }
       out.writeArrayEnd();
+      out.writeLong(wallMs);
       out.flush();
       return bytes.toByteArray();
     } catch (IOException e) {
@@ -89,6 +92,7 @@
         unanswered.add(new Unanswered(new JobId(in.text()), Span.millis(in.number())));
       }
     }
-    return new Beat(host, term, leading, quiet, jobs, probes, unanswered);
+    long wallMs = in.atEnd() ? 0 : in.number();
+    return new Beat(host, term, leading, quiet, jobs, probes, unanswered, wallMs);
   }
 }
--- a/src/test/java/io/saltflow/app/ConfigTest.java
+++ b/src/test/java/io/saltflow/app/ConfigTest.java
@@ -154,6 +154,33 @@
     assertEquals(2, run("check-config", "--config", config, "--settings", file("x.json", "{")));
   }
 
+  /** Lanes and mornings that can't be meant are refused by their field, doubtful ones are said. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "0 | doubtful: lane 'a': this site has no team x | 'lanes': [{'name': 'a', 'teams': ['x']}]",
+        "0 | names the class x | 'lanes': [{'name': 'a', 'classes': ['x']}, {'name': 'b'}]",
+        "2 | is there twice | 'lanes': [{'name': 'a', 'classes': ['x']}, {'name': 'a'}]",
+        "2 | 'a' takes all | 'lanes': [{'name': 'a', 'teams': ['x']},"
+            + " {'name': 'b', 'teams': ['x'], 'classes': ['c']}, {'name': 'c'}]",
+        "2 | urgency | 'lanes': [{'name': 'a', 'urgency': ['soon']}]",
+        "2 | zone: this Java knows no 'Mars/Base' | 'readiness': [{'queue': 'q',"
+            + " 'opens': '18:00', 'by': '07:00', 'zone': 'Mars/Base'}]",
+        "2 | opens: the same as by | 'readiness': [{'queue': 'q', 'opens': '07:00',"
+            + " 'by': '07:00', 'zone': 'UTC'}]",
+        "2 | by | 'readiness': [{'queue': 'q', 'opens': '07:00', 'by': '25:00', 'zone': 'UTC'}]",
+        "0 | has no team x | 'readiness': [{'queue': 'q', 'teams': ['x'], 'opens': '18:00',"
+            + " 'by': '07:00', 'zone': 'Asia/Almaty', 'days': ['mon'], 'share': 0.9}]"
+      })
+  void lanesAndMorningsAreChecked(int code, String says, String settings) throws IOException {
+    String config = file("good.toml", SETTINGS);
+    String json = file("ops.json", "{" + settings.replace('\'', '"') + "}");
+    assertEquals(code, run("check-config", "--config", config, "--settings", json));
+    String text = said.toString(StandardCharsets.UTF_8);
+    assertTrue(text.contains(says), text);
+  }
+
   @Test
   void plansAreCheckedForTheServiceAndItsTeamsLimit() throws IOException {
     String config = file("good.toml", SETTINGS);
--- a/src/test/java/io/saltflow/app/LocalTest.java
+++ b/src/test/java/io/saltflow/app/LocalTest.java
@@ -16,7 +16,11 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.LocalTime;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -31,10 +35,14 @@
   private LoopThread thread;
 
   private void start(Path data) throws IOException, ConfigError, InterruptedException {
+    start(data, OperatorSettings.defaults());
+  }
+
+  private void start(Path data, OperatorSettings operator)
+      throws IOException, ConfigError, InterruptedException {
     loop = new Loop();
     Local.Options options = new Local.Options(Addresses.parse("127.0.0.1:0"), 2, data);
-    local =
-        new Local(loop, options, OperatorSettings.defaults(), new Node.Extras(queues(), true), 1);
+    local = new Local(loop, options, operator, new Node.Extras(queues(), true), 1);
     boolean[] ready = new boolean[1];
     local.start(
         () -> {
@@ -93,6 +101,68 @@
     assertEquals(UserCommands.UNKNOWN, run("", "status", "req-8"));
   }
 
+  private int order(String command, String... arguments) {
+    said.reset();
+    PrintStream out = new PrintStream(said, true, StandardCharsets.UTF_8);
+    List<String> all = new ArrayList<>(List.of(arguments));
+    all.addAll(List.of("--server", "127.0.0.1:" + local.port()));
+    return new OrderCommands(out, out).run(command, all.toArray(new String[0]));
+  }
+
+  /** The queue says so in the end: rounds and records take a moment. */
+  private void queueSays(String pattern) throws InterruptedException {
+    says(pattern, "queue");
+  }
+
+  private void says(String pattern, String... command) throws InterruptedException {
+    for (int i = 0; i < 150 && !said().matches("(?s).*" + pattern + ".*"); i++) {
+      Thread.sleep(200);
+      order(command[0], Arrays.copyOfRange(command, 1, command.length));
+    }
+    assertTrue(said().matches("(?s).*" + pattern + ".*"), said());
+  }
+
+  /** Lanes, a job put in front, and a morning: the same after the process ended. */
+  @Test
+  void theOrderOfWorkOutlivesARestart() throws Exception {
+    LocalTime now = LocalTime.now(ZoneOffset.UTC);
+    Path settings =
+        Files.writeString(
+            folder.resolve("ops.json"),
+            String.format(
+                "{\"lanes\": [{\"name\": \"look-ups\", \"classes\": [\"warrant\"]},"
+                    + " {\"name\": \"bulk\"}], \"readiness\": [{\"queue\": \"chapters\","
+                    + " \"classes\": [\"pages\"], \"opens\": \"%s\", \"by\": \"%s\","
+                    + " \"zone\": \"UTC\"}]}",
+                form(now.minusHours(1)), form(now.plusMinutes(20))));
+    OperatorSettings operator = OperatorSettings.read(settings);
+    Path data = folder.resolve("data");
+    start(data, operator);
+    String hangs = "{\"id\": \"req-1\", \"lane\": \"pages\", \"shards\": 40, \"cores\": 4,";
+    hangs += " \"expectS\": 500, \"bundle\": \"stand-in/hang\"}";
+    assertEquals(0, run(hangs, "submit", "-"));
+    for (int n = 2; n <= 4; n++) {
+      String lane = n == 4 ? "warrant" : "pages";
+      String job = "{\"id\": \"req-" + n + "\", \"lane\": \"" + lane + "\", \"cores\": 4,";
+      assertEquals(0, run(job + " \"expectS\": 500, \"shards\": 40}", "submit", "-"));
+    }
+    queueSays("look-ups: 1 jobs.*req-4.*bulk: 3 jobs.*req-1,.*req-2,.*req-3,");
+    assertEquals(0, order("lane", "req-3", "front"));
+    queueSays("bulk: 3 jobs.*req-3,.*moved by an operator.*req-1,.*req-2,");
+    assertEquals(UserCommands.UNKNOWN, order("lane", "req-77", "front"));
+    assertEquals(UserCommands.REFUSED, order("lane", "req-3", "nowhere"));
+    assertEquals(0, order("moves"));
+    end();
+    start(data, operator);
+    queueSays("look-ups: 1 jobs.*req-4.*bulk: 3 jobs.*req-3,.*req-1,.*req-2,");
+    says("chapters, due .*: 0 of 3 ready, .* min left.*", "ready", "chapters");
+    assertEquals(UserCommands.UNKNOWN, order("ready", "nothing"));
+  }
+
+  private static String form(LocalTime time) {
+    return time.format(DateTimeFormatter.ofPattern("HH:mm"));
+  }
+
   private int operate(String command, String... arguments) {
     said.reset();
     PrintStream out = new PrintStream(said, true, StandardCharsets.UTF_8);
--- a/src/test/java/io/saltflow/coordination/MovesTest.java
+++ b/src/test/java/io/saltflow/coordination/MovesTest.java
@@ -237,6 +237,22 @@
     }
   }
 
+  /** Small models keep coming while room is made: it is the large one's, and nobody else's. */
+  @Test
+  void theRoomThatIsMadeIsKept() {
+    Night n = pieces();
+    for (int i = 0; i < 40 && n.up(LARGE) == 0; i++) {
+      if (i % 3 == 0 && i < 20) {
+        n.submit(model(40 + i, 1, 1));
+      }
+      n.step(true);
+    }
+    assertEquals(1, n.up(LARGE), "" + n.f.leader.movesTold());
+    for (int i = 0; i < 20; i += 3) {
+      assertEquals(1, n.up(new JobId(Jobs.id(40 + i))), "there is room for all of them");
+    }
+  }
+
   /** While the cloud may still have a machine, and in a takeover, nothing is moved. */
   @Test
   void nothingIsMovedThatNeedNotBe() {
--- a/src/test/java/io/saltflow/coordination/Policies.java
+++ b/src/test/java/io/saltflow/coordination/Policies.java
@@ -2,8 +2,10 @@
 
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
+import io.saltflow.readiness.Rule;
 import io.saltflow.shares.Rules;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /** The settings that tests run under. */
@@ -50,7 +52,8 @@
         Span.seconds(60),
         Span.seconds(10),
         3,
-        2);
+        2,
+        List.of());
   }
 
   /** The same settings on a machine with a part of a core: whole rounds keep some way apart. */
@@ -63,7 +66,17 @@
     return with(p, p.cpuShare(), shares, Span.seconds(1e6));
   }
 
+  /** With what queues are to be ready by. */
+  static Policy withMornings(Policy p, List<Rule> mornings) {
+    return with(p, p.cpuShare(), p.shares(), p.beginWithin(), mornings);
+  }
+
   private static Policy with(Policy p, double share, Rules shares, Span beginWithin) {
+    return with(p, share, shares, beginWithin, p.mornings());
+  }
+
+  private static Policy with(
+      Policy p, double share, Rules shares, Span beginWithin, List<Rule> mornings) {
     return new Policy(
         share,
         p.report(),
@@ -89,6 +102,7 @@
         p.minimumCharge(),
         p.silence(),
         p.bootPatience(),
-        p.faultyAfter());
+        p.faultyAfter(),
+        mornings);
   }
 }
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -16,6 +16,7 @@
 import io.saltflow.protocol.TaskId;
 import io.saltflow.protocol.Term;
 import io.saltflow.protocol.Time;
+import io.saltflow.readiness.Morning;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
@@ -52,6 +53,9 @@
     /** When its first task ran; -1: none has. */
     long startedAt = -1;
 
+    /** When all of it was done; -1: it is not. */
+    long overAt = -1;
+
     /** The revision at which it was accepted. */
     final Place place;
 
@@ -261,6 +265,11 @@
 
   int basisWrites;
 
+  /** Mornings as the state service holds them. */
+  final Map<String, Morning> mornings = new TreeMap<>();
+
+  int morningWrites;
+
   /** How often a copy of a report comes once more, up to three leases later. */
   double copies;
 
@@ -424,6 +433,7 @@
         new Lead(
             new Leader(policy, term, jobs, known, true, List.of(TYPE), time(), now), authority);
     lead.core.basis(basis);
+    lead.core.mornings(mornings.values());
     say("term " + term + " begins");
   }
 
@@ -568,6 +578,7 @@
     core.tick(time());
     for (Job j : core.toFinish()) {
       records.get(j.id()).over = true;
+      records.get(j.id()).overAt = now;
       core.finished(j, time());
       say(j.id() + " is done");
     }
@@ -582,6 +593,13 @@
       basisWrites++;
       core.basisRecorded(written, true);
     }
+    Morning morning = core.morningToRecord(time());
+    if (morning != null) {
+      morningWrites++;
+      mornings.put(morning.name(), morning);
+      core.morningRecorded(morning, true);
+    }
+    core.morningsToForget().forEach(mornings::remove);
     List<Leader.LedgerEntry> entries = core.toLedger();
     ledger.addAll(entries);
     core.ledgered(entries);
--- a/src/test/java/io/saltflow/lanes/LanesTest.java
+++ b/src/test/java/io/saltflow/lanes/LanesTest.java
@@ -40,7 +40,18 @@
     JobId id = new JobId(String.format("req-%06d", n));
     Place place = new Place(revision, 0);
     return new Standing(
-        id, "c" + n % 2, lane, place, null, atMs, leftCoreS, false, false, false, false);
+        id,
+        "c" + n % 2,
+        lane,
+        place,
+        null,
+        atMs,
+        leftCoreS,
+        Integer.MAX_VALUE,
+        false,
+        false,
+        false,
+        false);
   }
 
   private static List<Integer> order(List<Standing> jobs, Basis basis, double weight) {
@@ -70,6 +81,7 @@
             new Moved(null, 40),
             4000,
             10,
+            Integer.MAX_VALUE,
             false,
             false,
             false,
--- a/src/test/java/io/saltflow/protocol/WireTest.java
+++ b/src/test/java/io/saltflow/protocol/WireTest.java
@@ -184,7 +184,8 @@
             40,
             counts,
             true,
-            List.of(new Beat.Unanswered(new JobId("req-000003"), Span.seconds(7))));
+            List.of(new Beat.Unanswered(new JobId("req-000003"), Span.seconds(7))),
+            1_700_000_000_000L);
     assertEquals(beat, Beat.decode(beat.encode()));
     try (InputStream in = Beat.class.getResourceAsStream("/mesh.avsc")) {
       Schema schema = new Schema.Parser().parse(in);
@@ -196,10 +197,10 @@
           "[{\"job\": \"req-1\", \"done\": 2, \"running\": 3}]", record.get("jobs").toString());
     }
     assertThrows(BadMessage.class, () -> Beat.decode(new byte[] {2, 'x', 1}));
-    byte[] bytes = new Beat("b", new Term(9), true, 40, counts, true, List.of()).encode();
-    Beat before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 1));
+    byte[] bytes = new Beat("b", new Term(9), true, 40, counts, true, List.of(), 0).encode();
+    Beat before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 2));
     assertTrue(before.probes() && before.unanswered().isEmpty(), "of a version before that");
-    before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 2));
+    before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 3));
     assertFalse(before.probes(), "a node of an earlier version does not say");
   }
 
