--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -196,8 +196,8 @@
     loop.every(LEDGER_EVERY, this, books::ledger);
     loop.every(Span.seconds(2), this, books::record);
     loop.every(Span.millis(500), this, this::move);
-    loop.every(Span.seconds(1), this, books::order);
-    watchOrder(former.plansAt());
+    loop.every(Span.seconds(1), this, books.plans()::record);
+    watchOrder(former.plans().at());
     loop.every(Span.millis(200), this, this::rent);
     loop.every(Span.millis(500), this, this::giveBack);
     loop.every(new Span(Math.max(2000, listLag.ms())), this, this::list);
@@ -215,12 +215,12 @@
     if (after < 0) {
       return;
     }
-    books.watchOrder(after, ORDER_HOLD, next -> loop.after(AGAIN, this, () -> watchOrder(next)));
+    books.plans().watch(after, ORDER_HOLD, next -> loop.after(AGAIN, this, () -> watchOrder(next)));
   }
 
   private void move() {
-    leader.mayMove(authority.mayLaunch(loop.now()) && state.failingFor().ms() == 0);
-    books.moves();
+    leader.decided().mayMove(authority.mayLaunch(loop.now()) && state.failingFor().ms() == 0);
+    books.plans().moves();
   }
 
   private void tick() {
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -400,7 +400,7 @@
     List<Beat.Counts> list = new ArrayList<>();
     Leader core = duty == null ? null : duty.leader();
     if (core != null) {
-      core.timeOfDay(believedDayMs(), loop.now());
+      core.decided().timeOfDay(believedDayMs(), loop.now());
       for (Job job : core.jobs()) {
         list.add(new Beat.Counts(job.id(), job.doneCount(), job.runningCount()));
       }
--- a/src/main/java/io/saltflow/app/OrderApi.java
+++ b/src/main/java/io/saltflow/app/OrderApi.java
@@ -128,7 +128,7 @@
   }
 
   private static Body moves(Leader core) {
-    return Body.of().with(LINES, core.movesTold());
+    return Body.of().with(LINES, core.decided().movesTold());
   }
 
   private void move(String id, byte[] body, Consumer<HttpReply> answer) {
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -3,8 +3,6 @@
 import io.saltflow.coordination.Authority;
 import io.saltflow.coordination.Job;
 import io.saltflow.coordination.Leader;
-import io.saltflow.lanes.Basis;
-import io.saltflow.packing.Kept;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.CloudCodec;
@@ -14,8 +12,6 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.Time;
-import io.saltflow.protocol.Wire;
-import io.saltflow.readiness.Morning;
 import io.saltflow.transport.Routine;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -24,7 +20,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -49,6 +44,7 @@
   private final Pages<Leader.LedgerEntry> ledger;
   private final Pages<Job> progress;
   private final Unpacking unpacking = new Unpacking();
+  private final PlanBooks plans;
   private Leader leader;
   private int underWay;
   private boolean unpackingStep;
@@ -69,6 +65,7 @@
     // A quarter is left for what the text form of a value takes beyond what is counted here.
     this.valueBytes = (int) (limits.valueKb() * 1024 * 3 / 4);
     Span pause = Span.seconds(1 / (limits.writesPerS() * PART_FOR_A_PAGE));
+    plans = new PlanBooks(this, state, this::guarded, now, this.txnOps);
     ledger =
         new Pages<>(
             this, state, this::guarded, Keys.FLEET, valueBytes, pause, now, new LedgerForm());
@@ -270,95 +267,9 @@
     ledger.flush(false);
   }
 
-  /** Plans of moves: each is written before its first step, and once more when it has ended. */
-  public void moves() {
-    for (Kept plan : leader.movesToRecord()) {
-      commit(
-          StateClient.Rank.BOOKS,
-          guarded().put(Keys.MOVES + plan.name(), MoveBooks.encode(plan)),
-          ok -> leader.recorded(plan, ok));
-    }
-    for (String name : leader.movesToForget()) {
-      // One that stays for want of an answer is forgotten by a later leader.
-      commit(
-          StateClient.Rank.BOOKS,
-          guarded().delete(Keys.MOVES + name),
-          ok -> LOG.debug("the plan {} is forgotten: {}", name, ok));
-    }
-  }
-
-  /**
-   * What the order of jobs rests on, when it has changed; operators' moves of jobs that are over.
-   */
-  public void order() {
-    Basis basis = leader.basisToRecord(now.get());
-    if (basis != null) {
-      commit(
-          StateClient.Rank.BOOKS,
-          guarded().put(Keys.BASIS, OrderBooks.encode(basis)),
-          ok -> leader.basisRecorded(basis, ok));
-    }
-    Morning morning = leader.morningToRecord(now.get());
-    if (morning != null) {
-      commit(
-          StateClient.Rank.BOOKS,
-          guarded().put(Keys.READY + morning.name(), ReadyBooks.encode(morning)),
-          ok -> leader.morningRecorded(morning, ok));
-    }
-    for (String name : leader.morningsToForget()) {
-      commit(
-          StateClient.Rank.BOOKS,
-          guarded().delete(Keys.READY + name),
-          ok -> LOG.debug("the morning {} is forgotten: {}", name, ok));
-    }
-    List<JobId> over = leader.movedAndOver();
-    if (!over.isEmpty()) {
-      List<JobId> some = over.subList(0, Math.min(txnOps, over.size()));
-      Txn txn = guarded();
-      some.forEach(id -> txn.delete(Keys.moved(id)));
-      commit(StateClient.Rank.BOOKS, txn, ok -> leader.forgotten(some, ok));
-    }
-  }
-
-  /** A change beneath {@link Keys#PLANS}, which operators write to as well. */
-  private void planned(String key, Body value, Stamp version) {
-    if (key.startsWith(Keys.MOVED) && JobId.valid(key.substring(Keys.MOVED.length()))) {
-      JobId id = new JobId(key.substring(Keys.MOVED.length()));
-      leader.moved(id, OrderBooks.decode(value, version));
-    }
-  }
-
-  /** Waits for what operators decide. */
-  public void watchOrder(long after, Span hold, LongConsumer then) {
-    state.watch(
-        Keys.MOVED,
-        after,
-        hold,
-        a -> {
-          if (cancelled()) {
-            return;
-          }
-          try {
-            for (Body event : a.ok() ? a.body().maps(Wire.EVENTS) : List.<Body>of()) {
-              String key = event.textOr(Wire.PUT, null);
-              if (key != null) {
-                planned(key, event.map(Wire.VALUE), new Stamp(event.integer(Wire.VERSION)));
-              }
-            }
-          } catch (BadMessage bad) {
-            LOG.error("watch of {}: {}", Keys.MOVED, bad.getMessage());
-          }
-          // What was missed because the service no longer keeps it is read at the next election.
-          then.accept(a.ok() ? Math.max(after, a.revision()) : a.status() == 410 ? -1 : after);
-        });
-  }
-
-  private void readMoves(Inherited in, StateClient.Entry e) {
-    try {
-      in.moves.add(MoveBooks.decode(e.key().substring(Keys.MOVES.length()), e.value()));
-    } catch (BadMessage bad) {
-      LOG.error("{} can't be read: {}; its replicas wait like others", e.key(), bad.getMessage());
-    }
+  /** What is decided beside launches. */
+  public PlanBooks plans() {
+    return plans;
   }
 
   /** Machines that are gone leave the ledger when there is time. */
@@ -373,11 +284,7 @@
     private final List<Leader.LedgerEntry> machines = new ArrayList<>();
     private final Map<JobId, String> started = new HashMap<>();
     private final Map<JobId, String> pageOf = new HashMap<>();
-    private final List<Kept> moves = new ArrayList<>();
-    private final List<StateClient.Entry> plans = new ArrayList<>();
-    private final List<Morning> mornings = new ArrayList<>();
-    private Basis basis;
-    private long plansAt;
+    private PlanBooks.Plans plans;
     private boolean ledgerWhole = true;
     private boolean progressWhole = true;
 
@@ -385,19 +292,9 @@
       return machines;
     }
 
-    /** What the order of jobs rests on; null: nothing was recorded. */
-    public Basis basis() {
-      return basis;
-    }
-
-    /** From when on changes of what was planned are to be watched. */
-    public long plansAt() {
-      return plansAt;
-    }
-
-    /** What was planned to be moved. */
-    public List<Kept> moves() {
-      return moves;
+    /** What former leaders had decided. */
+    public PlanBooks.Plans plans() {
+      return plans;
     }
 
     /** Whether every machine of the ledger could be read. */
@@ -462,30 +359,11 @@
             then.accept(null);
             return;
           }
-          for (StateClient.Entry e : plans.entries()) {
-            if (e.key().startsWith(Keys.MOVES)) {
-              readMoves(in, e);
-            } else if (e.key().startsWith(Keys.READY)) {
-              ReadyBooks.add(in.mornings, e);
-            } else if (e.key().equals(Keys.BASIS)) {
-              readBasis(in, e);
-            } else {
-              in.plans.add(e);
-            }
-          }
-          in.plansAt = plans.revision();
+          in.plans = PlanBooks.read(plans);
           then.accept(in);
         });
   }
 
-  private static void readBasis(Inherited in, StateClient.Entry e) {
-    try {
-      in.basis = OrderBooks.decode(e.value());
-    } catch (BadMessage bad) {
-      LOG.error("{} can't be read: {}; it is learnt anew", e.key(), bad.getMessage());
-    }
-  }
-
   private void readMachines(Inherited in, StateClient.Entry page) {
     ledger.found(page.key(), page.version());
     for (Map.Entry<String, Object> e : page.value().fields().entrySet()) {
@@ -519,10 +397,7 @@
 
   /** Jobs that are still live stay on the pages on which they were found. */
   public void adopt(Inherited in) {
-    leader.moves(in.moves(), now.get());
-    leader.basis(in.basis());
-    leader.mornings(in.mornings);
-    in.plans.forEach(e -> planned(e.key(), e.value(), e.version()));
+    plans.adopt(in.plans, leader.decided());
     for (Job job : leader.jobs()) {
       String page = in.pageOf.get(job.id());
       if (page != null) {
--- a/src/main/java/io/saltflow/bookkeeping/ReadyBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/ReadyBooks.java
@@ -103,7 +103,7 @@
   }
 
   /** One that can't be read is said and left out. */
-  static void add(List<Morning> out, StateClient.Entry e) {
+  private static void add(List<Morning> out, StateClient.Entry e) {
     try {
       out.add(decode(e.key(), e.value()));
     } catch (BadMessage bad) {
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -1,10 +1,7 @@
 package io.saltflow.coordination;
 
-import io.saltflow.lanes.Basis;
 import io.saltflow.lanes.Lane;
-import io.saltflow.lanes.Moved;
 import io.saltflow.lanes.Place;
-import io.saltflow.packing.Kept;
 import io.saltflow.protocol.CloudCodec;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
@@ -17,7 +14,6 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Term;
 import io.saltflow.protocol.Time;
-import io.saltflow.readiness.Morning;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
@@ -44,9 +40,6 @@
   /** So many times as far apart are whole rounds while there are machines to be heard first. */
   private static final double ROUNDS_WAIT = 3;
 
-  /** By then every job that a bundle held has its own record. */
-  private static final Span MOVED_WAITS = Span.seconds(60);
-
   private static final int MOST_REMEMBERED_GONE = 4000;
 
   /**
@@ -77,17 +70,7 @@
   private final Fleet fleet;
   private final Returns returns;
   private final Watchman watchman;
-  private final Moves moves;
-  private final Mornings mornings;
-
-  /** The time of day as far as it is believed, less the steady clock. */
-  private long believedMs;
-
-  private final OrderBasis basis = new OrderBasis();
-
-  /** What operators did with jobs that were live. */
-  private final Map<JobId, Moved> moved = new LinkedHashMap<>();
-
+  private final Decided decided;
   private final TeamUse use;
   private final Usage usage = new Usage();
   private final Capacity capacity = new Capacity();
@@ -107,9 +90,6 @@
 
   private boolean heardAny;
 
-  /** Whether replicas may be moved: nothing holds the state service or the machines up. */
-  private boolean mayMove;
-
   public Leader(
       Policy policy,
       Term term,
@@ -135,14 +115,13 @@
     outcomes = new TaskOutcomes(policy, this.jobs, estimates, usage, account);
     fencing = new Fencing(policy, term, this.jobs, use, outcomes, account, now);
     outcomes.of(fencing);
-    scheduler = new Scheduler(policy, estimates, use, account, basis);
+    decided =
+        new Decided(policy, this.jobs, fencing, estimates, use, account, term, wallMinusClockMs);
+    scheduler = new Scheduler(policy, estimates, use, account, decided.basis());
     answers = new Answers(policy, term, tookOver, this.jobs, fencing, scheduler, use);
     fleet = new Fleet(policy, term, estimates, account);
     returns = new Returns(policy, account);
     watchman = new Watchman(policy, account);
-    mornings = new Mornings(policy.mornings(), estimates, use, policy.teams());
-    believedMs = wallMinusClockMs;
-    moves = new Moves(this.jobs, fencing::find, estimates, account, term, wallMinusClockMs);
     typesKnown(knownTypes);
     if (!ledgerWhole) {
       fencing.missesMachines();
@@ -210,7 +189,7 @@
     if (!jobs.containsKey(spec.id())) {
       Job job = new Job(spec, arrivedWallMs, new BitSet(), maybeStarted);
       job.stands(lane, place);
-      job.moved = moved.get(spec.id());
+      job.moved = decided.movedHow(spec.id());
       setTimes(job);
       jobs.put(spec.id(), job);
       changed = true;
@@ -263,7 +242,7 @@
 
   public void finished(Job job, Time now) {
     if (jobs.remove(job.id()) != null) {
-      mornings.done(job);
+      decided.done(job);
     }
     outcomes.over(job.id());
     double lateS = job.lateS(now);
@@ -367,7 +346,8 @@
    */
   private boolean roundDue(Time now) {
     Span pause = accountingFirst(now) ? roundPause.times(ROUNDS_WAIT) : roundPause;
-    return (changed || outcomes.changed()) && now.since(lastRound).compareTo(pause) >= 0;
+    return (changed || outcomes.changed() || decided.changed())
+        && now.since(lastRound).compareTo(pause) >= 0;
   }
 
   private void checkAccounted(Time now) {
@@ -378,6 +358,7 @@
     if (fencing.allAccounted()) {
       accounted = true;
       accountedAt = now;
+      decided.accounted(now);
       changed = true;
       LOG.info(
           "every machine is accounted for, {} ms into term {}", now.since(tookOver).ms(), term);
@@ -430,23 +411,10 @@
     lastRound = now;
     backlog = Backlog.of(jobs.values(), types.values(), policy, estimates, now);
     fleet.retire(fencing.machines(), jobs.values(), backlog, now);
-    for (Job job : jobs.values()) {
-      job.pushed = mornings.rank(job);
-      long dueMs = job.pushed == Integer.MAX_VALUE ? 0 : mornings.dueMs(job);
-      job.pushedDue = dueMs == 0 ? null : new Time(dueMs - believedMs);
-    }
-    moves.proceed(fencing.machines(), accounted, now);
+    decided.beforeRound(fencing.machines(), accounted, now);
     waiting = scheduler.round(jobs.values(), fencing.machines(), accounted, now);
-    if (mayMove) {
-      moves.plan(
-          waiting,
-          scheduler.usable(),
-          scheduler.booting(),
-          job -> fleet.mayHave(job, types.values(), now),
-          accounted,
-          now);
-    }
-    mornings.look(jobs.values(), waiting, scheduler.fleet(), accounted, now.ms() + believedMs, now);
+    decided.afterRound(
+        waiting, scheduler, job -> fleet.mayHave(job, types.values(), now), accounted, now);
     int items = jobs.size();
     for (Machine m : fencing.machines()) {
       items += 1 + m.presences.size();
@@ -474,112 +442,15 @@
     }
   }
 
-  /** What former leaders planned to move, as it was recorded. */
-  public void moves(Collection<Kept> recorded, Time now) {
-    moves.inherit(recorded, now);
-  }
-
-  /** Whether replicas may be moved now, as far as the state service goes. */
-  public void mayMove(boolean may) {
-    mayMove = may;
-  }
-
-  /** Plans of moves to write; each is told of by {@link #recorded(Kept, boolean)}. */
-  public List<Kept> movesToRecord() {
-    return moves.takeToRecord();
-  }
-
-  public void recorded(Kept plan, boolean ok) {
-    moves.recorded(plan, ok);
-    changed = true;
-  }
-
-  /** Names of plans whose records may go. */
-  public List<String> movesToForget() {
-    return moves.takeToForget();
-  }
-
-  /** What is planned, done and given up, and why a model waits, a line each. */
-  public List<String> movesTold() {
-    return moves.told();
-  }
-
-  /** What the order of jobs rests on, as it was recorded; null: it was not. */
-  public void basis(Basis recorded) {
-    basis.inherit(recorded);
-    if (recorded != null) {
-      estimates.inherit(recorded.corrections());
-    }
-  }
-
-  /** What of it is to be written now, or null; {@link #basisRecorded} tells what became of it. */
-  public Basis basisToRecord(Time now) {
-    return basis.toRecord(now);
-  }
-
-  public void basisRecorded(Basis written, boolean ok) {
-    basis.written(written, ok);
-  }
-
-  /** The mornings of queues as they were recorded. */
-  public void mornings(Collection<Morning> recorded) {
-    mornings.inherit(recorded);
-  }
-
-  /** The time of day now, as far as it is believed. */
-  public void timeOfDay(long wallMs, Time now) {
-    believedMs = wallMs - now.ms();
-  }
-
-  /** A morning to write, or null; {@link #morningRecorded} tells what became of it. */
-  public Morning morningToRecord(Time now) {
-    return mornings.toRecord(now);
-  }
-
-  public void morningRecorded(Morning written, boolean ok) {
-    mornings.written(written, ok);
-    changed = true;
-  }
-
-  /** Names of mornings whose records may go. */
-  public List<String> morningsToForget() {
-    return mornings.takeToForget();
-  }
-
-  /** An operator moved a job. */
-  public void moved(JobId id, Moved how) {
-    Moved before = moved.put(id, how);
-    Job job = jobs.get(id);
-    if (job != null && !how.equals(before)) {
-      job.moved = how;
-      changed = true;
-      LOG.info(
-          "{} was moved by an operator {}",
-          id,
-          how.lane() == null ? "in front of its lane" : "to the lane " + how.lane());
-    }
-  }
-
-  /** Jobs that were moved and are over: what was recorded of that may go. */
-  public List<JobId> movedAndOver() {
-    if (!accounted) {
-      return List.of();
-    }
-    Time until = new Time(accountedAt.ms() + MOVED_WAITS.ms());
-    return lastReport.before(until)
-        ? List.of()
-        : moved.keySet().stream().filter(id -> !jobs.containsKey(id)).toList();
-  }
-
-  public void forgotten(List<JobId> ids, boolean ok) {
-    if (ok) {
-      moved.keySet().removeAll(ids);
-    }
+  /** What is decided and recorded beside launches: moves, the order's basis, mornings. */
+  public Decided decided() {
+    return decided;
   }
 
   /** What waits, lane by lane, and why the first of each does not start. */
   public List<Line> queue(Time now) {
-    return QueueTold.of(waiting, accounted, scheduler.guaranteed(), use, moves.reasons(), now);
+    return QueueTold.of(
+        waiting, accounted, scheduler.guaranteed(), use, decided.movesWanted(), now);
   }
 
   /**
--- a/src/test/java/io/saltflow/coordination/MovesTest.java
+++ b/src/test/java/io/saltflow/coordination/MovesTest.java
@@ -55,7 +55,7 @@
     /** A second: rounds, writes, reports. */
     void step(boolean cloudRefuses) {
       f.pass(1);
-      f.leader.mayMove(true);
+      f.leader.decided().mayMove(true);
       for (Rental r : f.leader.toRent(f.time())) {
         if (cloudRefuses) {
           f.leader.refused(r, f.time());
@@ -69,20 +69,20 @@
     }
 
     void write() {
-      for (Kept k : f.leader.movesToRecord()) {
+      for (Kept k : f.leader.decided().movesToRecord()) {
         if (!loseWrites) {
           records.put(k.name(), k);
-          f.leader.recorded(k, true);
+          f.leader.decided().recorded(k, true);
         }
       }
-      f.leader.movesToForget().forEach(records::remove);
+      f.leader.decided().movesToForget().forEach(records::remove);
     }
 
     void kill() {
       List<Job> jobs = new ArrayList<>();
       live.values().forEach(s -> jobs.add(new Job(s, 0, new BitSet(), true)));
       f.takeOver(POLICY, new Term(++term), jobs, MACHINE);
-      f.leader.moves(records.values(), f.time());
+      f.leader.decided().moves(records.values(), f.time());
       f.leader.typesKnown(List.of(Floor.type(MACHINE)));
     }
 
@@ -165,7 +165,7 @@
     for (int i = 0; i < 12; i++) {
       n.step(true);
     }
-    assertEquals(1, n.up(LARGE), which + ": " + n.f.leader.movesTold());
+    assertEquals(1, n.up(LARGE), which + ": " + n.f.leader.decided().movesTold());
     for (int i = 1; i <= 3; i++) {
       assertEquals(3, n.up(new JobId(Jobs.id(i))), which);
     }
@@ -180,7 +180,7 @@
     Night n = pieces();
     n.f.trace.clear();
     assertServed(n, "undisturbed");
-    n.f.leader.movesTold().forEach(n.f::say);
+    n.f.leader.decided().movesTold().forEach(n.f::say);
     Traces.check("moves", n.f.trace);
   }
 
@@ -249,7 +249,7 @@
       }
       n.step(true);
     }
-    assertEquals(1, n.up(LARGE), "" + n.f.leader.movesTold());
+    assertEquals(1, n.up(LARGE), "" + n.f.leader.decided().movesTold());
     assertTrue(more.size() >= 4, "others came meanwhile: " + more);
     for (int i = 0; i < 5; i++) {
       n.step(true);
@@ -264,6 +264,6 @@
     for (int i = 0; i < 20; i++) {
       n.step(false);
     }
-    assertTrue(n.records.isEmpty(), "a machine may be rented: " + n.f.leader.movesTold());
+    assertTrue(n.records.isEmpty(), "a machine may be rented: " + n.f.leader.decided().movesTold());
   }
 }
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -432,8 +432,8 @@
     lead =
         new Lead(
             new Leader(policy, term, jobs, known, true, List.of(TYPE), time(), now), authority);
-    lead.core.basis(basis);
-    lead.core.mornings(mornings.values());
+    lead.core.decided().basis(basis);
+    lead.core.decided().mornings(mornings.values());
     say("term " + term + " begins");
   }
 
@@ -587,19 +587,19 @@
       records.get(j.id()).done = (BitSet) j.doneTasks().clone();
       core.recorded(j, (BitSet) j.doneTasks().clone());
     }
-    Basis written = core.basisToRecord(time());
+    Basis written = core.decided().basisToRecord(time());
     if (written != null) {
       basis = written;
       basisWrites++;
-      core.basisRecorded(written, true);
+      core.decided().basisRecorded(written, true);
     }
-    Morning morning = core.morningToRecord(time());
+    Morning morning = core.decided().morningToRecord(time());
     if (morning != null) {
       morningWrites++;
       mornings.put(morning.name(), morning);
-      core.morningRecorded(morning, true);
+      core.decided().morningRecorded(morning, true);
     }
-    core.morningsToForget().forEach(mornings::remove);
+    core.decided().morningsToForget().forEach(mornings::remove);
     List<Leader.LedgerEntry> entries = core.toLedger();
     ledger.addAll(entries);
     core.ledgered(entries);
