--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -58,8 +58,8 @@
   private static final Span STATE_TROUBLE = Span.seconds(2);
   private static final Span BEAT_FRESH = Span.seconds(4);
 
-  /** Beyond twice the skew that the platform promises: packets take their time. */
-  private static final Span CLOCKS_APART = Span.seconds(1);
+  /** Beyond twice the skew that the platform promises: beats that wait make a clock look behind. */
+  private static final Span CLOCKS_APART = Span.seconds(30);
 
   /** The watch of the leader's key is answered at least so often, if by nothing new. */
   private static final Span KEY_WATCHED = Span.seconds(11);
@@ -174,7 +174,7 @@
             config.teams(),
             types::values,
             this::countsOf,
-            System::currentTimeMillis,
+            () -> System.currentTimeMillis() + clockCorrection,
             loop::now);
     workers =
         new WorkerApi(
@@ -399,8 +399,9 @@
     }
     List<Beat.Counts> list = new ArrayList<>();
     Leader core = duty == null ? null : duty.leader();
+    long dayMs = believedDayMs();
     if (core != null) {
-      core.decided().timeOfDay(believedDayMs(), loop.now());
+      core.decided().timeOfDay(dayMs, loop.now());
       for (Job job : core.jobs()) {
         list.add(new Beat.Counts(job.id(), job.doneCount(), job.runningCount()));
       }
