A plan that is not recorded moves nothing: its test, and the mistakes planted by hand

Cause: of four planted mistakes one, a plan begun before its record, was found by no test. Measured: the new case fails with that mistake planted.

--- a/src/test/java/io/saltflow/coordination/MovesTest.java
+++ b/src/test/java/io/saltflow/coordination/MovesTest.java
@@ -257,6 +257,22 @@
     more.forEach(id -> assertEquals(1, n.up(id), "there is room for all of them"));
   }
 
+  /** What no successor would know of is not begun. */
+  @Test
+  void nothingIsMovedBeforeThePlanIsRecorded() {
+    Night n = pieces();
+    n.mostAway = 0;
+    n.loseWrites = true;
+    for (int i = 0; i < 30; i++) {
+      n.step(true);
+    }
+    assertEquals(0, n.mostAway);
+    assertTrue(n.f.leader.decided().movesTold().get(0).contains("goes on, 3 to go"));
+    n.loseWrites = false;
+    n.kill();
+    assertServed(n, "planned anew by another");
+  }
+
   /** While the cloud may still have a machine, and in a takeover, nothing is moved. */
   @Test
   void nothingIsMovedThatNeedNotBe() {
