Read once more: one way to a live job in JobStore, one look at a morning's jobs, no counter that nobody asks

Cause: cancel and move began alike; Mornings went over its jobs twice and counted its writes for nobody. Change: ifLive, one loop, the counter gone; no behaviour changes.

--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -312,13 +312,10 @@
   }
 
   private void cancel(JobId id, Time deadline, Consumer<Outcome> then) {
-    find(
+    ifLive(
         id,
-        outcome -> {
-          if (!(outcome instanceof Outcome.Found found) || found.job().phase() != Phase.LIVE) {
-            then.accept(outcome);
-            return;
-          }
+        then,
+        found -> {
           Known ended = new Known(id, Phase.CANCELLED, found.job().done());
           Txn txn =
               new Txn()
@@ -341,6 +338,19 @@
         });
   }
 
+  /** Goes on with a live job; any other outcome is the answer. */
+  private void ifLive(JobId id, Consumer<Outcome> then, Consumer<Outcome.Found> act) {
+    find(
+        id,
+        outcome -> {
+          if (outcome instanceof Outcome.Found found && found.job().phase() == Phase.LIVE) {
+            act.accept(found);
+          } else {
+            then.accept(outcome);
+          }
+        });
+  }
+
   private static Body ending(Known k) {
     return Body.of().with(PHASE, k.phase().name()).with(DONE_COUNT, k.done());
   }
@@ -411,13 +421,10 @@
    * @param then what was found: a live job was moved, any other outcome changed nothing
    */
   public void move(JobId id, Lane lane, Consumer<Outcome> then) {
-    find(
+    ifLive(
         id,
-        outcome -> {
-          if (!(outcome instanceof Outcome.Found found) || found.job().phase() != Phase.LIVE) {
-            then.accept(outcome);
-            return;
-          }
+        then,
+        found -> {
           Txn txn =
               new Txn()
                   .guard(Keys.over(id), Stamp.ABSENT)
@@ -426,7 +433,7 @@
               StateClient.Rank.USER,
               txn,
               TRY,
-              a -> then.accept(a.ok() ? outcome : new Outcome.Unknown()));
+              a -> then.accept(a.ok() ? found : new Outcome.Unknown()));
         });
   }
 
--- a/src/main/java/io/saltflow/coordination/Mornings.java
+++ b/src/main/java/io/saltflow/coordination/Mornings.java
@@ -55,7 +55,6 @@
   private Time lastLook = Time.LONG_AGO;
   private Time lastWrite = Time.LONG_AGO;
   private boolean writing;
-  private int writes;
 
   Mornings(List<Rule> rules, Estimates estimates, TeamUse use, Map<String, Policy.Team> teams) {
     this.rules = rules;
@@ -187,6 +186,7 @@
     Map<JobId, Member> members = new LinkedHashMap<>();
     double work = 0;
     double held = 0;
+    long seen = before.seen();
     Set<String> teamsOfIt = new TreeSet<>();
     // Those of which nothing waits are being worked on already: they are first.
     Set<JobId> waits = new java.util.HashSet<>();
@@ -206,17 +206,12 @@
         work += members.get(job.id()).leftCoreS();
         held += job.heldCount() * job.spec.size().cores();
         teamsOfIt.add(job.spec.team());
+        seen = Math.max(seen, job.place().revision());
       }
     }
     double even = workOfAll <= 0 ? fleet.cores() : fleet.cores() * work / workOfAll;
     double most = Math.min(fleet.cores(), limits(teamsOfIt));
     Supply supply = new Supply(Math.min(most, Math.max(held, even)), most);
-    long seen = before.seen();
-    for (Job job : jobs) {
-      if (members.containsKey(job.id())) {
-        seen = Math.max(seen, job.place().revision());
-      }
-    }
     int done = ready.getOrDefault(rule.queue(), 0);
     Morning m = Pushing.look(before, List.copyOf(members.values()), done, seen, supply, wallMs);
     if (m.badSinceMs() > 0 && before.badSinceMs() == 0) {
@@ -342,7 +337,6 @@
     if (next != null) {
       writing = true;
       lastWrite = now;
-      writes++;
     }
     return next;
   }
@@ -367,11 +361,6 @@
     }
   }
 
-  /** So many changes were asked for. */
-  int writes() {
-    return writes;
-  }
-
   /** Names of records that are old enough to go. */
   List<String> takeToForget() {
     List<String> out = List.copyOf(toForget);
