An operator's act that is carried out late takes no later one away; late claims tested

Cause, seen by a test without the mend: JobStore.move was guarded only by the job not being over. An act whose answer was lost and which was said anew since was carried out after the newer one and stood. Now it is guarded by the act before it. A claim of the office that is carried out after the same controller's next changes nothing: tested, nothing was wrong.

--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -425,15 +425,28 @@
         id,
         then,
         found -> {
-          Txn txn =
-              new Txn()
-                  .guard(Keys.over(id), Stamp.ABSENT)
-                  .put(Keys.moved(id), OrderBooks.encode(lane));
-          state.commit(
+          state.get(
               StateClient.Rank.USER,
-              txn,
+              Keys.moved(id),
               TRY,
-              a -> then.accept(a.ok() ? found : new Outcome.Unknown()));
+              before -> {
+                if (before == null) {
+                  then.accept(new Outcome.Unknown());
+                  return;
+                }
+                // Guarded by the act before it: one that got no answer, and was said anew or
+                // otherwise since, would take that away when it is carried out late.
+                Txn txn =
+                    new Txn()
+                        .guard(Keys.over(id), Stamp.ABSENT)
+                        .guard(Keys.moved(id), before.version())
+                        .put(Keys.moved(id), OrderBooks.encode(lane));
+                state.commit(
+                    StateClient.Rank.USER,
+                    txn,
+                    TRY,
+                    a -> then.accept(a.ok() ? found : new Outcome.Unknown()));
+              });
         });
   }
 
--- a/src/test/java/io/saltflow/app/NodeTest.java
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -44,6 +44,11 @@
   /** The next transaction that puts this key is carried out, but its answer never comes. */
   private String loseAnswerFor;
 
+  /** The next transaction that puts this key gets no answer and is carried out later. */
+  private String holdBack;
+
+  private Runnable late;
+
   /** The state service serves everything but what a new leader reads first. */
   private boolean unread;
 
@@ -93,6 +98,11 @@
         answer.accept(HttpReply.empty(503));
         return;
       }
+      if (holdBack != null && target.equals(Wire.PATH_TXN) && puts(sent, holdBack)) {
+        holdBack = null;
+        late = () -> outside.handle(method, target, sent, reply -> {});
+        return;
+      }
       String key = loseAnswerFor;
       boolean watched = target.equals(Wire.PATH_TXN) && key != null && state.value(key) == null;
       outside.handle(
@@ -109,6 +119,20 @@
     };
   }
 
+  private static boolean puts(byte[] txn, String key) {
+    try {
+      return MsgPack.decode(txn).maps(Wire.WRITES).stream()
+          .anyMatch(w -> key.equals(w.get(Wire.PUT)));
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void pass(long ms) throws IOException {
+    loop.after(Span.millis(ms), root, loop::pause);
+    loop.run();
+  }
+
   @AfterEach
   void end() {
     node.cancel();
@@ -271,6 +295,39 @@
         .with("shards", List.of());
   }
 
+  /**
+   * The claim of an office got no answer, the same controller has claimed it anew since, and then
+   * the first is carried out: one office, of the term that is known to be its own.
+   */
+  @Test
+  void aClaimThatIsCarriedOutLateChangesNothing() throws IOException {
+    Object dead = leaderOtherThan(null, 200);
+    holdBack = "lead";
+    restart(1);
+    assertNotNull(leaderOtherThan(dead, 300));
+    KeyStore.Value lead = state.value("lead");
+    long term = (Long) state.value("term").data().get("term");
+    late.run();
+    pass(200);
+    assertEquals(lead.stamp(), state.value("lead").stamp());
+    assertEquals(term, state.value("term").data().get("term"));
+    user = new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + node.port()), 4, 16);
+    assertEquals(200, call("POST", "/checkin", MsgPack.encode(report(term))));
+    assertEquals(term, body.get("baton"));
+  }
+
+  /** What an operator said later stays, whatever becomes of an act that got no answer. */
+  @Test
+  void anOperatorsLateActTakesNoLaterOneAway() throws IOException {
+    byte[] front = MsgPack.encode(Body.of().with("lane", "front"));
+    holdBack = "plan/order/req-000001";
+    assertEquals(503, call("POST", "/queue/req-000001", front));
+    assertEquals(200, call("POST", "/queue/req-000001", front));
+    KeyStore.Value said = state.value("plan/order/req-000001");
+    late.run();
+    assertEquals(said.stamp(), state.value("plan/order/req-000001").stamp());
+  }
+
   private void restart(long seed) throws IOException {
     node.cancel();
     node = new Node(loop, config, OperatorSettings.defaults(), 1 + seed);
