--- a/src/test/java/io/saltflow/coordination/FaultsTest.java
+++ b/src/test/java/io/saltflow/coordination/FaultsTest.java
@@ -162,6 +162,7 @@
     w.oneWay = true;
     w.copies = 0.05;
     w.late = 0.05;
+    w.slow = 0.1;
     w.readingMs = 1000;
     w.meetings = true;
     w.supersede = seed % 2 == 0;
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -39,6 +39,9 @@
   static final long CANCEL = 41_000;
   static final long LEADER_LEASE = 5_000;
 
+  /** So long a worker waits for an answer. */
+  private static final long PATIENCE = 4_000;
+
   /** A class whose tasks fail wherever they are started. */
   static final String BROKEN = "broken";
 
@@ -190,6 +193,14 @@
       }
     }
 
+    /** Its report was sent then: from then on its lease is renewed. */
+    void answered(Lead by, long sent, List<Order> orders) {
+      if (by.term.compareTo(token) >= 0) {
+        leaseFrom = sent;
+        obey(by.term, orders);
+      }
+    }
+
     void obey(Term from, List<Order> orders) {
       if (from.compareTo(token) < 0) {
         return;
@@ -257,6 +268,10 @@
 
   private record Held(long until, Report report) {}
 
+  /** An answer that is held up on its way; the worker waits for it, for so long as it waits. */
+  private record Underway(
+      long at, long sent, long session, Worker to, Lead by, List<Order> orders) {}
+
   /** A transaction without an answer that is carried out late, if its guards still hold. */
   private record LateWrite(long until, Term by, BooleanSupplier guard, Runnable write) {}
 
@@ -274,6 +289,11 @@
   private final List<Held> held = new ArrayList<>();
   private final List<LateWrite> lateWrites = new ArrayList<>();
 
+  private final List<Underway> underway = new ArrayList<>();
+
+  /** Which part of the answers takes up to 5 s; a worker drops what takes more than 4. */
+  double slow;
+
   /** Until then the state service serves nobody. */
   long stateDownUntil;
 
@@ -454,6 +474,7 @@
     workers.values().forEach(Worker::forget);
     workers.values().forEach(Worker::step);
     deliverHeld();
+    deliverAnswers();
     for (Worker w : new ArrayList<>(workers.values())) {
       report(w);
     }
@@ -653,9 +674,8 @@
     }
     if (to.core == null) {
       // What a node that is about to read would answer: its token, and nothing else.
-      if (inTime && to.term.compareTo(w.token) >= 0) {
-        w.leaseFrom = now;
-        w.obey(to.term, List.of());
+      if (inTime) {
+        w.answered(to, now, List.of());
       }
       return;
     }
@@ -673,9 +693,24 @@
     if (orders == null || chance(loss)) {
       return;
     }
-    if (to.core.term().compareTo(w.token) >= 0) {
-      w.leaseFrom = now;
-      w.obey(to.core.term(), orders);
+    if (slow > 0 && chance(slow)) {
+      long at = now + STEP * (1 + random.nextInt(10));
+      underway.add(new Underway(at, now, w.session, w, to, orders));
+      w.nextReport = Math.min(at, now + PATIENCE) + STEP;
+      return;
+    }
+    w.answered(to, now, orders);
+  }
+
+  private void deliverAnswers() {
+    for (Underway u : List.copyOf(underway)) {
+      if (now >= u.at) {
+        underway.remove(u);
+        boolean heard = u.to.works() && now >= u.to.deafUntil && u.session == u.to.session;
+        if (heard && now - u.sent <= PATIENCE) {
+          u.to.answered(u.by, u.sent, u.orders);
+        }
+      }
     }
   }
 
