--- a/src/main/java/io/saltflow/bookkeeping/PlanBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/PlanBooks.java
@@ -13,8 +13,9 @@
 import io.saltflow.readiness.Morning;
 import io.saltflow.transport.Routine;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
-import java.util.function.Consumer;
+import java.util.Map;
 import java.util.function.LongConsumer;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
@@ -34,6 +35,7 @@
    *
    * @param basis null: nothing was recorded
    * @param moved what operators did with jobs
+   * @param versions of the keys that leaders write
    * @param at from when on changes are to be watched
    */
   public record Plans(
@@ -41,12 +43,14 @@
       Basis basis,
       List<Morning> mornings,
       List<StateClient.Entry> moved,
+      Map<String, Stamp> versions,
       long at) {}
 
   private final StateClient state;
   private final Supplier<Txn> guarded;
   private final Supplier<Time> now;
   private final int txnOps;
+  private final KeyWrites writes;
   private Decided decided;
 
   PlanBooks(
@@ -56,6 +60,7 @@
     this.guarded = guarded;
     this.now = now;
     this.txnOps = txnOps;
+    this.writes = new KeyWrites(this, state, guarded);
   }
 
   /** What stands under {@link Keys#PLANS}. */
@@ -63,8 +68,10 @@
     List<Kept> moves = new ArrayList<>();
     List<Morning> mornings = new ArrayList<>();
     List<StateClient.Entry> moved = new ArrayList<>();
+    Map<String, Stamp> versions = new HashMap<>();
     Basis basis = null;
     for (StateClient.Entry e : listing.entries()) {
+      versions.put(e.key(), e.version());
       try {
         if (e.key().startsWith(Keys.MOVES)) {
           moves.add(MoveBooks.decode(e.key().substring(Keys.MOVES.length()), e.value()));
@@ -79,42 +86,29 @@
         LOG.error("{} can't be read: {}; it is decided anew", e.key(), bad.getMessage());
       }
     }
-    return new Plans(moves, basis, mornings, moved, listing.revision());
+    return new Plans(moves, basis, mornings, moved, versions, listing.revision());
   }
 
   /** A leader goes on with what was decided. */
   void adopt(Plans plans, Decided by) {
     decided = by;
+    plans.versions().forEach(writes::found);
     decided.moves(plans.moves(), now.get());
     decided.basis(plans.basis());
     decided.mornings(plans.mornings());
     plans.moved().forEach(e -> planned(e.key(), e.value(), e.version()));
   }
 
-  private void commit(Txn txn, Consumer<Boolean> then) {
-    state.commit(
-        StateClient.Rank.BOOKS,
-        txn,
-        TRY,
-        a -> {
-          if (!cancelled()) {
-            then.accept(a.ok());
-          }
-        });
-  }
-
   /** Plans of moves: each is written before its first step, and once more when it has ended. */
   public void moves() {
     for (Kept plan : decided.movesToRecord()) {
-      commit(
-          guarded.get().put(Keys.MOVES + plan.name(), MoveBooks.encode(plan)),
-          ok -> decided.recorded(plan, ok));
+      writes.write(
+          Keys.MOVES + plan.name(), MoveBooks.encode(plan), ok -> decided.recorded(plan, ok));
     }
     for (String name : decided.movesToForget()) {
       // One that stays for want of an answer is forgotten by a later decided.
-      commit(
-          guarded.get().delete(Keys.MOVES + name),
-          ok -> LOG.debug("the plan {} is forgotten: {}", name, ok));
+      writes.write(
+          Keys.MOVES + name, null, ok -> LOG.debug("the plan {} is forgotten: {}", name, ok));
     }
   }
 
@@ -124,27 +118,33 @@
   public void record() {
     Basis basis = decided.basisToRecord(now.get());
     if (basis != null) {
-      commit(
-          guarded.get().put(Keys.BASIS, OrderBooks.encode(basis)),
-          ok -> decided.basisRecorded(basis, ok));
+      writes.write(Keys.BASIS, OrderBooks.encode(basis), ok -> decided.basisRecorded(basis, ok));
     }
     Morning morning = decided.morningToRecord(now.get());
     if (morning != null) {
-      commit(
-          guarded.get().put(Keys.READY + morning.name(), ReadyBooks.encode(morning)),
+      writes.write(
+          Keys.READY + morning.name(),
+          ReadyBooks.encode(morning),
           ok -> decided.morningRecorded(morning, ok));
     }
     for (String name : decided.morningsToForget()) {
-      commit(
-          guarded.get().delete(Keys.READY + name),
-          ok -> LOG.debug("the morning {} is forgotten: {}", name, ok));
+      writes.write(
+          Keys.READY + name, null, ok -> LOG.debug("the morning {} is forgotten: {}", name, ok));
     }
     List<JobId> over = decided.movedAndOver(now.get());
     if (!over.isEmpty()) {
       List<JobId> some = over.subList(0, Math.min(txnOps, over.size()));
       Txn txn = guarded.get();
       some.forEach(id -> txn.delete(Keys.moved(id)));
-      commit(txn, ok -> decided.forgotten(some, ok));
+      state.commit(
+          StateClient.Rank.BOOKS,
+          txn,
+          TRY,
+          a -> {
+            if (!cancelled()) {
+              decided.forgotten(some, a.ok());
+            }
+          });
     }
   }
 
--- a/src/test/java/io/saltflow/bookkeeping/PagesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/PagesTest.java
@@ -179,6 +179,22 @@
     assertEquals(Set.of("one", "two"), keys.get("p/00000").data.fields().keySet());
   }
 
+  /** The same of a single key: a plan that has ended stays ended. */
+  @Test
+  void lateWriteOfAKeyDoesNotUndoALaterOne() throws IOException, BadMessage {
+    KeyWrites writes = new KeyWrites(root, state, Txn::new);
+    keys.put("plan/a", new Value(Body.of(), 1));
+    writes.found("plan/a", new Stamp(1));
+    holdNext = true;
+    writes.write("plan/a", Body.of().with("says", "open"), ok -> assertFalse(ok));
+    List<Boolean> told = new ArrayList<>();
+    runUntil(
+        () -> told.contains(true),
+        () -> writes.write("plan/a", Body.of().with("says", "ended"), told::add));
+    assertEquals(409, apply(held.get(0)));
+    assertEquals("ended", keys.get("plan/a").data.get("says"));
+  }
+
   @Test
   void pagesHoldWhatFitsAndAreUsedAgain() throws IOException {
     Pages<String> pages = pages();
