Changes are taken in the order in which they happened; a malformed report is refused as ever while the records are read

Cause, by reading PROTOCOL: /changes promises no order and its example has the later revision first. A job accepted and cancelled between two answers, told in that order, would have been live to the leader from then on, and would have been started. Answer.events sorts by revision (PagesTest). Reports are read before it is decided whether they may be answered, so 400 and a higher token come first, as before the mend of what is cancelled.

--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -248,7 +248,7 @@
             loop.after(AGAIN, this, () -> watch(after));
           } else {
             try {
-              for (Body event : a.body().maps(Wire.EVENTS)) {
+              for (Body event : a.events()) {
                 take(event);
               }
               books.mark();
--- a/src/main/java/io/saltflow/app/WorkerApi.java
+++ b/src/main/java/io/saltflow/app/WorkerApi.java
@@ -63,10 +63,6 @@
       }
       return elsewhere();
     }
-    Leader core = leader.get();
-    if (core == null || !authority.mayKeep(now)) {
-      return HttpReply.empty(NOT_NOW);
-    }
     Report report;
     try {
       report = WorkerCodec.decodeReport(MsgPack.decode(body));
@@ -77,6 +73,10 @@
       onHigherToken.run();
       return elsewhere();
     }
+    Leader core = leader.get();
+    if (core == null || !authority.mayKeep(now)) {
+      return HttpReply.empty(NOT_NOW);
+    }
     List<Order> orders = core.onReport(report, authority.mayLaunch(now), now);
     if (orders == null) {
       return HttpReply.empty(NOT_NOW);
--- a/src/main/java/io/saltflow/bookkeeping/PlanBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/PlanBooks.java
@@ -167,7 +167,7 @@
             return;
           }
           try {
-            for (Body event : a.ok() ? a.body().maps(Wire.EVENTS) : List.<Body>of()) {
+            for (Body event : a.ok() ? a.events() : List.<Body>of()) {
               String key = event.textOr(Wire.PUT, null);
               if (key != null) {
                 planned(key, event.map(Wire.VALUE), new Stamp(event.integer(Wire.VERSION)));
--- a/src/main/java/io/saltflow/bookkeeping/StateClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -14,6 +14,7 @@
 import io.saltflow.transport.Routine;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.Iterator;
 import java.util.List;
@@ -66,6 +67,19 @@
           && failed.contains(key);
     }
 
+    /**
+     * What a watch tells of, in the order in which it happened. PROTOCOL promises no order, and its
+     * example has the later change first: taken so, a job that was accepted and cancelled between
+     * two answers would be gone before it was there, and live from then on.
+     */
+    public List<Body> events() throws BadMessage {
+      List<Body> events = new ArrayList<>(body.maps(Wire.EVENTS));
+      events.sort(
+          Comparator.comparingLong(
+              e -> e.get(Wire.VERSION) instanceof Long n ? n : Long.MAX_VALUE));
+      return events;
+    }
+
     public long revision() {
       return body != null && body.get(Wire.REVISION) instanceof Long n ? n : 0;
     }
--- a/src/test/java/io/saltflow/app/NodeTest.java
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -231,6 +231,10 @@
     state.setDown(true, loop.now());
     assertEquals(503, submit("req-000006", "red"));
     assertEquals(503, submit("req-000005", "nobody"), "neither 200 nor 422 can be told");
+    assertEquals(400, call("POST", "/submissions", new byte[] {1, 2, 3}));
+    assertEquals(400, submit("no id", "red"));
+    assertEquals(503, call("POST", "/submissions/req-000005/withdraw", NOTHING));
+    assertEquals(503, call("POST", "/submissions/req-000007/withdraw", NOTHING));
     assertEquals(503, call("GET", "/submissions/req-000005", NOTHING));
     assertEquals(503, call("GET", "/submissions/req-000007", NOTHING), "404 would be a guess");
     assertEquals(200, call("GET", "/submissions/req-000001", NOTHING), "an end never changes");
@@ -277,6 +281,8 @@
     user = new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + node.port()), 4, 16);
     byte[] report = MsgPack.encode(report(1));
     assertEquals(503, call("POST", "/checkin", report));
+    assertEquals(400, call("POST", "/checkin", Arrays.copyOf(report, 40)), "as ever");
+    assertEquals(405, call("GET", "/checkin", NOTHING));
     loop.after(Span.millis(200), root, () -> unread = false);
     assertEquals(200, call("POST", "/checkin", report));
     assertEquals(2L, body.get("baton"));
--- a/src/test/java/io/saltflow/bookkeeping/PagesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/PagesTest.java
@@ -262,6 +262,17 @@
     assertEquals(104, epoch);
   }
 
+  /** Accepted and cancelled between two answers: it is not live, in whatever order that is told. */
+  @Test
+  void changesAreTakenInTheOrderInWhichTheyHappened() throws BadMessage {
+    Body cancelled = Body.of().with("delete", "live/a").with("stamp", 433L);
+    Body accepted = Body.of().with("put", "live/a").with("data", Body.of()).with("stamp", 432L);
+    Body told = Body.of().with("epoch", 433L).with("news", List.of(cancelled, accepted));
+    StateClient.Answer answer = new StateClient.Answer(200, sent(told), loop.now());
+    assertEquals("live/a", answer.events().get(0).get("put"));
+    assertEquals("live/a", answer.events().get(1).get("delete"));
+  }
+
   /** What a launch waits for goes before users, and books go last, whoever asked first. */
   @Test
   void budgetGoesByRank() throws IOException {
