--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -341,13 +341,8 @@
         });
   }
 
-  /**
-   * Otherwise somebody else may lead by now. In an outage for all nobody can, and machines that are
-   * rented meanwhile are up when it ends.
-   */
   private boolean mayRent() {
-    return authority.mayLaunch(loop.now())
-        || (authority.mayKeep(loop.now()) && outageForAll.getAsBoolean());
+    return authority.mayRent(outageForAll.getAsBoolean(), loop.now());
   }
 
   private void rent() {
@@ -389,9 +384,7 @@
   }
 
   private void giveBack() {
-    if (!authority.mayLaunch(loop.now())) {
-      // A leader that is cut off sees only silence. Its deletes would be held back and carried out
-      // minutes later, on machines that a successor is using.
+    if (!authority.mayReturn(loop.now())) {
       return;
     }
     pendingDeletes.addAll(leader.toDelete(loop.now()));
--- a/src/main/java/io/saltflow/coordination/Authority.java
+++ b/src/main/java/io/saltflow/coordination/Authority.java
@@ -118,4 +118,21 @@
     return leading
         && (mayLaunch(now) || now.before(Time.earlier(renewed, synced).plus(keepAfterSync)));
   }
+
+  /**
+   * A rental of a leader that is none any more is found by its successor, and paid until then. In
+   * an outage for all nobody else can be elected, and machines that are rented meanwhile are up
+   * when it ends.
+   */
+  public boolean mayRent(boolean outageForAll, Time now) {
+    return mayLaunch(now) || (outageForAll && mayKeep(now));
+  }
+
+  /**
+   * A leader that is cut off sees only silence. Its deletes would be held back and carried out
+   * minutes later, on machines that a successor is using.
+   */
+  public boolean mayReturn(Time now) {
+    return mayLaunch(now);
+  }
 }
--- a/src/test/java/io/saltflow/coordination/AuthorityTest.java
+++ b/src/test/java/io/saltflow/coordination/AuthorityTest.java
@@ -30,6 +30,9 @@
     // The lease may run a little faster elsewhere, and counts from when it was asked for.
     assertFalse(a.mayLaunch(at(4.91)));
     assertTrue(a.mayKeep(at(14.9)));
+    assertTrue(a.mayRent(true, at(14.9)), "in an outage for all nobody else leads");
+    assertFalse(a.mayRent(false, at(14.9)) || a.mayReturn(at(14.9)));
+    assertFalse(a.mayRent(true, at(15.1)));
     assertFalse(a.mayKeep(at(15.1)));
     a.renewed(at(10));
     a.synced(at(2));
