--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -122,6 +122,9 @@
     /** Until then its reports arrive and no answer reaches it. */
     long deafUntil;
 
+    /** Until then it waits for an answer: it has one report in flight. */
+    long waitsUntil;
+
     /** Who answered it last: it stays there until it is sent away. */
     Lead at;
 
@@ -634,7 +637,7 @@
   }
 
   private void report(Worker w) {
-    if (w.dead || now < w.upAt || now < w.hungUntil || now < w.nextReport) {
+    if (w.dead || now < w.upAt || now < w.hungUntil || now < w.nextReport || now < w.waitsUntil) {
       return;
     }
     w.nextReport = now + 3000;
@@ -696,7 +699,7 @@
     if (slow > 0 && chance(slow)) {
       long at = now + STEP * (1 + random.nextInt(10));
       underway.add(new Underway(at, now, w.session, w, to, orders));
-      w.nextReport = Math.min(at, now + PATIENCE) + STEP;
+      w.waitsUntil = Math.min(at, now + PATIENCE);
       return;
     }
     w.answered(to, now, orders);
