--- a/src/test/java/io/saltflow/app/NodeTest.java
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -82,8 +82,7 @@
     assertEquals(200, status);
     for (int i = 0; i < 200 && submit("req-000001", "red") == 503; i++) {
       // The machine types are not known in the first moments.
-      loop.after(Span.millis(20), root, loop::pause);
-      loop.run();
+      pass(20);
     }
     assertEquals(201, status);
   }
@@ -346,8 +345,7 @@
       if (lead != null && !lead.data().get("nonce").equals(nonce)) {
         return lead.data().get("nonce");
       }
-      loop.after(Span.millis(20), root, loop::pause);
-      loop.run();
+      pass(20);
     }
     return null;
   }
@@ -364,8 +362,7 @@
     assertEquals("it came while this controller stood still", body.get("error"));
     assertEquals(200, call("GET", "/healthz", NOTHING));
     for (int i = 0; i < 200 && call("GET", "/submissions/req-000001", NOTHING) == 503; i++) {
-      loop.after(Span.millis(20), root, loop::pause);
-      loop.run();
+      pass(20);
     }
     assertEquals(200, status);
   }
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -309,7 +309,7 @@
   /** Which part of a leader's transactions gets no answer and is carried out 2 to 12 s later. */
   double late;
 
-  /** Whether workers stay with a leader that the state service refuses, as they do. */
+  /** Leaders whose lease ended while they were refused: workers stay until they are sent away. */
   private final List<Lead> refused = new ArrayList<>();
 
   Lead lead;
