Submissions may name the jobs that they depend on: decoded, checked and recorded

Need: issue on pipelines; a submission has a new field, awaits. Change: JobSpec holds the dependencies, JobCodec checks them (at most 32, each once, not the job itself), JobStore records a job that has some under another field than its plain description, so that the version in production can't read and start it as if it had none. Nothing acts on them yet.

--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -31,6 +31,14 @@
   private static final int REMEMBERED = 4000;
   private static final int MOST_TOLD = 100;
   private static final String SPEC = "spec";
+
+  /**
+   * Instead of {@link #SPEC} in the record of a job that depends on others. Versions that know no
+   * dependencies ignore the field {@code awaits} and would start the job at once; without a field
+   * {@code spec} they can't read the record, so they don't start it, and answer that it is pending.
+   */
+  private static final String DEPENDENT_SPEC = "dependentSpec";
+
   private static final String ARRIVED = "at";
   private static final String DONE_COUNT = "n";
   private static final String STARTED = "started";
@@ -368,7 +376,8 @@
   }
 
   private static Body encode(JobSpec spec, long wallMs, Lane lane) {
-    Body body = Body.of().with(SPEC, JobCodec.encode(spec)).with(ARRIVED, wallMs);
+    String field = spec.awaits().isEmpty() ? SPEC : DEPENDENT_SPEC;
+    Body body = Body.of().with(field, JobCodec.encode(spec)).with(ARRIVED, wallMs);
     // The lane of an urgency says nothing that the description does not.
     return lane.name().isEmpty() ? body : body.with(LANE, List.of(lane.rank(), lane.name()));
   }
@@ -385,7 +394,8 @@
    * @param version of its key: what was written at the acceptance is of its revision
    */
   public static Recorded decode(Body record, Stamp version) throws BadMessage {
-    JobSpec spec = JobCodec.decode(record.map(SPEC));
+    String field = record.get(DEPENDENT_SPEC) == null ? SPEC : DEPENDENT_SPEC;
+    JobSpec spec = JobCodec.decode(record.map(field));
     Place place = new Place(version.number(), 0);
     if (record.get(PLACE) instanceof List<?> l
         && l.size() == 2
--- a/src/main/java/io/saltflow/protocol/JobCodec.java
+++ b/src/main/java/io/saltflow/protocol/JobCodec.java
@@ -1,5 +1,6 @@
 package io.saltflow.protocol;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /** A job's description to and from its wire form. */
@@ -7,6 +8,12 @@
   private static final int MAX_TASKS = 100_000;
   private static final int MAX_TEXT = 200;
 
+  /**
+   * The most jobs that a job may depend on: with ids of 26 characters they take half of a value of
+   * 2 KiB, the smallest that a state service is known to allow.
+   */
+  public static final int MAX_AWAITS = 32;
+
   private JobCodec() {}
 
   /** The id alone, which is looked up before anything else is judged. */
@@ -52,7 +59,35 @@
         b.seconds(Wire.ESTIMATE_S),
         b.seconds(Wire.CHECKPOINT_S),
         b.seconds(Wire.SAVE_S),
-        deadline);
+        deadline,
+        awaits(b));
+  }
+
+  /** The jobs that it depends on: accepted jobs, each named once, and not the job itself. */
+  private static List<JobId> awaits(Body b) throws BadMessage {
+    if (b.get(Wire.AWAITS) == null) {
+      return List.of();
+    }
+    List<String> names = b.texts(Wire.AWAITS);
+    if (names.size() > MAX_AWAITS) {
+      throw new BadMessage(Wire.AWAITS + ": more than " + MAX_AWAITS + " jobs");
+    }
+    List<JobId> out = new ArrayList<>();
+    for (String name : names) {
+      if (!JobId.valid(name)) {
+        throw new BadMessage(
+            Wire.AWAITS + ": not all are of the form " + Wire.JOB_PREFIX + "digits");
+      }
+      JobId id = new JobId(name);
+      if (out.contains(id)) {
+        throw new BadMessage(Wire.AWAITS + ": " + name + " is named twice");
+      }
+      out.add(id);
+    }
+    if (out.contains(id(b))) {
+      throw new BadMessage(Wire.AWAITS + ": the job itself");
+    }
+    return List.copyOf(out);
   }
 
   private static String shortText(Body b, String name) throws BadMessage {
@@ -63,7 +98,15 @@
     return text;
   }
 
+  /** The wire form; dependencies are left out where there are none, as former versions did. */
   public static Body encode(JobSpec s) {
+    Body body = encodeAlone(s);
+    return s.awaits().isEmpty()
+        ? body
+        : body.with(Wire.AWAITS, s.awaits().stream().map(JobId::text).toList());
+  }
+
+  private static Body encodeAlone(JobSpec s) {
     return Body.of()
         .with(Wire.ID, s.id().text())
         .with(Wire.CLASS, s.jobClass())
--- a/src/main/java/io/saltflow/protocol/JobSpec.java
+++ b/src/main/java/io/saltflow/protocol/JobSpec.java
@@ -2,7 +2,12 @@
 
 import java.util.List;
 
-/** What a user asked for. {@code deadline} and the lists may be null: no deadline, any type. */
+/**
+ * What a user asked for. {@code deadline} and {@code types} may be null: no deadline, any type.
+ *
+ * @param awaits the jobs that have to be done before any task of this one starts; in a job's record
+ *     those of them that were not known to be done when it was accepted
+ */
 public record JobSpec(
     JobId id,
     String jobClass,
@@ -21,7 +26,74 @@
     Span estimate,
     Span checkpoint,
     Span save,
-    Span deadline) {
+    Span deadline,
+    List<JobId> awaits) {
+
+  /** A job that depends on no other. */
+  public JobSpec(
+      JobId id,
+      String jobClass,
+      String team,
+      boolean daemon,
+      Priority priority,
+      int tasks,
+      Size size,
+      List<String> types,
+      String zone,
+      boolean oneZone,
+      boolean spread,
+      boolean spotAllowed,
+      String image,
+      double imageGb,
+      Span estimate,
+      Span checkpoint,
+      Span save,
+      Span deadline) {
+    this(
+        id,
+        jobClass,
+        team,
+        daemon,
+        priority,
+        tasks,
+        size,
+        types,
+        zone,
+        oneZone,
+        spread,
+        spotAllowed,
+        image,
+        imageGb,
+        estimate,
+        checkpoint,
+        save,
+        deadline,
+        List.of());
+  }
+
+  /** The same job with other dependencies. */
+  public JobSpec awaiting(List<JobId> others) {
+    return new JobSpec(
+        id,
+        jobClass,
+        team,
+        daemon,
+        priority,
+        tasks,
+        size,
+        types,
+        zone,
+        oneZone,
+        spread,
+        spotAllowed,
+        image,
+        imageGb,
+        estimate,
+        checkpoint,
+        save,
+        deadline,
+        List.copyOf(others));
+  }
 
   public boolean checkpoints() {
     return checkpoint.ms() > 0;
--- a/src/main/java/io/saltflow/protocol/JsonJobs.java
+++ b/src/main/java/io/saltflow/protocol/JsonJobs.java
@@ -15,7 +15,7 @@
 public final class JsonJobs {
   private static final Map<String, Object> DEFAULTS = new TreeMap<>();
   private static final List<String> OPTIONAL =
-      List.of(Wire.ID, Wire.TEAM, Wire.TYPES, Wire.ZONE, Wire.DEADLINE_S);
+      List.of(Wire.ID, Wire.TEAM, Wire.TYPES, Wire.ZONE, Wire.DEADLINE_S, Wire.AWAITS);
   private static final List<String> REQUIRED = List.of(Wire.CORES, Wire.ESTIMATE_S);
 
   static {
--- a/src/main/java/io/saltflow/protocol/Wire.java
+++ b/src/main/java/io/saltflow/protocol/Wire.java
@@ -50,6 +50,9 @@
   public static final String SAVE_S = "flushS";
   public static final String DEADLINE_S = "dueS";
 
+  /** Jobs that have to be done before any task of this one starts. */
+  public static final String AWAITS = "awaits";
+
   public static final String STATE = "phase";
   public static final String STATE_PENDING = "pending";
   public static final String STATE_RUNNING = "running";
