Jobs that depend on others are admitted by the states of their dependencies

Need: a submission may name jobs that have to be done before it starts. Change: DependencyLookup tells of many jobs with one transaction without writes whether they are live, over or neither; what is neither is looked for in the bundles and compared once more, which proves absence since jobs move from bundles to live records to ends. DependentAdmission decides by that: done dependencies leave the record, one that is cancelled makes the job accepted and cancelled at once, one that was never accepted is a 422 unless the job is known, and what can't be told a 503.

--- a/src/main/java/io/saltflow/app/UserApi.java
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -97,12 +97,12 @@
       unlessKnown(id, Replies.comeBack("machine types are not known yet", 1), bounded);
       return;
     }
-    String never =
+    String neverRuns =
         spec.jobClass().startsWith(Wire.SERVICE_CLASS)
             ? Wire.CLASS + ": the class of a service, which is set up as such"
             : neverRuns(spec);
-    if (never != null) {
-      unlessKnown(id, Replies.error(422, never), bounded);
+    if (neverRuns != null) {
+      unlessKnown(id, Replies.error(422, neverRuns), bounded);
       return;
     }
     jobs.admit(
@@ -111,6 +111,11 @@
         outcome -> {
           if (outcome instanceof JobStore.Outcome.Created) {
             bounded.accept(Replies.job(201, id, Wire.STATE_PENDING, 0, 0));
+          } else if (outcome instanceof JobStore.Outcome.CreatedCancelled) {
+            bounded.accept(Replies.job(201, id, Wire.STATE_CANCELLED, 0, 0));
+          } else if (outcome instanceof JobStore.Outcome.NeverAccepted never) {
+            String reason = Wire.AWAITS + ": " + never.dependency() + " was never accepted";
+            bounded.accept(Replies.error(422, reason));
           } else if (outcome instanceof JobStore.Outcome.TooLarge) {
             bounded.accept(Replies.error(400, "the description is too large to be recorded"));
           } else {
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -68,6 +68,9 @@
   public sealed interface Outcome {
     record Created(JobId id) implements Outcome {}
 
+    /** Accepted, and cancelled at once as it depends on a cancelled job. */
+    record CreatedCancelled(JobId id) implements Outcome {}
+
     record Found(Known job) implements Outcome {}
 
     record Absent() implements Outcome {}
@@ -76,6 +79,9 @@
     record Unknown() implements Outcome {}
 
     record TooLarge() implements Outcome {}
+
+    /** Refused, as it depends on a job that was never accepted. */
+    record NeverAccepted(JobId dependency) implements Outcome {}
   }
 
   /** A live job as it was recorded. */
@@ -88,6 +94,7 @@
   private final LiveCheck live;
   private final FirstLooks firstLooks;
   private final Admissions admissions;
+  private final DependentAdmission dependents;
   private final Set<String> toldOf = new HashSet<>();
   private final Map<JobId, Known> over =
       new LinkedHashMap<>(64, 0.75f, false) {
@@ -118,10 +125,58 @@
     live = new LiveCheck(this, loop, state, txnOps);
     firstLooks = new FirstLooks(this, loop, state, live);
     admissions = new Admissions(this, loop, state, live, this::find, valueBytes, txnOps, process);
+    DependencyLookup lookup = new DependencyLookup(this, loop, state, new Ends(), txnOps);
+    dependents = new DependentAdmission(this, loop, state, lookup, new DependentRecords());
   }
 
   /** Writes a new job down, or finds that it is known. */
   public void admit(JobSpec spec, long wallMs, Consumer<Outcome> then) {
+    if (spec.awaits().isEmpty()) {
+      record(spec, wallMs, then);
+    } else {
+      dependents.admit(spec, wallMs, then);
+    }
+  }
+
+  /** For the lookup of dependencies. */
+  private final class Ends implements DependencyLookup.Ends {
+    @Override
+    public Known known(JobId id) {
+      return over.get(id);
+    }
+
+    @Override
+    public void read(JobId id, Consumer<Outcome> then) {
+      Runnable absent = () -> then.accept(new Outcome.Unknown());
+      readOver(id, StateClient.Rank.USER, then, absent);
+    }
+  }
+
+  /** For the acceptance of jobs that depend on others. */
+  private final class DependentRecords implements DependentAdmission.Records {
+    @Override
+    public boolean seen(JobId id) {
+      return over.containsKey(id) || live.knows(id);
+    }
+
+    @Override
+    public void find(JobId id, Consumer<Outcome> then) {
+      JobStore.this.find(id, then);
+    }
+
+    @Override
+    public void accept(JobSpec spec, long wallMs, Consumer<Outcome> then) {
+      record(spec, wallMs, then);
+    }
+
+    @Override
+    public void cancelled(Known end) {
+      over.put(end.id(), end);
+      live.forget(end.id());
+    }
+  }
+
+  private void record(JobSpec spec, long wallMs, Consumer<Outcome> then) {
     admissions.add(spec.id(), encode(spec, wallMs, lanes.of(spec)), then);
   }
 
@@ -359,7 +414,7 @@
         });
   }
 
-  private static Body ending(Known k) {
+  static Body ending(Known k) {
     return Body.of().with(PHASE, k.phase().name()).with(DONE_COUNT, k.done());
   }
 
