--- a/src/main/java/io/saltflow/serving/QueueDuty.java
+++ b/src/main/java/io/saltflow/serving/QueueDuty.java
@@ -234,8 +234,9 @@
             }
             if (outcome instanceof JobStore.Outcome.TooLarge) {
               over(a.message(), false, "its job's description is too large", 0);
-            } else if (outcome instanceof JobStore.Outcome.NeverAccepted never) {
-              String reason = "its job awaits " + never.dependency() + ", which was never accepted";
+            } else if (outcome instanceof JobStore.Outcome.NeverAccepted refused) {
+              String reason =
+                  "its job awaits " + refused.dependency() + ", which was never accepted";
               over(a.message(), false, reason, 0);
             } else if (outcome instanceof JobStore.Outcome.CreatedCancelled) {
               over(a.message(), false, null, 0);
--- a/src/test/java/io/saltflow/app/NodeTest.java
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -223,6 +223,37 @@
     assertEquals(404, call("GET", "/nothing", NOTHING));
   }
 
+  private int submitAwaiting(String id, Object awaits) throws IOException {
+    Body submission = submission(id, "red").with("awaits", awaits);
+    return call("POST", "/submissions", MsgPack.encode(submission));
+  }
+
+  @Test
+  void aPipelineAsItsUserSeesIt() throws IOException {
+    assertEquals(201, submitAwaiting("req-000002", List.of("req-000001")));
+    assertEquals("pending", body.get("phase"));
+    assertEquals(422, submitAwaiting("req-000003", List.of("req-000002", "req-000009")));
+    assertEquals("awaits: req-000009 was never accepted", body.get("error"));
+    assertEquals(404, call("GET", "/submissions/req-000003", NOTHING));
+    assertEquals(400, submitAwaiting("req-000003", List.of("req-000003")));
+    assertEquals("awaits: the job itself", body.get("error"));
+    assertEquals(200, submitAwaiting("req-000002", List.of("req-000009")), "known already");
+    assertEquals(200, submitAwaiting("req-000002", List.of("req-000002")), "whatever it says");
+    Body service = submission("req-000004", "red").with("shape", "daemon");
+    byte[] waits = MsgPack.encode(service.with("awaits", List.of("req-000001")));
+    assertEquals(201, call("POST", "/submissions", waits), "a service waits as any job");
+
+    assertEquals(200, call("POST", "/submissions/req-000001/withdraw", NOTHING));
+    assertEquals(201, submitAwaiting("req-000005", List.of("req-000001")));
+    assertEquals("cancelled", body.get("phase"));
+    assertEquals(200, submitAwaiting("req-000005", List.of("req-000001")));
+    assertEquals("cancelled", body.get("phase"));
+    assertEquals(201, submitAwaiting("req-000006", List.of("req-000005")), "through another");
+    assertEquals("cancelled", body.get("phase"));
+    state.setDown(true, loop.now());
+    assertEquals(503, submitAwaiting("req-000007", List.of("req-000009")), "no 422 by guess");
+  }
+
   @Test
   void inAnOutageNothingIsToldThatIsNotKnown() throws IOException {
     assertEquals(200, call("POST", "/submissions/req-000001/withdraw", NOTHING));
--- /dev/null
+++ b/src/test/java/io/saltflow/bookkeeping/AdmissionWorld.java
@@ -0,0 +1,283 @@
+package io.saltflow.bookkeeping;
+
+import io.saltflow.kv.KeyStore;
+import io.saltflow.kv.Limits;
+import io.saltflow.lanes.Lanes;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JobCodec;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Wire;
+import io.saltflow.standin.StateStore;
+import io.saltflow.statestore.StateFront;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpReply;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/**
+ * Nodes before one state service in memory. Messages to it are numbered from the moment when the
+ * first submission is made, and trouble may happen to each. The clock jumps when nothing but timers
+ * is waited for.
+ */
+final class AdmissionWorld implements AutoCloseable {
+  /** A job's life as the state service has it. */
+  enum Stage {
+    NONE,
+    BUNDLED,
+    LIVE,
+    DONE,
+    CANCELLED
+  }
+
+  /** What may happen to a message. */
+  enum Fault {
+    /** Carried out, without an answer. */
+    LOST,
+    /** No answer, and carried out after everything else. */
+    LATE,
+    REFUSED,
+    LIMITED
+  }
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private static final long JUMP_MS = 100;
+  private static final int IDLE_TURNS = 2;
+  private static final int MAX_TURNS = 4000;
+
+  final List<String> asked = new ArrayList<>();
+  final StateStore store;
+  private final Root root = new Root();
+  private final Map<Integer, Runnable> before = new HashMap<>();
+  private final Map<Integer, Fault> faults = new HashMap<>();
+  private final Map<JobId, Stage> stages = new HashMap<>();
+  private final List<Runnable> late = new ArrayList<>();
+  private final int txnOps;
+  private final Loop loop;
+  private final StateFront front;
+  private final HttpServer server;
+  private long aheadMs;
+  private int messages;
+  private boolean moved;
+
+  AdmissionWorld(int txnOps) throws IOException {
+    this.txnOps = txnOps;
+    loop = new Loop(() -> System.nanoTime() + aheadMs * 1_000_000, System::currentTimeMillis);
+    store = new StateStore(new Limits(1000, 1000, 8, txnOps), steps -> {}, loop.now());
+    front = new StateFront(root, loop, store.core(), () -> store.flush(loop.now()));
+    server = new HttpServer(root, loop, Addresses.parse("127.0.0.1:0"), 64, this::handle);
+  }
+
+  private void handle(String method, String target, byte[] body, Consumer<HttpReply> answer) {
+    int number = messages++;
+    asked.add(method + " " + target);
+    Runnable event = before.get(number);
+    if (event != null) {
+      moved = true;
+      event.run();
+    }
+    Fault fault = faults.get(number);
+    if (fault == null) {
+      front.handle(method, target, body, answer);
+      return;
+    }
+    switch (fault) {
+      case LOST -> front.handle(method, target, body, reply -> {});
+      case LATE -> late.add(() -> front.handle(method, target, body, reply -> {}));
+      case REFUSED -> answer.accept(HttpReply.empty(503));
+      case LIMITED -> answer.accept(HttpReply.empty(429));
+      default -> throw new IllegalStateException();
+    }
+  }
+
+  JobStore node(String name) {
+    HttpClient http =
+        new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + server.port()), 8, 64);
+    StateClient state = new StateClient(root, loop, http, http, 450, 15);
+    return new JobStore(root, loop, state, 8, txnOps, name, Lanes.NONE);
+  }
+
+  /** Something happens right before the message of that number is carried out. */
+  void before(int number, Runnable event) {
+    before.put(number, event);
+  }
+
+  /** Whether that was reached. */
+  boolean moved() {
+    return moved;
+  }
+
+  void fault(int number, Fault fault) {
+    if (fault != null) {
+      faults.put(number, fault);
+    }
+  }
+
+  /** From here on messages are carried out at once; those that were held back are now. */
+  void carryOutLate() {
+    before.clear();
+    faults.clear();
+    late.forEach(Runnable::run);
+  }
+
+  static JobSpec spec(JobId id, List<JobId> awaits) {
+    Body body =
+        Body.of()
+            .with("id", id.text())
+            .with("lane", "pages")
+            .with("crew", "red")
+            .with("shape", "array")
+            .with("urgency", "high")
+            .with("shards", 3L)
+            .with("cores", 2.0)
+            .with("gpus", 0.0)
+            .with("ramGb", 4.0)
+            .with("bundle", "img-01")
+            .with("sizeGb", 1.5)
+            .with("together", false)
+            .with("apart", false)
+            .with("loaners", true)
+            .with("expectS", 40.0)
+            .with("snapshotS", 0.0)
+            .with("flushS", 0.0)
+            .with(Wire.AWAITS, awaits.stream().map(JobId::text).toList());
+    try {
+      return JobCodec.decode(body);
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  static Body record(JobId id) {
+    return Body.of().with("spec", JobCodec.encode(spec(id, List.of()))).with("at", 5L);
+  }
+
+  private static String bundleOf(JobId id) {
+    return Bundles.key("of-" + id);
+  }
+
+  /** The leader, another node or a user does that to a job. */
+  void moveTo(JobId id, Stage stage) {
+    Txn txn = new Txn();
+    Stage from = stages.getOrDefault(id, Stage.NONE);
+    switch (stage) {
+      case BUNDLED -> txn.put(bundleOf(id), Bundles.encode(Map.of(id, record(id))));
+      case LIVE -> {
+        txn.put(Keys.live(id), record(id));
+        if (from == Stage.BUNDLED) {
+          txn.delete(bundleOf(id));
+        }
+      }
+      case DONE, CANCELLED -> {
+        JobStore.Phase phase = JobStore.Phase.valueOf(stage.name());
+        txn.put(Keys.over(id), JobStore.ending(new JobStore.Known(id, phase, 0)))
+            .delete(Keys.live(id));
+      }
+      default -> {
+        return;
+      }
+    }
+    stages.put(id, stage);
+    commit(txn);
+  }
+
+  void commit(Txn txn) {
+    try {
+      if (store.commit(MsgPack.decode(MsgPack.encode(txn.body()))).status() != 200) {
+        throw new IllegalStateException();
+      }
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  JobStore.Outcome admit(JobStore node, JobSpec spec) throws IOException {
+    return await(then -> node.admit(spec, 5, then));
+  }
+
+  JobStore.Outcome find(JobStore node, JobId id) throws IOException {
+    return await(then -> node.find(id, then));
+  }
+
+  private JobStore.Outcome await(Consumer<Consumer<JobStore.Outcome>> act) throws IOException {
+    List<JobStore.Outcome> told = new ArrayList<>();
+    act.accept(told::add);
+    runUntil(() -> !told.isEmpty());
+    return told.get(0);
+  }
+
+  void runUntil(BooleanSupplier reached) throws IOException {
+    int sent = -1;
+    int idle = 0;
+    for (int i = 0; i < MAX_TURNS && !reached.getAsBoolean(); i++) {
+      idle = sent == messages ? idle + 1 : 0;
+      sent = messages;
+      if (idle > IDLE_TURNS) {
+        aheadMs += JUMP_MS;
+      }
+      loop.after(Span.millis(1), root, loop::pause);
+      loop.run();
+    }
+    if (!reached.getAsBoolean()) {
+      throw new IllegalStateException("nothing happens after " + asked);
+    }
+  }
+
+  /** How a job ended, by its record; null: it did not. */
+  KeyStore.Value endOf(JobId id) {
+    return store.value(Keys.over(id));
+  }
+
+  /** Whether a bundle holds the job. */
+  boolean bundled(JobId id) throws BadMessage {
+    return store.value(Keys.live(id)) == null && recordOf(id) != null;
+  }
+
+  /** The dependencies in a live job's record; null: there is no record. */
+  List<JobId> awaitsOf(JobId id) throws BadMessage {
+    Body record = recordOf(id);
+    return record == null ? null : JobStore.decode(record, Stamp.ABSENT).spec().awaits();
+  }
+
+  Body recordOf(JobId id) throws BadMessage {
+    KeyStore.Value own = store.value(Keys.live(id));
+    if (own != null) {
+      return sent(own.data());
+    }
+    Body listed = sent(store.list(Bundles.PREFIX, "", 1000).body());
+    for (Body pair : listed.maps(Wire.ITEMS)) {
+      Body bundled = Bundles.decode(pair.map(Wire.VALUE)).get(id);
+      if (bundled != null) {
+        return bundled;
+      }
+    }
+    return null;
+  }
+
+  static Body sent(Body body) throws BadMessage {
+    return MsgPack.decode(MsgPack.encode(body));
+  }
+
+  @Override
+  public void close() {
+    root.cancel();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/bookkeeping/DependentAdmissionTest.java
@@ -0,0 +1,389 @@
+package io.saltflow.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.bookkeeping.AdmissionWorld.Fault;
+import io.saltflow.bookkeeping.AdmissionWorld.Stage;
+import io.saltflow.lanes.Place;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JobCodec;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JobSpec;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Wire;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Submissions that name other jobs, over several nodes and one state service: at each stage of a
+ * dependency's life, which goes on while the submission is under way, with each message refused,
+ * its answer lost, or carried out late.
+ */
+class DependentAdmissionTest {
+  private static final JobId DEPENDENCY = new JobId("req-000001");
+  private static final JobId DEPENDENT = new JobId("req-000002");
+
+  private static final List<List<Stage>> LIVES =
+      List.of(
+          List.of(Stage.NONE, Stage.LIVE, Stage.DONE),
+          List.of(Stage.NONE, Stage.BUNDLED, Stage.LIVE, Stage.DONE),
+          List.of(Stage.LIVE, Stage.CANCELLED),
+          List.of(Stage.BUNDLED, Stage.LIVE, Stage.CANCELLED),
+          List.of(Stage.BUNDLED, Stage.CANCELLED));
+
+  /** More messages than any submission without trouble sends. */
+  private static final int MESSAGES = 12;
+
+  private static JobId id(int n) {
+    return new JobId(String.format("req-%06d", n));
+  }
+
+  private static boolean isEnd(Stage stage) {
+    return stage == Stage.DONE || stage == Stage.CANCELLED;
+  }
+
+  /**
+   * One submission, repeated at other nodes until it is answered.
+   *
+   * @param start the stage of the dependency's life when the submission comes
+   * @param moveAt the message before which its life goes on
+   * @param moves by how many stages
+   * @param faultAt the message that the fault happens to
+   */
+  private record History(
+      List<Stage> life, int start, int moveAt, int moves, int faultAt, Fault fault) {
+
+    /** What is wrong with what users are told and what is recorded, or null. */
+    String play() throws IOException, BadMessage {
+      try (AdmissionWorld world = new AdmissionWorld(8)) {
+        List<JobStore> nodes = List.of(world.node("a"), world.node("b"), world.node("c"));
+        for (int i = 0; i <= start; i++) {
+          world.moveTo(DEPENDENCY, life.get(i));
+        }
+        int end = Math.min(life.size() - 1, start + moves);
+        world.before(
+            moveAt,
+            () -> {
+              for (int i = start + 1; i <= end; i++) {
+                world.moveTo(DEPENDENCY, life.get(i));
+              }
+            });
+        world.fault(faultAt, fault);
+        JobSpec spec = AdmissionWorld.spec(DEPENDENT, List.of(DEPENDENCY));
+        JobStore.Outcome told = null;
+        int tries = 0;
+        while (told == null || told instanceof JobStore.Outcome.Unknown) {
+          if (tries == 4) {
+            return "no answer in " + tries + " tries";
+          }
+          told = world.admit(nodes.get(tries++ % 2), spec);
+        }
+        if (fault == null && tries > 1) {
+          return "not answered at once, without any trouble";
+        }
+        Stage now = world.moved() ? life.get(end) : life.get(start);
+        world.carryOutLate();
+        String wrong = judge(world, told, now);
+        for (JobStore node : nodes) {
+          wrong = wrong == null ? judgeLater(world, node, told) : wrong;
+        }
+        return wrong;
+      }
+    }
+
+    private String judge(AdmissionWorld world, JobStore.Outcome told, Stage now) throws BadMessage {
+      Stage before = life.get(start);
+      boolean cancelled = world.endOf(DEPENDENT) != null;
+      List<JobId> awaits = world.awaitsOf(DEPENDENT);
+      if (told instanceof JobStore.Outcome.NeverAccepted) {
+        if (before != Stage.NONE) {
+          return "422 on a stale look: it was " + before + " when the submission came";
+        }
+        return cancelled || awaits != null ? "refused, and recorded all the same" : null;
+      }
+      if (before == Stage.NONE && now == Stage.NONE) {
+        return "accepted, though its dependency never was: " + told;
+      }
+      if (cancelled) {
+        boolean listed = awaits != null && !world.bundled(DEPENDENT);
+        return now != Stage.CANCELLED || listed ? "cancelled without a cause: " + now : null;
+      }
+      if (awaits == null) {
+        return "accepted, but not recorded: " + told;
+      }
+      if (awaits.isEmpty() && now != Stage.DONE) {
+        return "may start, though its dependency is " + now;
+      }
+      if (before == Stage.CANCELLED) {
+        return "recorded as live, though its dependency was cancelled before";
+      }
+      return awaits.isEmpty() || awaits.equals(List.of(DEPENDENCY)) ? null : "awaits " + awaits;
+    }
+
+    /** A repeated submission and a poll, at any node, tell what the first told. */
+    private String judgeLater(AdmissionWorld world, JobStore node, JobStore.Outcome told)
+        throws IOException {
+      if (told instanceof JobStore.Outcome.NeverAccepted) {
+        return world.find(node, DEPENDENT) instanceof JobStore.Outcome.Absent
+            ? null
+            : "refused, and found later";
+      }
+      boolean ended = world.endOf(DEPENDENT) != null;
+      JobStore.Phase phase = ended ? JobStore.Phase.CANCELLED : JobStore.Phase.LIVE;
+      JobStore.Outcome known = new JobStore.Outcome.Found(new JobStore.Known(DEPENDENT, phase, 0));
+      JobStore.Outcome found = world.find(node, DEPENDENT);
+      if (!known.equals(found)) {
+        return "told " + told + ", then " + found;
+      }
+      JobStore.Outcome again = world.admit(node, AdmissionWorld.spec(DEPENDENT, List.of(id(777))));
+      return known.equals(again) ? null : "told " + told + ", to another submission " + again;
+    }
+  }
+
+  private static List<String> playAll(List<History> histories) throws IOException, BadMessage {
+    List<String> wrong = new ArrayList<>();
+    for (History each : histories) {
+      String fault = each.play();
+      if (fault != null) {
+        wrong.add(fault + ": " + each);
+      }
+    }
+    return wrong;
+  }
+
+  /** Whatever the dependency does between two messages of the submission. */
+  @Test
+  void dependencyMovesWhileItIsLookedUp() throws IOException, BadMessage {
+    List<History> histories = new ArrayList<>();
+    for (List<Stage> life : LIVES) {
+      for (int start = 0; start < life.size(); start++) {
+        histories.add(new History(life, start, MESSAGES, 0, MESSAGES, null));
+        for (int moves = 1; start + moves < life.size(); moves++) {
+          for (int at = 0; at < 7; at++) {
+            histories.add(new History(life, start, at, moves, MESSAGES, null));
+          }
+        }
+      }
+    }
+    assertEquals(List.of(), playAll(histories));
+    assertEquals(112, histories.size());
+  }
+
+  /** Each message of the submission in turn meets each kind of trouble. */
+  @Test
+  void messagesAreRefusedLostOrLate() throws IOException, BadMessage {
+    List<History> histories = new ArrayList<>();
+    for (List<Stage> life : LIVES) {
+      for (int start = 0; start < life.size(); start++) {
+        for (Fault fault : Fault.values()) {
+          for (int at = 0; at < 7; at++) {
+            histories.add(new History(life, start, MESSAGES, 0, at, fault));
+          }
+        }
+      }
+    }
+    assertEquals(List.of(), playAll(histories));
+  }
+
+  /** An answer is lost or comes late, and the dependency moves on before the repeated message. */
+  @Test
+  void dependencyMovesWhileAMessageIsLost() throws IOException, BadMessage {
+    List<History> histories = new ArrayList<>();
+    for (List<Stage> life : LIVES) {
+      for (int start = 0; start + 1 < life.size(); start++) {
+        for (int at = 0; at < 4; at++) {
+          histories.add(new History(life, start, at + 1, life.size(), at, Fault.LOST));
+          histories.add(new History(life, start, at + 1, life.size(), at, Fault.LATE));
+        }
+      }
+    }
+    assertEquals(List.of(), playAll(histories));
+  }
+
+  /** The states of several dependencies: what was never accepted decides, then what isn't known. */
+  @Test
+  void decisionsByTheStatesOfAll() {
+    assertEquals(
+        new DependentAdmission.Decision.Accept(List.of(id(2))),
+        decide(DependencyState.DONE, DependencyState.LIVE, DependencyState.DONE));
+    assertEquals(
+        new DependentAdmission.Decision.Accept(List.of()),
+        decide(DependencyState.DONE, DependencyState.DONE));
+    assertEquals(
+        new DependentAdmission.Decision.AcceptCancelled(),
+        decide(DependencyState.LIVE, DependencyState.CANCELLED, DependencyState.DONE));
+    assertEquals(
+        new DependentAdmission.Decision.Undecided(),
+        decide(DependencyState.CANCELLED, DependencyState.UNKNOWN));
+    assertEquals(
+        new DependentAdmission.Decision.Refuse(id(3)),
+        decide(DependencyState.UNKNOWN, DependencyState.CANCELLED, DependencyState.ABSENT));
+  }
+
+  private static DependentAdmission.Decision decide(DependencyState... states) {
+    Map<JobId, DependencyState> all = new LinkedHashMap<>();
+    for (DependencyState each : states) {
+      all.put(id(all.size() + 1), each);
+    }
+    return DependentAdmission.decide(all);
+  }
+
+  private static List<JobId> ids(int from, int to) {
+    return IntStream.range(from, to).mapToObj(DependentAdmissionTest::id).toList();
+  }
+
+  /** As many names as are allowed: a question for each dozen, within the smallest transactions. */
+  @Test
+  void manyDependenciesAreFewRequests() throws IOException, BadMessage {
+    try (AdmissionWorld world = new AdmissionWorld(4)) {
+      ids(0, 32).forEach(id -> world.moveTo(id, Stage.LIVE));
+      world.moveTo(id(7), Stage.DONE);
+      JobStore node = world.node("a");
+      JobSpec spec = AdmissionWorld.spec(id(100), ids(0, 32));
+      assertEquals(new JobStore.Outcome.Created(id(100)), world.admit(node, spec));
+      assertEquals(31, world.awaitsOf(id(100)).size());
+      assertFalse(world.awaitsOf(id(100)).contains(id(7)));
+      // Four comparisons of eight jobs, the end of one, the record.
+      assertEquals(6, world.asked.size(), world.asked.toString());
+    }
+  }
+
+  /** One dependency, which another node accepted: a single request beside that of the record. */
+  @Test
+  void oneDependencyCostsOneRequest() throws IOException, BadMessage {
+    try (AdmissionWorld world = new AdmissionWorld(8)) {
+      world.moveTo(DEPENDENCY, Stage.LIVE);
+      JobSpec spec = AdmissionWorld.spec(DEPENDENT, List.of(DEPENDENCY));
+      world.admit(world.node("a"), spec);
+      assertEquals(List.of("POST /multi", "POST /multi"), world.asked);
+    }
+  }
+
+  /** Two hundred jobs that need one, submitted in one moment. */
+  @Test
+  void manyDependentsOfOneShareItsLookup() throws IOException, BadMessage {
+    try (AdmissionWorld world = new AdmissionWorld(8)) {
+      world.moveTo(id(0), Stage.LIVE);
+      JobStore node = world.node("a");
+      List<JobStore.Outcome> told = new ArrayList<>();
+      for (JobId each : ids(1, 201)) {
+        node.admit(AdmissionWorld.spec(each, List.of(id(0))), 5, told::add);
+      }
+      world.runUntil(() -> told.size() == 200);
+      assertTrue(told.stream().allMatch(o -> o instanceof JobStore.Outcome.Created));
+      // One question, some fifteen records of their own, and bundles of some ten jobs.
+      assertTrue(world.asked.size() < 45, world.asked.size() + " requests");
+      for (JobId each : ids(1, 201)) {
+        assertEquals(List.of(id(0)), world.awaitsOf(each));
+      }
+    }
+  }
+
+  /** More jobs than are looked up at a time: the others are refused at once, not held. */
+  @Test
+  void tooManyLookupsAreRefusedAtOnce() throws IOException {
+    try (AdmissionWorld world = new AdmissionWorld(8)) {
+      JobStore node = world.node("a");
+      List<JobStore.Outcome> told = new ArrayList<>();
+      for (int n = 0; n < 20; n++) {
+        List<JobId> names = ids(1000 + 32 * n, 1032 + 32 * n);
+        node.admit(AdmissionWorld.spec(id(n), names), 5, told::add);
+      }
+      world.runUntil(() -> told.size() == 20);
+      long unknown = told.stream().filter(o -> o instanceof JobStore.Outcome.Unknown).count();
+      assertTrue(unknown >= 12, told.toString());
+      long refused = told.stream().filter(o -> o instanceof JobStore.Outcome.NeverAccepted).count();
+      assertEquals(20, unknown + refused);
+    }
+  }
+
+  /** What can't be read of a bundle may hold the job: it is not taken for one that never was. */
+  @Test
+  void unreadableBundleIsNoProofOfAbsence() throws IOException {
+    try (AdmissionWorld world = new AdmissionWorld(8)) {
+      Body torn = Body.of().with("torn", Body.of());
+      world.commit(new Txn().put(Bundles.key("torn"), torn));
+      JobStore node = world.node("a");
+      JobSpec spec = AdmissionWorld.spec(DEPENDENT, List.of(DEPENDENCY));
+      assertEquals(new JobStore.Outcome.Unknown(), world.admit(node, spec));
+    }
+  }
+
+  /**
+   * A job that lies in a bundle, as its record of its own is not written yet, is submitted again
+   * and names a cancelled job by now: it was accepted, and only the leader cancels it.
+   */
+  @Test
+  void jobInABundleIsKnownWhateverARepeatedSubmissionNames() throws IOException, BadMessage {
+    try (AdmissionWorld world = new AdmissionWorld(8)) {
+      world.moveTo(DEPENDENT, Stage.BUNDLED);
+      world.moveTo(DEPENDENCY, Stage.LIVE);
+      world.moveTo(DEPENDENCY, Stage.CANCELLED);
+      JobStore node = world.node("a");
+      JobSpec spec = AdmissionWorld.spec(DEPENDENT, List.of(DEPENDENCY));
+      JobStore.Known live = new JobStore.Known(DEPENDENT, JobStore.Phase.LIVE, 0);
+      assertEquals(new JobStore.Outcome.Found(live), world.admit(node, spec));
+      assertNull(world.endOf(DEPENDENT));
+    }
+  }
+
+  /** Cancelled before any task of it could start, by its user: as any other job. */
+  @Test
+  void aWaitingJobIsCancelledByItsUser() throws IOException {
+    try (AdmissionWorld world = new AdmissionWorld(8)) {
+      world.moveTo(DEPENDENCY, Stage.LIVE);
+      JobStore node = world.node("a");
+      world.admit(node, AdmissionWorld.spec(DEPENDENT, List.of(DEPENDENCY)));
+      List<JobStore.Outcome> told = new ArrayList<>();
+      world.node("b").cancel(DEPENDENT, told::add);
+      world.runUntil(() -> !told.isEmpty());
+      JobStore.Known end = new JobStore.Known(DEPENDENT, JobStore.Phase.CANCELLED, 0);
+      assertEquals(List.of(new JobStore.Outcome.Found(end)), told);
+      assertEquals(new JobStore.Outcome.Found(end), world.find(node, DEPENDENT));
+    }
+  }
+
+  /** The rule by which the version in production reads a record: its field {@code spec}. */
+  private static JobSpec readAsProductionDoes(Body record) throws BadMessage {
+    return JobCodec.decode(record.map("spec"));
+  }
+
+  /**
+   * A leader of the version in production must not start a job whose dependencies it ignores: it
+   * can't read the record, alone, in a bundle, or taken out of one. One whose dependencies are all
+   * over is an ordinary record, which it runs.
+   */
+  @Test
+  void recordsForTheVersionInProduction() throws IOException, BadMessage {
+    try (AdmissionWorld world = new AdmissionWorld(8)) {
+      world.moveTo(id(0), Stage.LIVE);
+      JobStore node = world.node("a");
+      world.admit(node, AdmissionWorld.spec(DEPENDENT, List.of(id(0))));
+      Body waiting = world.recordOf(DEPENDENT);
+      BadMessage refused = assertThrows(BadMessage.class, () -> readAsProductionDoes(waiting));
+      assertTrue(refused.getMessage().startsWith("spec"), refused.getMessage());
+      Body unpacked = AdmissionWorld.sent(JobStore.withPlace(waiting, new Place(3, 1)));
+      assertThrows(BadMessage.class, () -> readAsProductionDoes(unpacked));
+      JobStore.Recorded read = JobStore.decode(unpacked, Stamp.ABSENT);
+      assertEquals(List.of(id(0)), read.spec().awaits());
+      assertEquals(new Place(3, 1), read.place());
+
+      world.moveTo(id(0), Stage.DONE);
+      world.admit(node, AdmissionWorld.spec(id(9), List.of(id(0))));
+      JobSpec ordinary = readAsProductionDoes(world.recordOf(id(9)));
+      assertEquals(List.of(), ordinary.awaits());
+      Body spec = world.recordOf(id(9)).map("spec");
+      assertNull(spec.get(Wire.AWAITS), "as former versions wrote it");
+    }
+  }
+}
--- a/src/test/java/io/saltflow/protocol/WireTest.java
+++ b/src/test/java/io/saltflow/protocol/WireTest.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.apache.avro.Schema;
 import org.apache.avro.generic.GenericDatumReader;
 import org.apache.avro.generic.GenericRecord;
@@ -116,6 +117,33 @@
     }
   }
 
+  /** The refusal names the field; what former versions write and read has none. */
+  @Test
+  void dependenciesAreAcceptedJobsEachNamedOnce() throws BadMessage {
+    Body plain = sent(submission());
+    assertEquals(List.of(), JobCodec.decode(plain).awaits());
+    assertEquals(null, JobCodec.encode(JobCodec.decode(plain)).get("awaits"));
+    List<String> most = IntStream.range(0, 32).mapToObj(n -> "req-" + n).toList();
+    JobSpec spec = JobCodec.decode(sent(submission().with("awaits", most)));
+    assertEquals(most, spec.awaits().stream().map(JobId::text).toList());
+    assertEquals(spec, JobCodec.decode(sent(JobCodec.encode(spec))));
+    for (Object bad :
+        new Object[] {
+          IntStream.range(0, 33).mapToObj(n -> "req-" + n).toList(),
+          List.of("req-1", "req-2", "req-1"),
+          List.of("req-000412"),
+          List.of("job-1"),
+          List.of("req-1/../../x"),
+          List.of(7),
+          "req-1",
+          Body.of().with("req-1", 1)
+        }) {
+      Body b = submission().with("awaits", bad);
+      BadMessage e = assertThrows(BadMessage.class, () -> JobCodec.decode(sent(b)));
+      assertTrue(e.getMessage().startsWith("awaits: "), e.getMessage());
+    }
+  }
+
   /** Guards against headers that claim billions, bottomless nesting, and anything cut short. */
   @Test
   void hostileBytesAreRefusedCheaply() {
