No job that depends on a cancelled one is called live when that is late

Change: CascadeWatch (pure) holds up to when what follows from all confirmed cancellations is recorded. After a gap of more than 10 s the records are looked through (OrphanLookup); until then, once cancel_s is nearly over, polls of live jobs get 503, and jobs found to depend on cancelled ones get it until their end is recorded. Where no leader that knows dependencies is heard, the node cancels them itself. Beats say whether their sender does that; former versions ignore the field, and their beats lack it. WireTest cuts the beat one byte earlier for that. Also: the record keeps dependencies in the order of the submission, where they stood in the order of the answers.

--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -9,6 +9,7 @@
 import io.saltflow.coordination.Job;
 import io.saltflow.coordination.Leader;
 import io.saltflow.coordination.Policy;
+import io.saltflow.polls.CascadeWatch;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Beat;
 import io.saltflow.protocol.JobId;
@@ -98,6 +99,7 @@
   private Time claimsUntil = Time.LONG_AGO;
 
   private Map<JobId, Beat.Counts> counts = new HashMap<>();
+  private final CascadeDuty cascades;
   private final AmqpFront amqp;
   private final ServiceApi serviceApi;
   private final OrderApi orderApi;
@@ -164,6 +166,15 @@
     waiting = new WaitingReports(this, loop);
     mesh = new Mesh(this, loop, config.meshOn(), config.siblings(), this::onFrame);
     mesh.watch(new Links());
+    CascadeWatch watch = new CascadeWatch(config.cancel());
+    cascades =
+        new CascadeDuty(
+            this,
+            loop,
+            jobs,
+            watch,
+            new CascadeDuty.Attendance(this::served, this::attended),
+            config.host());
     users =
         new UserApi(
             jobs,
@@ -172,7 +183,8 @@
             types::values,
             this::countsOf,
             () -> System.currentTimeMillis() + clockCorrection,
-            loop::now);
+            loop::now,
+            watch);
     workers =
         new WorkerApi(
             config.host(),
@@ -277,6 +289,7 @@
     config.doubts().forEach(d -> LOG.warn("doubtful settings: {}", d));
     loop.watchClocks(config.skew(), this::stoodStill);
     leadership.start();
+    cascades.start();
     learnTypes();
     loop.every(Span.seconds(1), this, this::beat);
   }
@@ -414,7 +427,8 @@
             list,
             servant != null,
             users.unanswered(),
-            loop.dayMs());
+            loop.dayMs(),
+            core != null);
     mesh.broadcast(beat.encode());
   }
 
@@ -585,6 +599,26 @@
     return outageForAll();
   }
 
+  private boolean served() {
+    return state.failingFor().ms() == 0;
+  }
+
+  /** Whether there is a leader, here or heard, that cancels what depends on cancelled jobs. */
+  private boolean attended() {
+    if (!served()) {
+      return false;
+    }
+    if (authority.leading()) {
+      return duty != null && duty.leader() != null;
+    }
+    Heard h = siblings.get(leadership.leader());
+    return h != null
+        && h.beat.leading()
+        && h.beat.cascades()
+        && h.beat.stateQuietMs() == 0
+        && loop.now().since(h.at).compareTo(BEAT_FRESH) < 0;
+  }
+
   /** Whether every sibling that can be heard is without the state service, and one can. */
   private boolean outageForAll() {
     boolean someHeard = false;
--- a/src/main/java/io/saltflow/app/UserApi.java
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -3,6 +3,7 @@
 import io.saltflow.bookkeeping.JobStore;
 import io.saltflow.bookkeeping.StateClient;
 import io.saltflow.coordination.Policy;
+import io.saltflow.polls.CascadeWatch;
 import io.saltflow.polls.Fairness;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Beat;
@@ -51,6 +52,7 @@
   private final Function<JobId, Beat.Counts> counts;
   private final LongSupplier wallMs;
   private final Supplier<Time> now;
+  private final CascadeWatch cascades;
   private final Fairness fairness =
       new Fairness(new Fairness.Bounds(SOME_POLLS, MOST_POLLS, ALL_POLLS));
   private int underWay;
@@ -62,7 +64,8 @@
       Supplier<Collection<MachineType>> types,
       Function<JobId, Beat.Counts> counts,
       LongSupplier wallMs,
-      Supplier<Time> now) {
+      Supplier<Time> now,
+      CascadeWatch cascades) {
     this.jobs = jobs;
     this.state = state;
     this.teams = teams;
@@ -70,6 +73,7 @@
     this.counts = counts;
     this.wallMs = wallMs;
     this.now = now;
+    this.cascades = cascades;
   }
 
   void submit(byte[] body, Consumer<HttpReply> answer) {
@@ -144,6 +148,9 @@
       case DONE -> Replies.job(200, job.id(), Wire.STATE_DONE, job.done(), 0);
       case CANCELLED -> Replies.job(200, job.id(), Wire.STATE_CANCELLED, job.done(), 0);
       case LIVE -> {
+        if (!cascades.mayTellLive(job.id(), now.get())) {
+          yield Replies.comeBack("whether it depends on a cancelled job can't be told now", 1);
+        }
         Beat.Counts c = counts.apply(job.id());
         int running = c == null ? 0 : c.running();
         int done = c == null ? job.done() : Math.max(job.done(), c.done());
--- a/src/main/java/io/saltflow/bookkeeping/DependentAdmission.java
+++ b/src/main/java/io/saltflow/bookkeeping/DependentAdmission.java
@@ -123,7 +123,11 @@
     private final JobSpec spec;
     private final long wallMs;
     private final Consumer<JobStore.Outcome> then;
+
+    /** In the order in which they are named, which the record keeps. */
     private final Map<JobId, DependencyState> states = new LinkedHashMap<>();
+
+    private int unanswered;
     private boolean decided;
 
     Lookup(JobSpec spec, long wallMs, Consumer<JobStore.Outcome> then) {
@@ -134,6 +138,8 @@
 
     void start() {
       loop.after(LOOKUP_PATIENCE, DependentAdmission.this, this::giveUp);
+      spec.awaits().forEach(dependency -> states.put(dependency, DependencyState.UNKNOWN));
+      unanswered = states.size();
       for (JobId dependency : spec.awaits()) {
         lookup.ask(dependency, found -> told(dependency, found));
       }
@@ -148,7 +154,8 @@
 
     private void told(JobId dependency, DependencyState found) {
       states.put(dependency, found);
-      if (!decided && states.size() == spec.awaits().size()) {
+      unanswered--;
+      if (!decided && unanswered == 0) {
         decided = true;
         carryOut(decide(states));
       }
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -11,6 +11,7 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
 import java.util.HashSet;
@@ -95,6 +96,7 @@
   private final FirstLooks firstLooks;
   private final Admissions admissions;
   private final DependentAdmission dependents;
+  private final OrphanLookup orphans;
   private final Set<String> toldOf = new HashSet<>();
   private final Map<JobId, Known> over =
       new LinkedHashMap<>(64, 0.75f, false) {
@@ -127,6 +129,7 @@
     admissions = new Admissions(this, loop, state, live, this::find, valueBytes, txnOps, process);
     DependencyLookup lookup = new DependencyLookup(this, loop, state, new Ends(), txnOps);
     dependents = new DependentAdmission(this, loop, state, lookup, new DependentRecords());
+    orphans = new OrphanLookup(state, lookup);
   }
 
   /** Writes a new job down, or finds that it is known. */
@@ -138,6 +141,25 @@
     }
   }
 
+  /** The live jobs that depend on cancelled ones; null when that can't be told. */
+  public void findOrphans(Consumer<Set<JobId>> then) {
+    orphans.find(then);
+  }
+
+  /** The open dependencies in a record; none where they can't be read. */
+  static List<JobId> dependencies(Body record) {
+    if (record.get(DEPENDENT_SPEC) == null) {
+      return List.of();
+    }
+    try {
+      List<String> names = record.map(DEPENDENT_SPEC).texts(Wire.AWAITS);
+      return names.stream().filter(JobId::valid).map(JobId::new).toList();
+    } catch (BadMessage e) {
+      LOG.error("dependencies can't be read: {}", e.getMessage());
+      return List.of();
+    }
+  }
+
   /** For the lookup of dependencies. */
   private final class Ends implements DependencyLookup.Ends {
     @Override
--- /dev/null
+++ b/src/main/java/io/saltflow/polls/CascadeWatch.java
@@ -0,0 +1,116 @@
+package io.saltflow.polls;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Time;
+import java.util.Set;
+
+/**
+ * Whether users may be told that a job is live, although it may depend on a cancelled one. A job
+ * that does is to be called cancelled within {@code cancel_s} after the cancellation was confirmed.
+ * The leader records that within a second or two. After an outage, without a leader, or with one of
+ * a version that knows no dependencies it may be late, so then the records are looked through, and
+ * until that is done no job is called live.
+ *
+ * <p>Pure: time is passed in. {@link #settledAsOf} is what holds: of every cancellation that was
+ * confirmed before it, all jobs that depend on the cancelled one are recorded as cancelled, or are
+ * among those that are not told of.
+ */
+public final class CascadeWatch {
+  /** A leader that has been in office for so long has recorded what follows from cancellations. */
+  private static final Span SETTLING = Span.seconds(5);
+
+  /** Longer than this without such a leader, and its being there again proves nothing. */
+  private static final Span GAP = Span.seconds(10);
+
+  /** From the reading of a record until its user has the answer, with some room. */
+  private static final Span MARGIN = Span.seconds(5);
+
+  private static final Span CHECK_INTERVAL = Span.seconds(2);
+
+  /** A job about which nobody is answered for 90 s counts as forgotten. */
+  private static final Span MAX_WITHHELD = Span.seconds(60);
+
+  private final Span limit;
+  private Time settledAsOf = Time.LONG_AGO;
+  private Time attendedSince = Time.NEVER;
+  private Time withheldSince = Time.NEVER;
+  private Time lastCheck = Time.LONG_AGO;
+  private boolean checking;
+  private Set<JobId> orphans = Set.of();
+
+  /**
+   * @param cancel the time within which what depends on a cancelled job is to be called cancelled
+   */
+  public CascadeWatch(Span cancel) {
+    limit = MARGIN.longerThan(cancel) ? new Span(0) : cancel.minus(MARGIN);
+  }
+
+  /**
+   * @param served whether the state service answers here
+   * @param attended whether it does, and a leader is heard that records what follows from
+   *     cancellations
+   */
+  public void tick(boolean served, boolean attended, Time now) {
+    if (!attended) {
+      attendedSince = Time.NEVER;
+    } else if (attendedSince == Time.NEVER) {
+      attendedSince = now;
+    }
+    boolean settled = attended && !SETTLING.longerThan(now.since(attendedSince));
+    if (settled && !isBehind(GAP, now)) {
+      settledAsOf = new Time(now.ms() - SETTLING.ms());
+    }
+    if (!served || !isBehind(limit, now)) {
+      withheldSince = Time.NEVER;
+    } else if (withheldSince == Time.NEVER) {
+      withheldSince = now;
+    }
+  }
+
+  private boolean isBehind(Span most, Time now) {
+    return now.since(settledAsOf).longerThan(most);
+  }
+
+  /** Whether the records are to be looked through now. */
+  public boolean wantsCheck(Time now) {
+    boolean due = !CHECK_INTERVAL.longerThan(now.since(lastCheck));
+    return !checking && due && (isBehind(GAP, now) || !orphans.isEmpty());
+  }
+
+  /** The records are being looked through from now on. */
+  public void checkBegins(Time now) {
+    checking = true;
+    lastCheck = now;
+  }
+
+  /**
+   * They were, as of the moment when that began.
+   *
+   * @param found live jobs that depend on cancelled ones; null: it could not be told
+   */
+  public void checkEnds(Set<JobId> found) {
+    checking = false;
+    if (found != null) {
+      orphans = Set.copyOf(found);
+      if (settledAsOf.before(lastCheck)) {
+        settledAsOf = lastCheck;
+      }
+    }
+  }
+
+  /** How long ago it was known that nothing was left to be recorded. */
+  public Span behind(Time now) {
+    return now.since(settledAsOf);
+  }
+
+  /** Whether the user of a live job may be told that it is. */
+  public boolean mayTellLive(JobId id, Time now) {
+    if (orphans.contains(id)) {
+      return false;
+    }
+    boolean tooLong =
+        withheldSince != Time.NEVER && now.since(withheldSince).longerThan(MAX_WITHHELD);
+    return tooLong || !isBehind(limit, now);
+  }
+}
--- a/src/main/java/io/saltflow/protocol/Beat.java
+++ b/src/main/java/io/saltflow/protocol/Beat.java
@@ -14,6 +14,7 @@
  * @param probes whether the sender probes services' replicas for the leader
  * @param unanswered jobs that the sender could not answer its users about
  * @param wallMs the sender's time of day; 0: it does not say
+ * @param cascades whether the sender leads and cancels what depends on cancelled jobs
  */
 public record Beat(
     String host,
@@ -23,11 +24,25 @@
     List<Counts> jobs,
     boolean probes,
     List<Unanswered> unanswered,
-    long wallMs) {
+    long wallMs,
+    boolean cascades) {
   private static final int MOST_JOBS = 5000;
 
   private static final int MOST_UNANSWERED = 200;
 
+  /** Of a node that cancels nothing for dependencies. */
+  public Beat(
+      String host,
+      Term term,
+      boolean leading,
+      long stateQuietMs,
+      List<Counts> jobs,
+      boolean probes,
+      List<Unanswered> unanswered,
+      long wallMs) {
+    this(host, term, leading, stateQuietMs, jobs, probes, unanswered, wallMs, false);
+  }
+
   /** Questions about the job have been refused for so long. */
   public record Unanswered(JobId job, Span since) {}
 
@@ -63,6 +78,7 @@
       }
       out.writeArrayEnd();
       out.writeLong(wallMs);
+      out.writeBoolean(cascades);
       out.flush();
       return bytes.toByteArray();
     } catch (IOException e) {
@@ -93,6 +109,8 @@
       }
     }
     long wallMs = in.atEnd() ? 0 : in.number();
-    return new Beat(host, term, leading, quiet, jobs, probes, unanswered, wallMs);
+    // Versions that know no dependencies between jobs cancel nothing for them.
+    boolean cascades = !in.atEnd() && in.flag();
+    return new Beat(host, term, leading, quiet, jobs, probes, unanswered, wallMs, cascades);
   }
 }
--- a/src/test/java/io/saltflow/bookkeeping/AdmissionWorld.java
+++ b/src/test/java/io/saltflow/bookkeeping/AdmissionWorld.java
@@ -71,6 +71,7 @@
   private final Map<JobId, Stage> stages = new HashMap<>();
   private final List<Runnable> late = new ArrayList<>();
   private final int txnOps;
+  private final double valueKb;
   private final Loop loop;
   private final StateFront front;
   private final HttpServer server;
@@ -79,9 +80,14 @@
   private boolean moved;
 
   AdmissionWorld(int txnOps) throws IOException {
+    this(txnOps, 8);
+  }
+
+  AdmissionWorld(int txnOps, double valueKb) throws IOException {
     this.txnOps = txnOps;
+    this.valueKb = valueKb;
     loop = new Loop(() -> System.nanoTime() + aheadMs * 1_000_000, System::currentTimeMillis);
-    store = new StateStore(new Limits(1000, 1000, 8, txnOps), steps -> {}, loop.now());
+    store = new StateStore(new Limits(1000, 1000, valueKb, txnOps), steps -> {}, loop.now());
     front = new StateFront(root, loop, store.core(), () -> store.flush(loop.now()));
     server = new HttpServer(root, loop, Addresses.parse("127.0.0.1:0"), 64, this::handle);
   }
@@ -112,7 +118,7 @@
     HttpClient http =
         new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + server.port()), 8, 64);
     StateClient state = new StateClient(root, loop, http, http, 450, 15);
-    return new JobStore(root, loop, state, 8, txnOps, name, Lanes.NONE);
+    return new JobStore(root, loop, state, valueKb, txnOps, name, Lanes.NONE);
   }
 
   /** Something happens right before the message of that number is carried out. */
@@ -166,8 +172,9 @@
     }
   }
 
-  static Body record(JobId id) {
-    return Body.of().with("spec", JobCodec.encode(spec(id, List.of()))).with("at", 5L);
+  static Body record(JobId id, List<JobId> awaits) {
+    String field = awaits.isEmpty() ? "spec" : "dependentSpec";
+    return Body.of().with(field, JobCodec.encode(spec(id, awaits))).with("at", 5L);
   }
 
   private static String bundleOf(JobId id) {
@@ -179,9 +186,9 @@
     Txn txn = new Txn();
     Stage from = stages.getOrDefault(id, Stage.NONE);
     switch (stage) {
-      case BUNDLED -> txn.put(bundleOf(id), Bundles.encode(Map.of(id, record(id))));
+      case BUNDLED -> txn.put(bundleOf(id), Bundles.encode(Map.of(id, record(id, List.of()))));
       case LIVE -> {
-        txn.put(Keys.live(id), record(id));
+        txn.put(Keys.live(id), record(id, List.of()));
         if (from == Stage.BUNDLED) {
           txn.delete(bundleOf(id));
         }
--- a/src/test/java/io/saltflow/bookkeeping/DependentAdmissionTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/DependentAdmissionTest.java
@@ -21,6 +21,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -386,4 +387,83 @@
       assertNull(spec.get(Wire.AWAITS), "as former versions wrote it");
     }
   }
+
+  private static Set<JobId> orphans(AdmissionWorld world, JobStore node) throws IOException {
+    List<Set<JobId>> told = new ArrayList<>();
+    node.findOrphans(told::add);
+    world.runUntil(() -> !told.isEmpty());
+    return told.get(0);
+  }
+
+  /** Where no leader does it, any node finds what depends on cancelled jobs, and cancels it. */
+  @Test
+  void orphansAreFoundThroughOthersAndInBundles() throws IOException, BadMessage {
+    try (AdmissionWorld world = new AdmissionWorld(8)) {
+      for (int n = 0; n < 4; n++) {
+        world.moveTo(id(n), Stage.LIVE);
+      }
+      JobStore node = world.node("a");
+      world.admit(node, AdmissionWorld.spec(id(10), List.of(id(0), id(1))));
+      world.admit(node, AdmissionWorld.spec(id(11), List.of(id(10))));
+      world.admit(node, AdmissionWorld.spec(id(12), List.of(id(2), id(3))));
+      Body waiting = AdmissionWorld.record(id(13), List.of(id(11)));
+      world.commit(new Txn().put(Bundles.key("b"), Bundles.encode(Map.of(id(13), waiting))));
+      assertEquals(Set.of(), orphans(world, node));
+      world.moveTo(id(1), Stage.CANCELLED);
+      world.moveTo(id(2), Stage.DONE);
+      JobStore other = world.node("b");
+      assertEquals(Set.of(id(10), id(11), id(13)), orphans(world, other));
+      for (JobId orphan : orphans(world, other)) {
+        other.cancel(orphan, outcome -> {});
+      }
+      world.runUntil(() -> world.endOf(id(13)) != null && world.endOf(id(11)) != null);
+      JobStore.Known end = new JobStore.Known(id(11), JobStore.Phase.CANCELLED, 0);
+      assertEquals(new JobStore.Outcome.Found(end), world.find(node, id(11)));
+      JobStore.Known live = new JobStore.Known(id(12), JobStore.Phase.LIVE, 0);
+      assertEquals(new JobStore.Outcome.Found(live), world.find(node, id(12)));
+    }
+  }
+
+  /** A dependency that lies in a bundle, where its end does not show. */
+  @Test
+  void aCancelledDependencyInABundleIsNotTakenForLive() throws IOException {
+    try (AdmissionWorld world = new AdmissionWorld(8)) {
+      world.moveTo(DEPENDENCY, Stage.BUNDLED);
+      JobStore node = world.node("a");
+      world.admit(node, AdmissionWorld.spec(DEPENDENT, List.of(DEPENDENCY)));
+      world.moveTo(DEPENDENCY, Stage.CANCELLED);
+      assertEquals(Set.of(DEPENDENT), orphans(world, node));
+    }
+  }
+
+  /** What can't be told is not taken for "none". */
+  @Test
+  void orphansThatCannotBeLookedUpAreUnknown() throws IOException {
+    try (AdmissionWorld world = new AdmissionWorld(8)) {
+      world.moveTo(DEPENDENCY, Stage.LIVE);
+      world.admit(world.node("a"), AdmissionWorld.spec(DEPENDENT, List.of(DEPENDENCY)));
+      world.moveTo(DEPENDENCY, Stage.CANCELLED);
+      for (int message = 0; message < 3; message++) {
+        // The list, the comparison and the end in turn.
+        int first = world.asked.size();
+        world.fault(first + message, Fault.REFUSED);
+        assertNull(orphans(world, world.node("n" + message)));
+      }
+      assertEquals(Set.of(DEPENDENT), orphans(world, world.node("z")));
+    }
+  }
+
+  /** The most dependencies, with ids as long as they come, in the smallest values known. */
+  @Test
+  void mostDependenciesFitIntoTheSmallestValue() throws IOException, BadMessage {
+    try (AdmissionWorld world = new AdmissionWorld(4, 2)) {
+      List<JobId> names =
+          IntStream.range(0, 32).mapToObj(n -> new JobId(String.format("req-%022d", n))).toList();
+      names.forEach(each -> world.moveTo(each, Stage.LIVE));
+      JobId longest = new JobId(String.format("req-%022d", 77));
+      JobSpec spec = AdmissionWorld.spec(longest, names);
+      assertEquals(new JobStore.Outcome.Created(longest), world.admit(world.node("a"), spec));
+      assertEquals(names, world.awaitsOf(longest));
+    }
+  }
 }
--- a/src/test/java/io/saltflow/protocol/WireTest.java
+++ b/src/test/java/io/saltflow/protocol/WireTest.java
@@ -213,7 +213,8 @@
             counts,
             true,
             List.of(new Beat.Unanswered(new JobId("req-000003"), Span.seconds(7))),
-            1_700_000_000_000L);
+            1_700_000_000_000L,
+            true);
     assertEquals(beat, Beat.decode(beat.encode()));
     try (InputStream in = Beat.class.getResourceAsStream("/mesh.avsc")) {
       Schema schema = new Schema.Parser().parse(in);
@@ -223,12 +224,15 @@
       assertEquals("saltbox-1", record.get("host").toString());
       assertEquals(
           "[{\"job\": \"req-1\", \"done\": 2, \"running\": 3}]", record.get("jobs").toString());
+      assertEquals(true, record.get("cascades"));
     }
     assertThrows(BadMessage.class, () -> Beat.decode(new byte[] {2, 'x', 1}));
     byte[] bytes = new Beat("b", new Term(9), true, 40, counts, true, List.of(), 0).encode();
-    Beat before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 2));
-    assertTrue(before.probes() && before.unanswered().isEmpty(), "of a version before that");
+    Beat before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 1));
+    assertFalse(before.cascades(), "a node that knows no dependencies does not say");
     before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 3));
+    assertTrue(before.probes() && before.unanswered().isEmpty(), "of a version before that");
+    before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 4));
     assertFalse(before.probes(), "a node of an earlier version does not say");
   }
 
