--- a/src/test/java/io/saltflow/bookkeeping/AdmissionWorld.java
+++ b/src/test/java/io/saltflow/bookkeeping/AdmissionWorld.java
@@ -67,6 +67,7 @@
   final StateStore store;
   private final Root root = new Root();
   private final Map<Integer, Runnable> before = new HashMap<>();
+  private final Map<Integer, Runnable> after = new HashMap<>();
   private final Map<Integer, Fault> faults = new HashMap<>();
   private final Map<JobId, Stage> stages = new HashMap<>();
   private final List<Runnable> late = new ArrayList<>();
@@ -103,6 +104,7 @@
     Fault fault = faults.get(number);
     if (fault == null) {
       front.handle(method, target, body, answer);
+      after.getOrDefault(number, () -> {}).run();
       return;
     }
     switch (fault) {
@@ -126,6 +128,13 @@
     before.put(number, event);
   }
 
+  /**
+   * Something happens when the message of that number is carried out, and its answer on its way.
+   */
+  void after(int number, Runnable event) {
+    after.put(number, event);
+  }
+
   /** Whether that was reached. */
   boolean moved() {
     return moved;
--- a/src/test/java/io/saltflow/bookkeeping/DependentAdmissionTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/DependentAdmissionTest.java
@@ -211,6 +211,67 @@
     assertEquals(List.of(), playAll(histories));
   }
 
+  /**
+   * A question is on its way when another node accepts the job, and then the next submission comes:
+   * it is not answered by the look that began before it.
+   */
+  @Test
+  void aLookThatBeganBeforeTheSubmissionDecidesNothing() throws IOException {
+    for (int message = 0; message < 3; message++) {
+      try (AdmissionWorld world = new AdmissionWorld(8)) {
+        JobStore node = world.node("a");
+        List<JobStore.Outcome> told = new ArrayList<>();
+        world.after(
+            message,
+            () -> {
+              world.moveTo(DEPENDENCY, Stage.LIVE);
+              node.admit(AdmissionWorld.spec(DEPENDENT, List.of(DEPENDENCY)), 5, told::add);
+            });
+        node.admit(AdmissionWorld.spec(id(9), List.of(DEPENDENCY)), 5, outcome -> {});
+        world.runUntil(() -> !told.isEmpty());
+        assertEquals(List.of(new JobStore.Outcome.Created(DEPENDENT)), told);
+      }
+    }
+  }
+
+  /** Another node records the job between any two messages of a submission that cancels it. */
+  @Test
+  void aJobThatIsAcceptedElsewhereMeanwhileIsNotCancelledHere() throws IOException {
+    int cancelled = 0;
+    for (int message = 0; message < 8; message++) {
+      for (Stage stage : List.of(Stage.BUNDLED, Stage.LIVE)) {
+        try (AdmissionWorld world = new AdmissionWorld(8)) {
+          world.moveTo(DEPENDENCY, Stage.LIVE);
+          world.moveTo(DEPENDENCY, Stage.CANCELLED);
+          boolean[] ended = new boolean[1];
+          world.before(
+              message,
+              () -> {
+                ended[0] = world.endOf(DEPENDENT) != null;
+                if (!ended[0]) {
+                  world.moveTo(DEPENDENT, stage);
+                }
+              });
+          JobSpec spec = AdmissionWorld.spec(DEPENDENT, List.of(DEPENDENCY));
+          JobStore.Outcome told = world.admit(world.node("a"), spec);
+          boolean end = world.endOf(DEPENDENT) != null;
+          cancelled += end ? 1 : 0;
+          JobStore.Known live = new JobStore.Known(DEPENDENT, JobStore.Phase.LIVE, 0);
+          JobStore.Outcome expected =
+              end
+                  ? new JobStore.Outcome.CreatedCancelled(DEPENDENT)
+                  : new JobStore.Outcome.Found(live);
+          assertEquals(expected, told, stage + " before message " + message);
+          // Both guards of the write are on the job's own records: a bundle that comes in between
+          // the last look and it is another submission of the same job, cancelled as rightly.
+          boolean own = stage == Stage.LIVE && world.moved();
+          assertFalse(end && own, stage + " before message " + message);
+        }
+      }
+    }
+    assertTrue(cancelled > 0, "never cancelled");
+  }
+
   /** The states of several dependencies: what was never accepted decides, then what isn't known. */
   @Test
   void decisionsByTheStatesOfAll() {
