--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -11,6 +11,7 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
 import java.util.HashSet;
@@ -31,6 +32,14 @@
   private static final int REMEMBERED = 4000;
   private static final int MOST_TOLD = 100;
   private static final String SPEC = "spec";
+
+  /**
+   * Instead of {@link #SPEC} in the record of a job that depends on others. Versions that know no
+   * dependencies ignore the field {@code awaits} and would start the job at once; without a field
+   * {@code spec} they can't read the record, so they don't start it, and answer that it is pending.
+   */
+  private static final String DEPENDENT_SPEC = "dependentSpec";
+
   private static final String ARRIVED = "at";
   private static final String DONE_COUNT = "n";
   private static final String STARTED = "started";
@@ -60,6 +69,9 @@
   public sealed interface Outcome {
     record Created(JobId id) implements Outcome {}
 
+    /** Accepted, and cancelled at once as it depends on a cancelled job. */
+    record CreatedCancelled(JobId id) implements Outcome {}
+
     record Found(Known job) implements Outcome {}
 
     record Absent() implements Outcome {}
@@ -68,6 +80,9 @@
     record Unknown() implements Outcome {}
 
     record TooLarge() implements Outcome {}
+
+    /** Refused, as it depends on a job that was never accepted. */
+    record NeverAccepted(JobId dependency) implements Outcome {}
   }
 
   /** A live job as it was recorded. */
@@ -80,6 +95,8 @@
   private final LiveCheck live;
   private final FirstLooks firstLooks;
   private final Admissions admissions;
+  private final DependentAdmission dependents;
+  private final OrphanLookup orphans;
   private final Set<String> toldOf = new HashSet<>();
   private final Map<JobId, Known> over =
       new LinkedHashMap<>(64, 0.75f, false) {
@@ -110,10 +127,78 @@
     live = new LiveCheck(this, loop, state, txnOps);
     firstLooks = new FirstLooks(this, loop, state, live);
     admissions = new Admissions(this, loop, state, live, this::find, valueBytes, txnOps, process);
+    DependencyLookup lookup = new DependencyLookup(this, loop, state, new Ends(), txnOps);
+    dependents = new DependentAdmission(this, loop, state, lookup, new DependentRecords());
+    orphans = new OrphanLookup(state, lookup);
   }
 
   /** Writes a new job down, or finds that it is known. */
   public void admit(JobSpec spec, long wallMs, Consumer<Outcome> then) {
+    if (spec.awaits().isEmpty()) {
+      record(spec, wallMs, then);
+    } else {
+      dependents.admit(spec, wallMs, then);
+    }
+  }
+
+  /** The live jobs that depend on cancelled ones; null when that can't be told. */
+  public void findOrphans(Consumer<Set<JobId>> then) {
+    orphans.find(then);
+  }
+
+  /** The open dependencies in a record; none where they can't be read. */
+  static List<JobId> dependencies(Body record) {
+    if (record.get(DEPENDENT_SPEC) == null) {
+      return List.of();
+    }
+    try {
+      List<String> names = record.map(DEPENDENT_SPEC).texts(Wire.AWAITS);
+      return names.stream().filter(JobId::valid).map(JobId::new).toList();
+    } catch (BadMessage e) {
+      LOG.error("dependencies can't be read: {}", e.getMessage());
+      return List.of();
+    }
+  }
+
+  /** For the lookup of dependencies. */
+  private final class Ends implements DependencyLookup.Ends {
+    @Override
+    public Known known(JobId id) {
+      return over.get(id);
+    }
+
+    @Override
+    public void read(JobId id, Consumer<Outcome> then) {
+      Runnable absent = () -> then.accept(new Outcome.Unknown());
+      readOver(id, StateClient.Rank.USER, then, absent);
+    }
+  }
+
+  /** For the acceptance of jobs that depend on others. */
+  private final class DependentRecords implements DependentAdmission.Records {
+    @Override
+    public boolean seen(JobId id) {
+      return over.containsKey(id) || live.knows(id);
+    }
+
+    @Override
+    public void find(JobId id, Consumer<Outcome> then) {
+      JobStore.this.find(id, then);
+    }
+
+    @Override
+    public void accept(JobSpec spec, long wallMs, Consumer<Outcome> then) {
+      record(spec, wallMs, then);
+    }
+
+    @Override
+    public void cancelled(Known end) {
+      over.put(end.id(), end);
+      live.forget(end.id());
+    }
+  }
+
+  private void record(JobSpec spec, long wallMs, Consumer<Outcome> then) {
     admissions.add(spec.id(), encode(spec, wallMs, lanes.of(spec)), then);
   }
 
@@ -351,7 +436,7 @@
         });
   }
 
-  private static Body ending(Known k) {
+  static Body ending(Known k) {
     return Body.of().with(PHASE, k.phase().name()).with(DONE_COUNT, k.done());
   }
 
@@ -368,7 +453,8 @@
   }
 
   private static Body encode(JobSpec spec, long wallMs, Lane lane) {
-    Body body = Body.of().with(SPEC, JobCodec.encode(spec)).with(ARRIVED, wallMs);
+    String field = spec.awaits().isEmpty() ? SPEC : DEPENDENT_SPEC;
+    Body body = Body.of().with(field, JobCodec.encode(spec)).with(ARRIVED, wallMs);
     // The lane of an urgency says nothing that the description does not.
     return lane.name().isEmpty() ? body : body.with(LANE, List.of(lane.rank(), lane.name()));
   }
@@ -385,7 +471,8 @@
    * @param version of its key: what was written at the acceptance is of its revision
    */
   public static Recorded decode(Body record, Stamp version) throws BadMessage {
-    JobSpec spec = JobCodec.decode(record.map(SPEC));
+    String field = record.get(DEPENDENT_SPEC) == null ? SPEC : DEPENDENT_SPEC;
+    JobSpec spec = JobCodec.decode(record.map(field));
     Place place = new Place(version.number(), 0);
     if (record.get(PLACE) instanceof List<?> l
         && l.size() == 2
--- a/src/test/java/io/saltflow/protocol/WireTest.java
+++ b/src/test/java/io/saltflow/protocol/WireTest.java
@@ -11,6 +11,7 @@
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.apache.avro.Schema;
 import org.apache.avro.generic.GenericDatumReader;
 import org.apache.avro.generic.GenericRecord;
@@ -116,6 +117,33 @@
     }
   }
 
+  /** The refusal names the field; what former versions write and read has none. */
+  @Test
+  void dependenciesAreAcceptedJobsEachNamedOnce() throws BadMessage {
+    Body plain = sent(submission());
+    assertEquals(List.of(), JobCodec.decode(plain).awaits());
+    assertEquals(null, JobCodec.encode(JobCodec.decode(plain)).get("awaits"));
+    List<String> most = IntStream.range(0, 32).mapToObj(n -> "req-" + n).toList();
+    JobSpec spec = JobCodec.decode(sent(submission().with("awaits", most)));
+    assertEquals(most, spec.awaits().stream().map(JobId::text).toList());
+    assertEquals(spec, JobCodec.decode(sent(JobCodec.encode(spec))));
+    for (Object bad :
+        new Object[] {
+          IntStream.range(0, 33).mapToObj(n -> "req-" + n).toList(),
+          List.of("req-1", "req-2", "req-1"),
+          List.of("req-000412"),
+          List.of("job-1"),
+          List.of("req-1/../../x"),
+          List.of(7),
+          "req-1",
+          Body.of().with("req-1", 1)
+        }) {
+      Body b = submission().with("awaits", bad);
+      BadMessage e = assertThrows(BadMessage.class, () -> JobCodec.decode(sent(b)));
+      assertTrue(e.getMessage().startsWith("awaits: "), e.getMessage());
+    }
+  }
+
   /** Guards against headers that claim billions, bottomless nesting, and anything cut short. */
   @Test
   void hostileBytesAreRefusedCheaply() {
@@ -185,7 +213,8 @@
             counts,
             true,
             List.of(new Beat.Unanswered(new JobId("req-000003"), Span.seconds(7))),
-            1_700_000_000_000L);
+            1_700_000_000_000L,
+            true);
     assertEquals(beat, Beat.decode(beat.encode()));
     try (InputStream in = Beat.class.getResourceAsStream("/mesh.avsc")) {
       Schema schema = new Schema.Parser().parse(in);
@@ -195,12 +224,15 @@
       assertEquals("saltbox-1", record.get("host").toString());
       assertEquals(
           "[{\"job\": \"req-1\", \"done\": 2, \"running\": 3}]", record.get("jobs").toString());
+      assertEquals(true, record.get("cascades"));
     }
     assertThrows(BadMessage.class, () -> Beat.decode(new byte[] {2, 'x', 1}));
     byte[] bytes = new Beat("b", new Term(9), true, 40, counts, true, List.of(), 0).encode();
-    Beat before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 2));
-    assertTrue(before.probes() && before.unanswered().isEmpty(), "of a version before that");
+    Beat before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 1));
+    assertFalse(before.cascades(), "a node that knows no dependencies does not say");
     before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 3));
+    assertTrue(before.probes() && before.unanswered().isEmpty(), "of a version before that");
+    before = Beat.decode(Arrays.copyOf(bytes, bytes.length - 4));
     assertFalse(before.probes(), "a node of an earlier version does not say");
   }
 
