Jobs that depend on others wait outside the scheduler until the ends are recorded

A job that names others may start only when each of them is recorded as done, and is cancelled with any of them that is. Change: the pure package pipelines holds the graph of live jobs and says which are released, which ends have to be read and which jobs are to be cancelled; Ranks passes priority and deadline back along the critical path of estimates. DependencyBooks reads ends and records cancellations, guarded by the leader's key; a successor finds what is left in the live records. An end that was not confirmed is told apart by its record: before, a cancelled job counted as done.

--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -226,6 +226,7 @@
   private void tick() {
     leader.tick(loop.now());
     books.finish();
+    books.dependencies().step();
     books.unpack();
     books.mark();
     if (leader.deaf(loop.now())) {
@@ -309,9 +310,9 @@
               seen(r);
             }
           }
-          for (Job job : new ArrayList<>(leader.jobs())) {
-            if (!live.contains(job.id())) {
-              leader.jobGone(job.id(), loop.now());
+          for (JobId id : leader.live()) {
+            if (!live.contains(id)) {
+              leader.jobGone(id, loop.now());
             }
           }
           authority.synced(sent);
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -44,6 +44,9 @@
   private static final String STARTED = "started";
   private static final String PHASE = "phase";
 
+  /** When a job was done, as a time of day: former versions neither write nor read it. */
+  private static final String ENDED_AT = "endedAt";
+
   /** Rank and name, where operators have set lanes up. */
   private static final String LANE = "lane";
 
@@ -57,6 +60,13 @@
   /** What a user may be told of a job. */
   public record Known(JobId id, Phase phase, int done) {}
 
+  /**
+   * How a job ended, by its record.
+   *
+   * @param atMs the time of day; negative: a former version recorded the end without it
+   */
+  public record Ended(Phase phase, long atMs) {}
+
   /** Where a job stands, by its record. */
   public enum Phase {
     LIVE,
@@ -364,15 +374,40 @@
   }
 
   /** Records the end of finished jobs; each is guarded by the leader's key. */
-  void finish(Txn txn, JobId id, int tasks) {
-    txn.guard(Keys.over(id), Stamp.ABSENT)
-        .put(Keys.over(id), ending(new Known(id, Phase.DONE, tasks)))
-        .delete(Keys.live(id));
+  void finish(Txn txn, JobId id, int tasks, long wallMs) {
+    end(txn, new Known(id, Phase.DONE, tasks), wallMs);
+  }
+
+  /** Records that a job is cancelled because one that it needs is. None of its tasks ever ran. */
+  void cancelDependent(Txn txn, JobId id, long wallMs) {
+    end(txn, new Known(id, Phase.CANCELLED, 0), wallMs);
+  }
+
+  private static void end(Txn txn, Known ended, long wallMs) {
+    txn.guard(Keys.over(ended.id()), Stamp.ABSENT)
+        .put(Keys.over(ended.id()), ending(ended).with(ENDED_AT, wallMs))
+        .delete(Keys.live(ended.id()));
   }
 
   void remember(JobId id, int tasks) {
-    live.forget(id);
-    over.put(id, new Known(id, Phase.DONE, tasks));
+    remember(new Known(id, Phase.DONE, tasks));
+  }
+
+  /** It was recorded as cancelled because of a job that it needs. */
+  void rememberCancelled(JobId id) {
+    remember(new Known(id, Phase.CANCELLED, 0));
+  }
+
+  private void remember(Known ended) {
+    live.forget(ended.id());
+    over.put(ended.id(), ended);
+  }
+
+  /** What a record under {@code over/} says; null when that is not clear. */
+  static Ended endOf(JobId id, Body record) {
+    Known known = ended(id, record);
+    long atMs = record.get(ENDED_AT) instanceof Long at ? at : -1;
+    return known == null ? null : new Ended(known.phase(), atMs);
   }
 
   private static Body encode(JobSpec spec, long wallMs, Lane lane) {
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -45,6 +45,7 @@
   private final Pages<Job> progress;
   private final Unpacking unpacking = new Unpacking();
   private final PlanBooks plans;
+  private final DependencyBooks dependencies;
   private Leader leader;
   private int underWay;
   private boolean unpackingStep;
@@ -65,6 +66,7 @@
     // A quarter is left for what the text form of a value takes beyond what is counted here.
     this.valueBytes = (int) (limits.valueKb() * 1024 * 3 / 4);
     Span pause = Span.seconds(1 / (limits.writesPerS() * PART_FOR_A_PAGE));
+    dependencies = new DependencyBooks(this, state, jobs, this::guarded, this.txnOps, now);
     plans = new PlanBooks(this, state, this::guarded, now, this.txnOps);
     ledger =
         new Pages<>(
@@ -144,6 +146,7 @@
   /** Whose decisions are written from now on. */
   public void serve(Leader core) {
     leader = core;
+    dependencies.serve(core);
   }
 
   /** Room for another flush: writes that are not answered yet hold the next ones back. */
@@ -174,7 +177,7 @@
       Txn txn = guarded();
       for (Job job : some) {
         leader.finishing(job, true);
-        jobs.finish(txn, job.id(), job.spec().tasks());
+        jobs.finish(txn, job.id(), job.spec().tasks(), leader.wallMs(now.get()));
       }
       commit(
           StateClient.Rank.USER,
@@ -192,7 +195,10 @@
     }
   }
 
-  /** The end was not confirmed: another end, a cancel, may have come first. */
+  /**
+   * The end was not confirmed: another end, a cancel, may have come first. What needs the job goes
+   * on only when its record says that it is done.
+   */
   private void checkEnd(Job job) {
     state.get(
         StateClient.Rank.BOOKS,
@@ -202,14 +208,27 @@
           if (cancelled()) {
             return;
           }
-          if (e != null && e.value() != null) {
+          JobStore.Ended end =
+              e == null || e.value() == null ? null : JobStore.endOf(job.id(), e.value());
+          if (end != null && end.phase() == JobStore.Phase.DONE) {
             leader.finished(job, now.get());
-          } else {
-            leader.finishing(job, false);
+            return;
+          }
+          leader.finishing(job, false);
+          if (end != null) {
+            leader.cancelledRead(job.id(), now.get());
+          } else if (e != null && e.value() != null) {
+            LOG.error("the end of {} can't be read: what needs it stays pending", job.id());
+            leader.jobGone(job.id(), now.get());
           }
         });
   }
 
+  /** Ends that dependent jobs wait for, and cancellations that follow from others. */
+  public DependencyBooks dependencies() {
+    return dependencies;
+  }
+
   /** Jobs may be launched once their record says so: a successor then knows to look for them. */
   public void mark() {
     for (Job job : leader.toMark()) {
@@ -320,7 +339,9 @@
       }
       Job job = new Job(r.spec(), r.arrivedWallMs(), done, maybeStarted(r));
       job.stands(r.lane(), r.place());
-      return job;
+      // A page that can't be read says of no job that it was started: that it may have been is
+      // enough to look for its tasks, but not to start more of them.
+      return job.dependenciesMet(text != null);
     }
   }
 
--- a/src/main/java/io/saltflow/coordination/Answers.java
+++ b/src/main/java/io/saltflow/coordination/Answers.java
@@ -116,7 +116,7 @@
       if (left <= 0
           || job.cancelled
           || job.finishing
-          || (urgentOnly && policy.preemptFrom().above(job.spec.priority()))
+          || (urgentOnly && policy.preemptFrom().above(job.priority()))
           || !mayStart(job, accounted)
           || job.done.get(a.index())
           || job.present.containsKey(a.index())
--- a/src/main/java/io/saltflow/coordination/Backlog.java
+++ b/src/main/java/io/saltflow/coordination/Backlog.java
@@ -34,7 +34,7 @@
     double stoppable = 0;
     for (Job job : jobs) {
       double cores = job.spec.size().cores();
-      if (job.spec.priority().compareTo(policy.preemptFrom()) < 0) {
+      if (job.priority().compareTo(policy.preemptFrom()) < 0) {
         stoppable += cores * job.present.size();
       }
       if (over(job)) {
--- a/src/main/java/io/saltflow/coordination/Decided.java
+++ b/src/main/java/io/saltflow/coordination/Decided.java
@@ -28,6 +28,7 @@
   /** By then every job that a bundle held has its own record. */
   private static final Span MOVED_WAITS = Span.seconds(60);
 
+  private final Function<JobId, Job> live;
   private final Map<JobId, Job> jobs;
   private final Estimates estimates;
   private final Moves moves;
@@ -46,8 +47,13 @@
   private boolean changed;
   private Time forgetsAfter = Time.NEVER;
 
+  /**
+   * @param live finds every live job, those that wait for others too
+   * @param jobs those that are scheduled
+   */
   Decided(
       Policy policy,
+      Function<JobId, Job> live,
       Map<JobId, Job> jobs,
       Fencing fencing,
       Estimates estimates,
@@ -55,6 +61,7 @@
       Account account,
       Term term,
       long wallMinusClockMs) {
+    this.live = live;
     this.jobs = jobs;
     this.estimates = estimates;
     believedMs = wallMinusClockMs;
@@ -209,7 +216,7 @@
   public List<JobId> movedAndOver(Time now) {
     return now.before(forgetsAfter)
         ? List.of()
-        : moved.keySet().stream().filter(id -> !jobs.containsKey(id)).toList();
+        : moved.keySet().stream().filter(id -> live.apply(id) == null).toList();
   }
 
   public void forgotten(List<JobId> ids, boolean ok) {
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -109,7 +109,7 @@
       }
       double cores = task.cores();
       boolean urgent = w.job().spec.daemon();
-      if (w.job().spec.priority().compareTo(policy.preemptFrom()) >= 0) {
+      if (w.job().priority().compareTo(policy.preemptFrom()) >= 0) {
         // Room that can be had by stopping lower work is there before any machine is up; what was
         // stopped then counts as backlog.
         urgent |= stoppable < cores * left;
@@ -214,12 +214,12 @@
 
   /** Whether a job would miss its own deadline by waiting so long. */
   private boolean wouldBeLate(Job job, double waitS, Time now) {
-    return job.spec.deadline() != null && job.dueAt != null && waitS > spareS(job, now);
+    return job.hasDeadline() && waitS > spareS(job, now);
   }
 
   /** How long a job's tasks may still wait so that it ends in time. */
   private double spareS(Job job, Time now) {
-    return job.dueAt.since(now).toSeconds() - estimates.predict(job, 0).toSeconds();
+    return job.completeBy().since(now).toSeconds() - estimates.predict(job, 0).toSeconds();
   }
 
   private Option choose(
--- a/src/main/java/io/saltflow/coordination/HeadReservation.java
+++ b/src/main/java/io/saltflow/coordination/HeadReservation.java
@@ -215,6 +215,6 @@
 
   /** Work never preempts work of equal or higher priority, even at the reserve time. */
   private static boolean behind(Job job, Job head) {
-    return head.spec.priority().above(job.spec.priority());
+    return head.priority().above(job.priority());
   }
 }
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -46,6 +46,14 @@
    */
   public record Replicas(int ready, int settled, int unseen, int present, int surplus) {}
 
+  /**
+   * What the jobs that need a job pass back to it.
+   *
+   * @param priority the highest of theirs and its own
+   * @param latestEnd when it has to be complete for them to be in time; null: no such time
+   */
+  record Inherited(Priority priority, Time latestEnd) {}
+
   /** A task that runs, where it can be asked how it is. */
   public record At(String address, int index) {}
 
@@ -70,6 +78,12 @@
   /** A former leader may have launched some of it, so a new one must know where before it does. */
   final boolean maybeStartedBefore;
 
+  /**
+   * A former leader recorded that it may be launched, for certain: all that it needs was recorded
+   * as done before.
+   */
+  private boolean dependenciesMet;
+
   /** The record says that it may be launched, so a successor will look for it. */
   boolean startRecorded;
 
@@ -88,12 +102,21 @@
   /** Run time that stops for the sake of other work have cost it under this leader, in seconds. */
   double lostToOthersS;
 
-  /** By this leader's clock; what another node wrote down may be off by the skew of both. */
+  /**
+   * From when all its times but its deadline count, as a time of day: its acceptance, or the end of
+   * the last job that it depended on.
+   */
+  long countsFromMs;
+
+  /** The same by this leader's clock; what another node wrote may be off by the skew of both. */
   Time arrivedAt = Time.LONG_AGO;
 
   /** When it should be complete, by its deadline or its class's aim; null: no such time. */
   Time dueAt;
 
+  /** What it inherits from the jobs that need it; null: nothing. */
+  private Inherited inherited;
+
   /** When its tasks should have started, by its class's aim; null: no such time. */
   Time startBy;
 
@@ -151,6 +174,7 @@
     this.team = Party.ofTeam(spec.team());
     this.most = service() ? UNSAID : Integer.MAX_VALUE;
     this.arrivedWallMs = arrivedWallMs;
+    this.countsFromMs = arrivedWallMs;
     this.done = done;
     this.taken = (BitSet) done.clone();
     this.recorded = (BitSet) done.clone();
@@ -161,6 +185,16 @@
     return spec.id();
   }
 
+  /** A progress page names it, which is written only when all that it needs is done. */
+  public Job dependenciesMet(boolean met) {
+    dependenciesMet = met;
+    return this;
+  }
+
+  boolean dependenciesMet() {
+    return dependenciesMet;
+  }
+
   /** As it was recorded when it was accepted. */
   public void stands(Lane in, Place at) {
     lane = in;
@@ -172,13 +206,16 @@
     return place;
   }
 
-  /** In the order, as of what is recorded. */
+  /**
+   * In the order, as of what is recorded. One that depended on others has the place of its
+   * acceptance, as it has waited; the time in which it should start counts from its release.
+   */
   Standing standing(boolean guaranteed, double estimateS) {
     int left = Math.max(0, spec.tasks() - recorded.cardinality());
     return new Standing(
         id(),
         spec.jobClass(),
-        lane,
+        lane(),
         place,
         moved,
         arrivedWallMs,
@@ -190,14 +227,48 @@
         spec.daemon());
   }
 
-  /** When it should be complete: by its own time, or by the morning that it is pushed for. */
+  /** What the jobs that need it pass back; null: nothing. */
+  void inherits(Inherited fromDependents) {
+    inherited = fromDependents;
+  }
+
+  /** Its own priority, or the highest of the jobs that need it. */
+  Priority priority() {
+    return inherited == null ? spec.priority() : inherited.priority;
+  }
+
+  /** When it should be complete: by its own time or that of the jobs that need it, or null. */
+  Time completeBy() {
+    return earlier(dueAt, inherited == null ? null : inherited.latestEnd);
+  }
+
+  /** Whether a user set a deadline for it or for a job that needs it. */
+  boolean hasDeadline() {
+    return dueAt != null && spec.deadline() != null
+        || inherited != null && inherited.latestEnd != null;
+  }
+
+  /** When it should be complete, by the morning that it is pushed for too. */
   Time dueBy() {
-    return pushedDue == null || (dueAt != null && dueAt.before(pushedDue)) ? dueAt : pushedDue;
+    return earlier(completeBy(), pushedDue);
+  }
+
+  private static Time earlier(Time a, Time b) {
+    return b == null || (a != null && a.before(b)) ? a : b;
+  }
+
+  /**
+   * The lane that was recorded, or that of the urgency it inherits. Operators' own lanes are no
+   * question of urgency: there it stays where it was put.
+   */
+  private Lane lane() {
+    Lane urgency = Lane.of(priority());
+    return lane.name().isEmpty() && urgency.rank() < lane.rank() ? urgency : lane;
   }
 
   /** Where it queues now. */
   Lane queuesIn() {
-    return moved == null || moved.lane() == null ? lane : moved.lane();
+    return moved == null || moved.lane() == null ? lane() : moved.lane();
   }
 
   public JobSpec spec() {
@@ -402,7 +473,7 @@
 
   /** The priority that it queues by: work of low priority rises when its time is running out. */
   Priority queuedAs() {
-    return pressed && spec.priority() == Priority.LOW ? Priority.NORMAL : spec.priority();
+    return pressed && priority() == Priority.LOW ? Priority.NORMAL : priority();
   }
 
   /** Whether its failures look like the job's own mistake: it fails on machine after machine. */
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -74,6 +74,7 @@
   private final TeamUse use;
   private final Usage usage = new Usage();
   private final Capacity capacity = new Capacity();
+  private final Pipelines pipelines;
   private final Set<MachineId> goneForGood = new LinkedHashSet<>();
   private List<Scheduler.Waiting> waiting = List.of();
   private Backlog backlog = Backlog.NONE;
@@ -105,18 +106,19 @@
     this.lastReport = now;
     this.awake = now;
     this.wallMinusClockMs = wallMs - now.ms();
+    estimates = new Estimates(policy);
+    pipelines = new Pipelines(policy, estimates, wallMinusClockMs, this.jobs::get);
     for (Job job : jobs) {
-      setTimes(job);
-      this.jobs.put(job.id(), job);
+      add(job);
     }
-    estimates = new Estimates(policy);
     account = new Account();
     use = new TeamUse(policy.teams());
     outcomes = new TaskOutcomes(policy, this.jobs, estimates, usage, account);
     fencing = new Fencing(policy, term, this.jobs, use, outcomes, account, now);
     outcomes.of(fencing);
     decided =
-        new Decided(policy, this.jobs, fencing, estimates, use, account, term, wallMinusClockMs);
+        new Decided(
+            policy, this::job, this.jobs, fencing, estimates, use, account, term, wallMinusClockMs);
     scheduler = new Scheduler(policy, estimates, use, account, decided.basis());
     answers = new Answers(policy, term, tookOver, this.jobs, fencing, scheduler, use);
     fleet = new Fleet(policy, term, estimates, account);
@@ -143,12 +145,27 @@
     return term;
   }
 
+  /** The jobs that are scheduled; those that wait for others are not among them. */
   public Collection<Job> jobs() {
     return jobs.values();
   }
 
+  /** Every job that is known to be live, those that wait for others too. */
+  public List<JobId> live() {
+    List<JobId> out = new ArrayList<>(jobs.keySet());
+    pipelines.held().forEach(job -> out.add(job.id()));
+    return out;
+  }
+
+  /** A live job, whether it is scheduled or waits for others; null: it is not known. */
   public Job job(JobId id) {
-    return jobs.get(id);
+    Job job = jobs.get(id);
+    return job == null ? pipelines.held(id) : job;
+  }
+
+  /** Jobs that depend on others. */
+  public Pipelines pipelines() {
+    return pipelines;
   }
 
   public boolean knowsTypes() {
@@ -166,19 +183,64 @@
     changed = true;
   }
 
+  /** It is scheduled, unless it waits for others. */
+  private void add(Job job) {
+    boolean waits = pipelines.added(job, wallMs(tookOver));
+    setTimes(job);
+    if (!waits) {
+      jobs.put(job.id(), job);
+    }
+  }
+
+  /** A deadline counts from the acceptance, all else from the end of the last job it needed. */
   private void setTimes(Job job) {
-    job.arrivedAt = new Time(job.arrivedWallMs - wallMinusClockMs);
+    job.arrivedAt = new Time(job.countsFromMs - wallMinusClockMs);
     Span wait = policy.startByClass().get(job.spec.jobClass());
     job.startBy = wait == null ? null : job.arrivedAt.plus(wait);
-    Span due = job.spec.deadline();
-    if (due == null) {
-      due = policy.dueByClass().get(job.spec.jobClass());
+    if (job.spec.daemon()) {
+      return;
     }
-    if (due != null && !job.spec.daemon()) {
+    Span deadline = job.spec.deadline();
+    Span due = policy.dueByClass().get(job.spec.jobClass());
+    if (deadline != null) {
+      job.dueAt = new Time(job.arrivedWallMs - wallMinusClockMs).plus(deadline);
+    } else if (due != null) {
       job.dueAt = job.arrivedAt.plus(due);
     }
   }
 
+  /** Jobs of which all that they need is done are scheduled. */
+  private void schedule(Time now) {
+    boolean noneOfOldLeaders =
+        accounted && now.since(accountedAt).longerThan(policy.lease().certainlyElsewhere());
+    for (Job job : pipelines.takeReleased(noneOfOldLeaders)) {
+      job.moved = decided.movedHow(job.id());
+      setTimes(job);
+      jobs.put(job.id(), job);
+      changed = true;
+    }
+  }
+
+  /** The record of a job's end was read: it is done, and ended at that time of day. */
+  public void doneRead(JobId id, long endedMs, Time now) {
+    pipelines.done(id, endedMs);
+    schedule(now);
+  }
+
+  /** The record of a job's end was read, or written: it is cancelled. */
+  public void cancelledRead(JobId id, Time now) {
+    Job job = job(id);
+    pipelines.cancelled(id);
+    if (job != null) {
+      cancel(job, now);
+    }
+  }
+
+  /** The time of day, as far as this leader knew it when it began. */
+  public long wallMs(Time now) {
+    return now.ms() + wallMinusClockMs;
+  }
+
   /** A job whose lane is that of its urgency, and whose place is told by its arrival. */
   public void jobSeen(JobSpec spec, long arrivedWallMs, boolean maybeStarted) {
     jobSeen(spec, arrivedWallMs, maybeStarted, Lane.of(spec.priority()), new Place(0, 0));
@@ -186,12 +248,11 @@
 
   public void jobSeen(
       JobSpec spec, long arrivedWallMs, boolean maybeStarted, Lane lane, Place place) {
-    if (!jobs.containsKey(spec.id())) {
+    if (job(spec.id()) == null) {
       Job job = new Job(spec, arrivedWallMs, new BitSet(), maybeStarted);
       job.stands(lane, place);
       job.moved = decided.movedHow(spec.id());
-      setTimes(job);
-      jobs.put(spec.id(), job);
+      add(job);
       changed = true;
       LOG.info(
           "{} arrived: {} {} tasks of {}, {}",
@@ -203,13 +264,23 @@
     }
   }
 
-  /** Its record is gone though this leader did not end it: a user cancelled it. */
+  /**
+   * Its record is gone though this leader did not end it: a user cancelled it. What needs it waits
+   * until its end was read: an end of ours that was not answered may have been carried out.
+   */
   public void jobGone(JobId id, Time now) {
-    Job job = jobs.get(id);
+    Job job = job(id);
     if (job == null || job.finishing) {
       return;
     }
-    LOG.info("{} was cancelled", id);
+    pipelines.gone(id);
+    cancel(job, now);
+  }
+
+  private void cancel(Job job, Time now) {
+    if (!job.cancelled) {
+      LOG.info("{} was cancelled", job.id());
+    }
     job.cancelled = true;
     changed = true;
     for (Presence p : job.present.values()) {
@@ -247,6 +318,7 @@
     outcomes.over(job.id());
     double lateS = job.lateS(now);
     LOG.info("{} is done{}", job.id(), lateS > 0 ? ", " + Math.round(lateS) + " s late" : "");
+    doneRead(job.id(), wallMs(now), now);
   }
 
   /** Jobs with progress that the state service does not hold yet. */
@@ -375,6 +447,7 @@
       return;
     }
     lastTick = now;
+    schedule(now);
     usage.sample(fencing.machines(), now);
     fencing.tick(now);
     checkAccounted(now);
@@ -410,6 +483,7 @@
     changed = false;
     outcomes.taken();
     lastRound = now;
+    pipelines.passBack();
     backlog = Backlog.of(jobs.values(), types.values(), policy, estimates, now);
     fleet.retire(fencing.machines(), jobs.values(), backlog, now);
     decided.beforeRound(fencing.machines(), accounted, now);
@@ -509,7 +583,7 @@
     for (Job job : jobs.values()) {
       boolean first =
           job.queuedAs().above(priority)
-              || (job.queuedAs() == priority && job.arrivedWallMs < arrivedWallMs);
+              || (job.queuedAs() == priority && job.countsFromMs < arrivedWallMs);
       if (first && job.spec.team().equals(team) && !job.cancelled && !job.failsEverywhere()) {
         before = before.plus(job.spec.size().times(job.pendingCount()));
       }
--- a/src/main/java/io/saltflow/coordination/LeastParts.java
+++ b/src/main/java/io/saltflow/coordination/LeastParts.java
@@ -97,13 +97,13 @@
             job.id(),
             job.jobClass,
             job.team,
-            job.spec.priority(),
+            job.priority(),
             each,
             pending,
             held,
             pending == 0 ? 0 : fits(job, kinds),
             left,
-            job.arrivedWallMs,
+            job.countsFromMs,
             now.since(job.arrivedAt)));
   }
 
--- a/src/main/java/io/saltflow/coordination/Lineup.java
+++ b/src/main/java/io/saltflow/coordination/Lineup.java
@@ -94,7 +94,7 @@
         byId.put(job.id(), job);
         if (guaranteed.contains(job.id())) {
           out.add(inQueue(job));
-        } else if (job.spec.priority().compareTo(urgentFrom) >= 0) {
+        } else if (job.priority().compareTo(urgentFrom) >= 0) {
           out.add(new Entry(job, Why.URGENT, null, Integer.MAX_VALUE));
         }
       }
--- a/src/main/java/io/saltflow/coordination/Mornings.java
+++ b/src/main/java/io/saltflow/coordination/Mornings.java
@@ -240,7 +240,7 @@
     return !job.spec.daemon()
         && !job.cancelled
         && !job.finishing
-        && job.arrivedWallMs < m.dueMs()
+        && job.countsFromMs < m.dueMs()
         && rule.has(job.spec.jobClass(), job.spec.team());
   }
 
--- a/src/main/java/io/saltflow/coordination/Moves.java
+++ b/src/main/java/io/saltflow/coordination/Moves.java
@@ -413,14 +413,14 @@
       Job job = p.job;
       boolean replica = job.spec.daemon() && p.state == Presence.State.RUNNING && !p.stopping;
       if (!replica
-          || job.spec.priority().above(wish.spec.priority())
+          || job.priority().above(wish.priority())
           || job.pendingCount() > 0
           || (job.service() && (job.disruptions == null || !job.disruptions.covers(1)))
           || movedLately(p.task(), now)) {
         continue;
       }
       double cost = AWAY_S + (job.spec.tasks() == 1 ? SINGLE_S : 0);
-      cost += job.spec.priority() == wish.spec.priority() ? URGENT_S : 0;
+      cost += job.priority() == wish.priority() ? URGENT_S : 0;
       out.add(new Piece(p.task(), job.spec.size(), cost));
     }
     out.sort(Comparator.comparing(p -> p.task().toString()));
--- a/src/main/java/io/saltflow/coordination/Preemption.java
+++ b/src/main/java/io/saltflow/coordination/Preemption.java
@@ -61,7 +61,7 @@
     List<Place> places = null;
     Map<String, Size> stopped = new HashMap<>();
     for (Scheduler.Waiting w : waiting) {
-      boolean urgent = w.job().spec.priority().compareTo(policy.preemptFrom()) >= 0;
+      boolean urgent = w.job().priority().compareTo(policy.preemptFrom()) >= 0;
       if ((!urgent && !guaranteed.contains(w.job().id()))
           || w.job().failsEverywhere()
           || w.held()) {
@@ -223,9 +223,9 @@
       Set<JobId> guaranteed,
       Map<String, Size> stopped,
       List<Presence> chosen) {
-    Priority mine = forJob.spec.priority();
+    Priority mine = forJob.priority();
     boolean victimGuaranteed = guaranteed.contains(p.job.id());
-    if (mine.above(p.job.spec.priority())
+    if (mine.above(p.job.priority())
         && mine.compareTo(policy.preemptFrom()) >= 0
         && (!victimGuaranteed || guaranteed.contains(forJob.id()))
         && parts.spares(p, chosen)) {
--- a/src/main/java/io/saltflow/coordination/Queue.java
+++ b/src/main/java/io/saltflow/coordination/Queue.java
@@ -56,7 +56,8 @@
       return true;
     }
     Span run = estimates.byItsOwner(job.spec).times(basis.correction(job.spec.jobClass()));
-    return job.dueAt != null && !job.dueAt.since(now).minus(run.times(1.3)).longerThan(slack);
+    Time due = job.completeBy();
+    return due != null && !due.since(now).minus(run.times(1.3)).longerThan(slack);
   }
 
   /** Jobs that fit in their team's guarantee together with the team's earlier unfinished jobs. */
@@ -67,7 +68,7 @@
     }
     Map<String, Size> sums = new HashMap<>();
     List<Job> byArrival = new ArrayList<>(jobs);
-    byArrival.sort(Comparator.comparing((Job j) -> j.arrivedWallMs).thenComparing(Job::id));
+    byArrival.sort(Comparator.comparing((Job j) -> j.countsFromMs).thenComparing(Job::id));
     for (Job job : byArrival) {
       Policy.Team team = policy.teams().get(job.spec.team());
       if (team == null || (team.cores() <= 0 && team.gpus() <= 0)) {
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -200,7 +200,7 @@
     return order.stream()
         .filter(j -> j.startRecorded && j.waitsForItsFirst() && !j.service())
         .filter(j -> !j.failsEverywhere() && now.since(j.arrivedAt).compareTo(after) >= 0)
-        .sorted(Comparator.comparing((Job j) -> j.arrivedWallMs).thenComparing(Job::id))
+        .sorted(Comparator.comparing((Job j) -> j.countsFromMs).thenComparing(Job::id))
         .limit(MOST_FIRSTS)
         .toList();
   }
@@ -357,7 +357,7 @@
         && (!m.retiring
             || job.spec.size().gpus() > 0
             || guaranteed.contains(job.id())
-            || job.spec.priority().compareTo(policy.preemptFrom()) >= 0);
+            || job.priority().compareTo(policy.preemptFrom()) >= 0);
   }
 
   /**
--- a/src/main/java/io/saltflow/coordination/TeamUse.java
+++ b/src/main/java/io/saltflow/coordination/TeamUse.java
@@ -59,7 +59,7 @@
       if (d.team().equals(job.spec.team())) {
         boolean first =
             d.priority().above(job.queuedAs())
-                || (d.priority() == job.queuedAs() && d.arrivedWallMs() < job.arrivedWallMs);
+                || (d.priority() == job.queuedAs() && d.arrivedWallMs() < job.countsFromMs);
         sum = sum.plus(first ? d.held().plus(d.wanted()) : d.held());
       }
     }
--- /dev/null
+++ b/src/main/java/io/saltflow/pipelines/Ranks.java
@@ -0,0 +1,88 @@
+package io.saltflow.pipelines;
+
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.Priority;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What a job inherits from the jobs that need it, directly or through others: the highest priority,
+ * and the latest completion by which all of them can still be in time. The latter goes backward
+ * along the critical path of estimates, as in HEFT's upward rank (Topcuoglu, Hariri and Wu, 2002).
+ */
+public final class Ranks {
+  /** There is no time by which it has to be complete. */
+  public static final long NO_DEADLINE = Long.MAX_VALUE;
+
+  /** What a job says of itself. */
+  public interface Jobs {
+    Priority priority(JobId id);
+
+    /** Its own deadline, as a time of day, or {@link #NO_DEADLINE}. */
+    long deadlineMs(JobId id);
+
+    /** How long it takes by estimate from when it may start until its end is recorded. */
+    long expectedMs(JobId id);
+  }
+
+  /**
+   * @param priority the highest of its own and of those that need it
+   * @param latestEndMs the earliest of its own deadline and of what those that need it leave
+   */
+  public record Rank(Priority priority, long latestEndMs) {
+    private Rank and(Priority otherPriority, long otherLatestEndMs) {
+      return new Rank(
+          otherPriority.above(priority) ? otherPriority : priority,
+          Math.min(latestEndMs, otherLatestEndMs));
+    }
+  }
+
+  private Ranks() {}
+
+  /**
+   * The ranks of all live jobs that depend on others or are depended on. Each job comes after all
+   * jobs that need it; those that need each other in a circle, which only a damaged record can say,
+   * are left out.
+   */
+  public static Map<JobId, Rank> of(DependencyGraph graph, Jobs jobs) {
+    Map<JobId, Rank> ranks = new LinkedHashMap<>();
+    Map<JobId, Integer> dependentsLeft = dependentCounts(graph);
+    Deque<JobId> ready = new ArrayDeque<>();
+    for (JobId id : graph.linked()) {
+      ranks.put(id, new Rank(jobs.priority(id), jobs.deadlineMs(id)));
+      if (!dependentsLeft.containsKey(id)) {
+        ready.add(id);
+      }
+    }
+    Map<JobId, Rank> settled = new LinkedHashMap<>();
+    while (!ready.isEmpty()) {
+      JobId id = ready.poll();
+      Rank rank = ranks.get(id);
+      settled.put(id, rank);
+      long latestStartMs =
+          rank.latestEndMs == NO_DEADLINE ? NO_DEADLINE : rank.latestEndMs - jobs.expectedMs(id);
+      for (JobId need : graph.liveNeeds(id)) {
+        ranks.computeIfPresent(need, (n, own) -> own.and(rank.priority, latestStartMs));
+        if (dependentsLeft.merge(need, -1, Integer::sum) == 0) {
+          ready.add(need);
+        }
+      }
+    }
+    return settled;
+  }
+
+  private static Map<JobId, Integer> dependentCounts(DependencyGraph graph) {
+    Map<JobId, Integer> counts = new HashMap<>();
+    Collection<JobId> linked = graph.linked();
+    for (JobId id : linked) {
+      for (JobId need : graph.liveNeeds(id)) {
+        counts.merge(need, 1, Integer::sum);
+      }
+    }
+    return counts;
+  }
+}
--- a/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
@@ -309,7 +309,7 @@
 
   private void ends(JobStore node, JobId id) {
     Txn end = new Txn();
-    node.finish(end, id, 16);
+    node.finish(end, id, 16, 0);
     try {
       assertEquals(200, store.commit(txn(end)).status());
     } catch (BadMessage e) {
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -548,6 +548,7 @@
       if (!r.over) {
         long arrived = forgetArrivals ? now : r.at;
         Job job = new Job(r.spec, arrived, (BitSet) r.done.clone(), r.started);
+        job.dependenciesMet(r.started);
         job.stands(r.lane(), r.place);
         jobs.add(job);
       }
