Steps of pipelines that are due change places by the time they have to spare

Change: PipelineOrder exchanges their places within a lane, the least time to spare first, those that can't be in time any more last.

--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -248,6 +248,14 @@
         || inherited != null && inherited.latestEnd != null;
   }
 
+  /** By when it has to be complete as a step of a pipeline; null: it is none, or none is due. */
+  Time pipelineDue() {
+    if (inherited != null) {
+      return inherited.latestEnd;
+    }
+    return spec.awaits().isEmpty() || spec.deadline() == null ? null : dueAt;
+  }
+
   /** When it should be complete, by the morning that it is pushed for too. */
   Time dueBy() {
     return earlier(completeBy(), pushedDue);
--- a/src/main/java/io/saltflow/coordination/Queue.java
+++ b/src/main/java/io/saltflow/coordination/Queue.java
@@ -42,7 +42,7 @@
     }
     List<Job> out = new ArrayList<>();
     Order.of(standings, basis, policy.lengthWeight()).forEach(id -> out.add(byId.get(id)));
-    return out;
+    return PipelineOrder.leastSlackFirst(out, guaranteed, job -> expected(job, basis), now);
   }
 
   /**
@@ -55,11 +55,15 @@
     if (job.startBy != null && !job.startBy.since(now).longerThan(slack)) {
       return true;
     }
-    Span run = estimates.byItsOwner(job.spec).times(basis.correction(job.spec.jobClass()));
+    Span run = expected(job, basis);
     Time due = job.completeBy();
     return due != null && !due.since(now).minus(run.times(1.3)).longerThan(slack);
   }
 
+  private Span expected(Job job, Basis basis) {
+    return estimates.byItsOwner(job.spec).times(basis.correction(job.spec.jobClass()));
+  }
+
   /** Jobs that fit in their team's guarantee together with the team's earlier unfinished jobs. */
   Set<JobId> guaranteed(Collection<Job> jobs) {
     Set<JobId> out = new HashSet<>();
--- a/src/test/java/io/saltflow/coordination/PipelinesTest.java
+++ b/src/test/java/io/saltflow/coordination/PipelinesTest.java
@@ -6,9 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.saltflow.protocol.JobId;
-import io.saltflow.protocol.JobSpec;
 import io.saltflow.protocol.Priority;
-import io.saltflow.protocol.Span;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -16,123 +14,11 @@
 
 /** Jobs that depend on others, on the core that runs: each test is a day with what it may break. */
 class PipelinesTest {
-  private static final Span LEASE = Span.millis(World.LEASE);
-
-  /** The test world, with the reads and writes that dependent jobs take. */
-  private static final class Day {
-    final World world;
-    final List<String> broken = new ArrayList<>();
-
-    /** Which part of the recorded cancellations gets no answer. */
-    double lost;
-
-    /** A planted mistake: an end that nobody recorded is taken for one that is done. */
-    boolean takesGoneForDone;
-
-    Day(long seed) {
-      world = new World(seed, World.policy(LEASE));
-    }
-
-    JobId submit(Jobs job, JobId... needs) {
-      JobSpec spec = job.build().awaiting(List.of(needs));
-      world.submit(spec);
-      for (JobId need : needs) {
-        if (record(need).cancelledAt >= 0) {
-          // What a node does that accepts a job which names a cancelled one.
-          world.cancel(spec.id());
-        }
-      }
-      return spec.id();
-    }
-
-    World.JobRecord record(JobId id) {
-      return world.records.get(id);
-    }
-
-    Leader core() {
-      return world.lead == null ? null : world.lead.core;
-    }
-
-    void run(double seconds) {
-      for (long end = world.now + (long) (seconds * 1000); world.now < end; ) {
-        world.step();
-        boolean served = world.lead != null && world.lead.served() && !world.lead.cut();
-        if (served && core() != null) {
-          readEnds();
-          cancelDependents();
-        }
-        check();
-      }
-      assertEquals(List.of(), world.broken);
-    }
-
-    private void readEnds() {
-      List<JobId> ends = new ArrayList<>(core().pipelines().endsToRead());
-      ends.addAll(core().pipelines().endsToReadForTimes());
-      for (JobId id : ends) {
-        World.JobRecord r = record(id);
-        if (takesGoneForDone || r.overAt >= 0) {
-          core().doneRead(id, r.overAt, world.time());
-        } else if (r.over) {
-          core().cancelledRead(id, world.time());
-        }
-      }
-    }
-
-    private void cancelDependents() {
-      for (JobId id : core().pipelines().toCancel()) {
-        World.JobRecord r = record(id);
-        boolean answered = !world.chance(lost);
-        if (!r.over) {
-          r.over = true;
-          r.cancelledAt = world.now;
-          world.say(id + " is cancelled with what it needs");
-        }
-        if (answered) {
-          core().cancelledRead(id, world.time());
-        }
-      }
-    }
-
-    /** The rules: too_early and orphaned. */
-    private void check() {
-      for (World.JobRecord r : world.records.values()) {
-        for (JobId each : r.spec.awaits()) {
-          World.JobRecord need = record(each);
-          boolean done = need.overAt >= 0 && need.ran.cardinality() == need.spec.tasks();
-          if (r.startedAt >= 0 && (!done || need.overAt > r.startedAt)) {
-            broken.add("too_early: " + r.spec.id() + " at " + r.startedAt);
-          }
-          boolean late = need.cancelledAt >= 0 && world.now > need.cancelledAt + World.CANCEL;
-          if (late && !r.over) {
-            broken.add("orphaned: " + r.spec.id() + " at " + world.now);
-          }
-        }
-      }
-    }
-
-    void runUntilOver(double mostSeconds) {
-      for (double s = 0; s < mostSeconds && !world.allOver(); s += 5) {
-        run(5);
-      }
-      assertTrue(world.allOver(), String.join("\n", world.trace));
-      assertEquals(List.of(), broken);
-    }
-
-    boolean done(JobId id) {
-      return record(id).overAt >= 0;
-    }
-
-    boolean cancelled(JobId id) {
-      return record(id).cancelledAt >= 0;
-    }
-  }
-
   private static Jobs step(int number) {
     return Jobs.job(number).estimateS(3);
   }
 
-  private static List<JobId> chain(Day day, int length) {
+  private static List<JobId> chain(PipelineDay day, int length) {
     List<JobId> chain = new ArrayList<>();
     for (int i = 0; i < length; i++) {
       JobId id = i == 0 ? day.submit(step(0)) : day.submit(step(i), chain.get(i - 1));
@@ -143,7 +29,7 @@
 
   @Test
   void waitingJobsAreKnownButNotScheduled() {
-    Day day = new Day(1);
+    PipelineDay day = new PipelineDay(1);
     JobId first = day.submit(step(1).estimateS(60));
     JobId second = day.submit(step(2), first);
     day.run(30);
@@ -157,7 +43,7 @@
 
   @Test
   void aDiamondRunsInOrder() {
-    Day day = new Day(2);
+    PipelineDay day = new PipelineDay(2);
     JobId top = day.submit(step(1));
     JobId left = day.submit(step(2).tasks(3), top);
     JobId right = day.submit(step(3).estimateS(20), top);
@@ -169,7 +55,7 @@
 
   @Test
   void aChainOfThirtyWithTakeovers() {
-    Day day = new Day(3);
+    PipelineDay day = new PipelineDay(3);
     List<JobId> chain = chain(day, 30);
     day.run(60);
     day.world.loseLeader(0);
@@ -181,7 +67,7 @@
 
   @Test
   void twoHundredJobsThatNeedOne() {
-    Day day = new Day(4);
+    PipelineDay day = new PipelineDay(4);
     JobId first = day.submit(step(1));
     IntStream.range(2, 202).forEach(i -> day.submit(step(i), first));
     day.runUntilOver(400);
@@ -189,7 +75,7 @@
 
   @Test
   void twoHundredJobsAreCancelledWithTheOneTheyNeed() {
-    Day day = new Day(5);
+    PipelineDay day = new PipelineDay(5);
     JobId first = day.submit(step(1).estimateS(100));
     IntStream.range(2, 202).forEach(i -> day.submit(step(i), first));
     day.run(20);
@@ -202,7 +88,7 @@
   /** The team of the need is at its limit; what waits for it takes nothing from anybody. */
   @Test
   void aWaitingJobHoldsNothingUp() {
-    Day day = new Day(6);
+    PipelineDay day = new PipelineDay(6);
     for (int i = 1; i <= 6; i++) {
       day.submit(Jobs.job(i).team("red").cores(8).estimateS(200));
     }
@@ -220,7 +106,7 @@
 
   @Test
   void theLastJobComesWhenTheOthersAreLongOver() {
-    Day day = new Day(7);
+    PipelineDay day = new PipelineDay(7);
     List<JobId> chain = chain(day, 3);
     day.runUntilOver(150);
     day.world.loseLeader(0);
@@ -238,7 +124,7 @@
   @Test
   void aCancelledChainGoesAsAWholeAcrossATakeover() {
     for (int at = 0; at < 30; at += 2) {
-      Day day = new Day(100 + at);
+      PipelineDay day = new PipelineDay(100 + at);
       day.lost = 0.3;
       List<JobId> chain = chain(day, 5);
       day.run(at);
@@ -263,7 +149,7 @@
   @Test
   void anythingMayHappen() {
     for (int seed = 0; seed < 30; seed++) {
-      Day day = new Day(1000 + seed);
+      PipelineDay day = new PipelineDay(1000 + seed);
       day.lost = 0.3;
       day.world.late = 0.1;
       day.world.loss = 0.05;
@@ -288,7 +174,7 @@
     }
   }
 
-  private static void trouble(Day day) {
+  private static void trouble(PipelineDay day) {
     switch (day.world.random.nextInt(25)) {
       case 0 -> day.world.loseLeader(0);
       case 1 -> day.world.loseLeader(12_000);
@@ -300,7 +186,7 @@
 
   @Test
   void theChecksNoticeAStartOnAnEndThatNobodyRecorded() {
-    Day day = new Day(8);
+    PipelineDay day = new PipelineDay(8);
     day.takesGoneForDone = true;
     List<JobId> chain = chain(day, 3);
     day.run(15);
@@ -311,7 +197,7 @@
 
   @Test
   void priorityAndDeadlineArePassedBack() {
-    Day day = new Day(9);
+    PipelineDay day = new PipelineDay(9);
     JobId first = day.submit(step(1).priority(Priority.LOW).estimateS(30));
     JobId second = day.submit(step(2).priority(Priority.LOW).estimateS(20), first);
     day.run(10);
@@ -342,7 +228,7 @@
   /** The first step is of low priority and belongs to a critical pipeline. */
   @Test
   void aStepGoesBeforeWorkOfLowerPriorityThanItsPipeline() {
-    Day day = new Day(10);
+    PipelineDay day = new PipelineDay(10);
     day.world.mostMachines = 2;
     for (int i = 1; i <= 12; i++) {
       day.submit(Jobs.job(i).cores(8).estimateS(40));
@@ -357,7 +243,7 @@
 
   @Test
   void timesCountFromTheEndOfTheLastNeedAndTheDeadlineFromTheSubmission() {
-    Day day = new Day(11);
+    PipelineDay day = new PipelineDay(11);
     JobId first = day.submit(step(1).estimateS(30));
     JobId second = day.submit(step(2).estimateS(60).deadlineS(500), first);
     day.run(70);
@@ -377,7 +263,7 @@
   /** Only damaged records can say that: the others go on. */
   @Test
   void jobsThatNeedEachOtherInACircleHoldNobodyUp() {
-    Day day = new Day(12);
+    PipelineDay day = new PipelineDay(12);
     JobId a = new JobId(Jobs.id(1));
     JobId b = new JobId(Jobs.id(2));
     day.world.submit(step(1).build().awaiting(List.of(b)));
