--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -76,7 +76,6 @@
       Authority authority,
       StateClient state,
       JobStore jobs,
-      LeaderBooks.Limits limits,
       CloudClient cloud,
       Span listLag,
       Supplier<Collection<MachineType>> types,
@@ -91,7 +90,7 @@
     this.authority = authority;
     this.state = state;
     this.jobs = jobs;
-    this.books = new LeaderBooks(this, state, jobs, authority, limits, loop::now);
+    this.books = new LeaderBooks(this, state, jobs, authority, loop::now);
     this.cloud = cloud;
     this.listLag = listLag;
     this.types = types;
--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -5,6 +5,7 @@
 import io.saltflow.bookkeeping.LeaderBooks;
 import io.saltflow.bookkeeping.Leadership;
 import io.saltflow.bookkeeping.StateClient;
+import io.saltflow.bookkeeping.StateLimits;
 import io.saltflow.coordination.Authority;
 import io.saltflow.coordination.Job;
 import io.saltflow.coordination.Leader;
@@ -145,11 +146,10 @@
     // One node may be alone in serving users: each may use a good part of what all may use.
     double rps = config.stateRps() * 0.45;
     double wps = config.stateWriteRps() * 0.5;
-    state = new StateClient(this, loop, stateHttp, watchHttp, rps, wps);
+    StateLimits limits = new StateLimits(config.txnOps(), config.valueKb(), config.stateWriteRps());
+    state = new StateClient(this, loop, stateHttp, watchHttp, rps, wps, limits);
     String process = config.host() + "-" + Long.toHexString(random.nextLong());
-    jobs =
-        new JobStore(
-            this, loop, state, config.valueKb(), config.txnOps(), process, operator.lanes());
+    jobs = new JobStore(this, loop, state, process, operator.lanes());
     cloud = new CloudClient(this, loop, cloudHttp, config.cloudRps() * 0.75);
     leadership =
         new Leadership(
@@ -228,7 +228,6 @@
         authority,
         state,
         jobs,
-        limits(),
         writesPerS,
         config.skew(),
         System::currentTimeMillis,
@@ -242,7 +241,6 @@
         authority,
         state,
         jobs,
-        config.valueKb(),
         System::currentTimeMillis,
         users::neverRuns,
         this::zones,
@@ -258,10 +256,6 @@
     return List.copyOf(zones);
   }
 
-  private LeaderBooks.Limits limits() {
-    return new LeaderBooks.Limits(config.txnOps(), config.valueKb(), config.stateWriteRps());
-  }
-
   int port() {
     return server.port();
   }
@@ -314,7 +308,6 @@
               authority,
               state,
               jobs,
-              limits(),
               cloud,
               config.listLag(),
               types::values,
--- a/src/main/java/io/saltflow/bookkeeping/Admissions.java
+++ b/src/main/java/io/saltflow/bookkeeping/Admissions.java
@@ -1,8 +1,9 @@
 package io.saltflow.bookkeeping;
 
+import io.saltflow.lanes.Place;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobId;
-import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.JsonSize;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.Time;
@@ -10,6 +11,7 @@
 import io.saltflow.transport.Routine;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,6 +33,11 @@
 
   private static final int MOST_IN_A_BUNDLE = 32;
 
+  /** A bundle's braces, and the colon and the comma of each of its records, in JSON. */
+  private static final int FRAME = 2;
+
+  private static final Place LAST_PLACE = new Place(Long.MAX_VALUE, MOST_IN_A_BUNDLE);
+
   private record Waiting(
       JobId id, Body record, int bytes, Time deadline, Consumer<JobStore.Outcome> then) {}
 
@@ -38,8 +45,6 @@
   private final StateClient state;
   private final LiveCheck live;
   private final BiConsumer<JobId, Consumer<JobStore.Outcome>> find;
-  private final int valueBytes;
-  private final int mostInABundle;
   private final String name;
   private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
   private long sequence;
@@ -55,25 +60,20 @@
       StateClient state,
       LiveCheck live,
       BiConsumer<JobId, Consumer<JobStore.Outcome>> find,
-      int valueBytes,
-      int txnOps,
       String name) {
     super(parent);
     this.loop = loop;
     this.state = state;
     this.live = live;
     this.find = find;
-    this.valueBytes = valueBytes;
-    // Two conditions a job and one for the bundle; a transaction takes four times as many as
-    // writes.
-    this.mostInABundle = Math.min(MOST_IN_A_BUNDLE, Math.max(1, (4 * txnOps - 1) / 2));
     this.name = name;
   }
 
   void add(JobId id, Body record, Consumer<JobStore.Outcome> then) {
-    int bytes = MsgPack.encode(record).length;
-    if (bytes * 5 / 4 > valueBytes) {
-      then.accept(new JobStore.Outcome.TooLarge());
+    // With the place that its own record says once it is taken out of a bundle.
+    int bytes = JsonSize.of(JobStore.withPlace(record, LAST_PLACE));
+    if (bytes > state.limits().valueBytes()) {
+      tooLarge(id, then);
       return;
     }
     waiting.add(new Waiting(id, record, bytes, loop.now().plus(PATIENCE), then));
@@ -82,6 +82,23 @@
     }
   }
 
+  /** One that was accepted while larger values were taken is known all the same. */
+  private void tooLarge(JobId id, Consumer<JobStore.Outcome> then) {
+    find.accept(
+        id,
+        found ->
+            then.accept(
+                found instanceof JobStore.Outcome.Absent
+                    ? new JobStore.Outcome.TooLarge()
+                    : found));
+  }
+
+  /** Two conditions a job, and one for the bundle. */
+  private int mostInABundle() {
+    int byConditions = (state.limits().conditions() - 1) / 2;
+    return Math.min(MOST_IN_A_BUNDLE, Math.max(1, byConditions));
+  }
+
   private void pump() {
     planned = false;
     Time now = loop.now();
@@ -109,18 +126,26 @@
   /** As many of those that wait as fit into one value. */
   private List<Waiting> next() {
     List<Waiting> some = new ArrayList<>();
-    int bytes = 0;
-    while (!waiting.isEmpty() && some.size() < mostInABundle) {
-      // The text form, in which a value is measured, is longer by up to a half.
-      bytes += waiting.peek().bytes * 3 / 2 + waiting.peek().id.text().length() + 4;
-      if (!some.isEmpty() && bytes > valueBytes) {
-        break;
-      }
+    for (int n = fitting(waiting); n > 0; n--) {
       some.add(waiting.poll());
     }
     return some;
   }
 
+  /** How many of these, from the first on, may lie in one bundle. */
+  private int fitting(Collection<Waiting> all) {
+    int count = 0;
+    int bytes = FRAME;
+    for (Waiting w : all) {
+      bytes += w.bytes + JsonSize.of(w.id.text()) + FRAME;
+      if (count >= mostInABundle() || (count > 0 && bytes > state.limits().valueBytes())) {
+        break;
+      }
+      count++;
+    }
+    return count;
+  }
+
   private void alone(Waiting w) {
     Txn txn = absent(new Txn(), w.id).put(Keys.live(w.id), w.record);
     state.commit(
@@ -134,6 +159,8 @@
           } else if (a.status() == 409) {
             // Known already; perhaps by a try of ours whose answer was lost.
             find.accept(w.id, w.then);
+          } else if (a.refusedForGood() && w.bytes > state.limits().valueBytes()) {
+            tooLarge(w.id, w.then);
           } else {
             again(a, List.of(w));
           }
@@ -168,8 +195,11 @@
               live.seenIn(w.id, key, new Stamp(a.revision()));
               w.then.accept(new JobStore.Outcome.Created(w.id));
             }
+          } else if (a.refusedForGood() && some.size() > fitting(some)) {
+            // Together they are more than is taken now: in smaller bundles.
+            requeue(some);
           } else if (a.status() == 409 || a.status() == 400) {
-            // One is known already, or together they are too large: each for itself.
+            // One is known already: each for itself.
             some.forEach(this::alone);
           } else {
             again(a, some);
@@ -182,13 +212,17 @@
     // One whose answer was lost may lie in two bundles then. That makes one job of it: the leader
     // gives a job a record of its own only where there is none and it has not ended.
     boolean worthIt = a.status() == 0 || a.status() == 429;
+    if (worthIt) {
+      requeue(some);
+    } else {
+      some.forEach(w -> w.then.accept(new JobStore.Outcome.Unknown()));
+      later();
+    }
+  }
+
+  private void requeue(List<Waiting> some) {
     for (int i = some.size() - 1; i >= 0; i--) {
-      Waiting w = some.get(i);
-      if (worthIt) {
-        waiting.addFirst(w);
-      } else {
-        w.then.accept(new JobStore.Outcome.Unknown());
-      }
+      waiting.addFirst(some.get(i));
     }
     later();
   }
--- a/src/main/java/io/saltflow/bookkeeping/Chunks.java
+++ b/src/main/java/io/saltflow/bookkeeping/Chunks.java
@@ -23,34 +23,39 @@
   private static final int MOST_UNPACKED = 64 << 20;
   private static final double MOST_PACKED = 0.2;
 
-  private final int textBytes;
-  private final int most;
+  private final StateLimits limits;
   private double ratio = 1;
 
-  public Chunks(LeaderBooks.Limits limits) {
-    int value = (int) Math.min(limits.valueKb() * 1024, MOST_TXN);
-    textBytes = (value - FIELDS) / 4 * 4;
-    most = Math.max(1, Math.min(limits.txnOps(), MOST_TXN / value));
+  public Chunks(StateLimits limits) {
+    this.limits = limits;
+  }
+
+  private int valueBytes() {
+    return Math.min(limits.valueBytes(), MOST_TXN);
+  }
+
+  private int textBytes() {
+    return (valueBytes() - FIELDS) / 4 * 4;
   }
 
   /** The most texts of one transaction. */
   int most() {
-    return most;
+    return Math.max(1, Math.min(limits.operations(), MOST_TXN / valueBytes()));
   }
 
   /** Bytes that one text holds, packed. */
   private int bytesEach() {
-    return textBytes / 4 * 3;
+    return textBytes() / 4 * 3;
   }
 
   /** What certainly fits in one transaction, however badly it packs. */
   public int certainBytes() {
-    return bytesEach() * most - 64;
+    return bytesEach() * most() - 64;
   }
 
   /** About how many bytes so many texts will hold. */
   int wantedBytes(int texts) {
-    return (int) (bytesEach() * Math.min(texts, most) * 0.9 / Math.max(MOST_PACKED, ratio));
+    return (int) (bytesEach() * Math.min(texts, most()) * 0.9 / Math.max(MOST_PACKED, ratio));
   }
 
   List<String> split(byte[] bytes) {
@@ -60,6 +65,7 @@
     ratio = Math.min(1, now > ratio ? now : ratio * 0.8 + now * 0.2);
     String text = Base64.getEncoder().encodeToString(packed);
     List<String> out = new ArrayList<>();
+    int textBytes = textBytes();
     for (int from = 0; from < text.length(); from += textBytes) {
       out.add(text.substring(from, Math.min(text.length(), from + textBytes)));
     }
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -90,26 +90,17 @@
       };
 
   /**
-   * @param txnOps how many writes a transaction of the state service may have
    * @param process differs from that of every other process that was ever started
    * @param lanes by which jobs are accepted
    */
-  public JobStore(
-      Routine parent,
-      Loop loop,
-      StateClient state,
-      double valueKb,
-      int txnOps,
-      String process,
-      Lanes lanes) {
+  public JobStore(Routine parent, Loop loop, StateClient state, String process, Lanes lanes) {
     super(parent);
     this.lanes = lanes;
     this.loop = loop;
     this.state = state;
-    int valueBytes = (int) (valueKb * 1024);
-    live = new LiveCheck(this, loop, state, txnOps);
+    live = new LiveCheck(this, loop, state);
     firstLooks = new FirstLooks(this, loop, state, live);
-    admissions = new Admissions(this, loop, state, live, this::find, valueBytes, txnOps, process);
+    admissions = new Admissions(this, loop, state, live, this::find, process);
   }
 
   /** Writes a new job down, or finds that it is known. */
--- a/src/main/java/io/saltflow/bookkeeping/KeyWrites.java
+++ b/src/main/java/io/saltflow/bookkeeping/KeyWrites.java
@@ -1,6 +1,7 @@
 package io.saltflow.bookkeeping;
 
 import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JsonSize;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
 import io.saltflow.transport.Routine;
@@ -49,6 +50,13 @@
       then.accept(false);
       return;
     }
+    if (data != null && !state.limits().fits(data)) {
+      state
+          .limits()
+          .tooLarge(key, JsonSize.of(data), "it is not written, and goes on without a record");
+      then.accept(false);
+      return;
+    }
     known.underWay = true;
     if (known.unclear) {
       learn(key, known, then);
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -7,16 +7,17 @@
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.CloudCodec;
 import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JsonSize;
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.Time;
 import io.saltflow.transport.Routine;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -29,18 +30,18 @@
   private static final Logger LOG = LoggerFactory.getLogger(LeaderBooks.class);
   private static final Span TRY = Span.millis(1500);
 
+  /** The colon and the comma of an entry of a page, and the braces of the page, in JSON. */
+  private static final int ENTRY_FRAME = 2;
+
+  private static final int PAGE_FRAME = 2;
+
   /** The part of all writes that one page may take when something new comes all the time. */
   private static final double PART_FOR_A_PAGE = 0.1;
 
-  /** What the state service takes. */
-  public record Limits(int txnOps, double valueKb, double writesPerS) {}
-
   private final StateClient state;
   private final JobStore jobs;
   private final Authority authority;
   private final Supplier<Time> now;
-  private final int txnOps;
-  private final int valueBytes;
   private final Pages<Leader.LedgerEntry> ledger;
   private final Pages<Job> progress;
   private final Unpacking unpacking = new Unpacking();
@@ -50,28 +51,22 @@
   private boolean unpackingStep;
 
   public LeaderBooks(
-      Routine parent,
-      StateClient state,
-      JobStore jobs,
-      Authority authority,
-      Limits limits,
-      Supplier<Time> now) {
+      Routine parent, StateClient state, JobStore jobs, Authority authority, Supplier<Time> now) {
     super(parent);
     this.state = state;
     this.jobs = jobs;
     this.authority = authority;
     this.now = now;
-    this.txnOps = Math.max(2, limits.txnOps());
-    // A quarter is left for what the text form of a value takes beyond what is counted here.
-    this.valueBytes = (int) (limits.valueKb() * 1024 * 3 / 4);
-    Span pause = Span.seconds(1 / (limits.writesPerS() * PART_FOR_A_PAGE));
-    plans = new PlanBooks(this, state, this::guarded, now, this.txnOps);
+    plans = new PlanBooks(this, state, this::guarded, now);
     ledger =
-        new Pages<>(
-            this, state, this::guarded, Keys.FLEET, valueBytes, pause, now, new LedgerForm());
+        new Pages<>(this, state, this::guarded, Keys.FLEET, this::pause, now, new LedgerForm());
     progress =
         new Pages<>(
-            this, state, this::guarded, Keys.PROGRESS, valueBytes, pause, now, new ProgressForm());
+            this, state, this::guarded, Keys.PROGRESS, this::pause, now, new ProgressForm());
+  }
+
+  private Span pause() {
+    return Span.seconds(1 / (state.limits().changesPerS() * PART_FOR_A_PAGE));
   }
 
   private Txn guarded() {
@@ -92,7 +87,12 @@
 
     @Override
     public int longest(Leader.LedgerEntry e) {
-      return e.id().text().length() + e.type().length() + e.zone().length() + 16;
+      return JsonSize.of(name(e)) + JsonSize.of(encode(e)) + ENTRY_FRAME;
+    }
+
+    @Override
+    public boolean keeps(Leader.LedgerEntry e, Object value) {
+      return true;
     }
 
     @Override
@@ -106,7 +106,9 @@
   /** A job that may have been started, with its done tasks. */
   private final class ProgressForm implements Pages.Form<Job> {
     private int mostText(Job job) {
-      return Math.min(DoneTasks.longest(job.spec().tasks()), valueBytes / 2);
+      int besides = JsonSize.of(name(job)) + JsonSize.of("") + ENTRY_FRAME + PAGE_FRAME;
+      int room = state.limits().valueBytes() - besides;
+      return Math.min(DoneTasks.longest(job.spec().tasks()), room);
     }
 
     @Override
@@ -121,7 +123,20 @@
 
     @Override
     public int longest(Job job) {
-      return job.id().text().length() + mostText(job) + 6;
+      return JsonSize.of(name(job)) + JsonSize.of("") + mostText(job) + ENTRY_FRAME;
+    }
+
+    @Override
+    public boolean keeps(Job job, Object value) {
+      return job.recordedWithin(decode(job, value));
+    }
+
+    private static BitSet decode(Job job, Object value) {
+      try {
+        return DoneTasks.decode((String) value, job.spec().tasks());
+      } catch (BadMessage e) {
+        throw new IllegalStateException("what was just written can't be read", e);
+      }
     }
 
     @Override
@@ -131,12 +146,8 @@
       }
       for (int i = 0; i < items.size(); i++) {
         Job job = items.get(i);
-        try {
-          // What was written, not what is done: a long set may have lost its end.
-          leader.recorded(job, DoneTasks.decode((String) values.get(i), job.spec().tasks()));
-        } catch (BadMessage e) {
-          throw new IllegalStateException("what was just written can't be read", e);
-        }
+        // What was written, not what is done: a long set may have lost its end.
+        leader.recorded(job, decode(job, values.get(i)));
       }
     }
   }
@@ -151,7 +162,7 @@
     return underWay >= 3;
   }
 
-  private void commit(StateClient.Rank rank, Txn txn, Consumer<Boolean> then) {
+  private void commit(StateClient.Rank rank, Txn txn, Consumer<StateClient.Answer> then) {
     underWay++;
     state.commit(
         rank,
@@ -160,7 +171,7 @@
         a -> {
           underWay--;
           if (!cancelled()) {
-            then.accept(a.ok());
+            then.accept(a);
           }
         });
   }
@@ -168,7 +179,8 @@
   /** Jobs that are over: one transaction for as many as it holds. */
   public void finish() {
     List<Job> all = leader.toFinish();
-    int each = txnOps / 2;
+    // Asked anew each time: as many as were taken once were refused for ever after that.
+    int each = Math.max(1, state.limits().operations() / 2);
     for (int i = 0; i < all.size() && !busy(); i += each) {
       List<Job> some = all.subList(i, Math.min(all.size(), i + each));
       Txn txn = guarded();
@@ -179,11 +191,13 @@
       commit(
           StateClient.Rank.USER,
           txn,
-          ok -> {
+          a -> {
             for (Job job : some) {
-              if (ok) {
+              if (a.ok()) {
                 jobs.remember(job.id(), job.spec().tasks());
                 leader.finished(job, now.get());
+              } else if (a.notExecuted()) {
+                leader.finishing(job, false);
               } else {
                 checkEnd(job);
               }
@@ -239,8 +253,11 @@
     if (unpacking.isEmpty() || unpackingStep) {
       return;
     }
+    Unpacking.Step step = unpacking.next(state.limits());
+    if (step.writes() == 0) {
+      return;
+    }
     unpackingStep = true;
-    Unpacking.Step step = unpacking.next(txnOps);
     state.commit(
         StateClient.Rank.UNPACKING,
         step.into(guarded()),
@@ -255,6 +272,8 @@
             unpack();
           } else if (a.status() == 409) {
             unpacking.refused(step, a);
+          } else if (a.refusedForGood()) {
+            unpacking.refusedForGood(step, state.limits());
           }
         });
   }
@@ -281,15 +300,20 @@
 
   /** What former leaders wrote down; what can't be read of it is never taken for absence. */
   public static final class Inherited {
-    private final List<Leader.LedgerEntry> machines = new ArrayList<>();
-    private final Map<JobId, String> started = new HashMap<>();
-    private final Map<JobId, String> pageOf = new HashMap<>();
+    private final Map<MachineId, Leader.LedgerEntry> machines = new LinkedHashMap<>();
+
+    /**
+     * By job and page. One that was on its way to another page is on both, and what is done may be
+     * told by either.
+     */
+    private final Map<JobId, Map<String, String>> started = new HashMap<>();
+
     private PlanBooks.Plans plans;
     private boolean ledgerWhole = true;
     private boolean progressWhole = true;
 
     public List<Leader.LedgerEntry> machines() {
-      return machines;
+      return List.copyOf(machines.values());
     }
 
     /** What former leaders had decided. */
@@ -310,10 +334,9 @@
     public Job job(JobStore.Recorded r) {
       JobId id = r.spec().id();
       BitSet done = new BitSet();
-      String text = started.get(id);
-      if (text != null) {
+      for (String text : started.getOrDefault(id, Map.of()).values()) {
         try {
-          done = DoneTasks.decode(text, r.spec().tasks());
+          done.or(DoneTasks.decode(text, r.spec().tasks()));
         } catch (BadMessage e) {
           LOG.error("progress of {}: {}; its tasks are asked for again", id, e.getMessage());
         }
@@ -373,7 +396,7 @@
           && l.get(1) instanceof String zone
           && l.get(2) instanceof Boolean spot) {
         Leader.LedgerEntry m = new Leader.LedgerEntry(new MachineId(e.getKey()), type, zone, spot);
-        in.machines.add(m);
+        in.machines.put(m.id(), m);
         ledger.loaded(page.key(), m);
       } else {
         LOG.error("ledger {}: machine {} can't be read", page.key(), e.getKey());
@@ -386,8 +409,9 @@
     progress.found(page.key(), page.version());
     for (Map.Entry<String, Object> e : page.value().fields().entrySet()) {
       if (JobId.valid(e.getKey()) && e.getValue() instanceof String text) {
-        in.started.put(new JobId(e.getKey()), text);
-        in.pageOf.put(new JobId(e.getKey()), page.key());
+        in.started
+            .computeIfAbsent(new JobId(e.getKey()), id -> new LinkedHashMap<>())
+            .put(page.key(), text);
       } else {
         LOG.error("{}: the entry {} can't be read", page.key(), e.getKey());
         in.progressWhole = false;
@@ -399,18 +423,25 @@
   public void adopt(Inherited in) {
     plans.adopt(in.plans, leader.decided());
     for (Job job : leader.jobs()) {
-      String page = in.pageOf.get(job.id());
-      if (page != null) {
+      for (String page : in.started.getOrDefault(job.id(), Map.of()).keySet()) {
         progress.loaded(page, job);
       }
     }
   }
 
+  /** A part of them would be taken for all: what is too large is not written. */
   public void writeTypes(List<MachineType> types) {
+    Body value = CloudCodec.encodeTypes(types);
+    if (!state.limits().fits(value)) {
+      state
+          .limits()
+          .tooLarge(Keys.TYPES, JsonSize.of(value), "each node asks the cloud for the types");
+      return;
+    }
     commit(
         StateClient.Rank.BOOKS,
-        guarded().put(Keys.TYPES, CloudCodec.encodeTypes(types)),
-        ok -> LOG.debug("machine types written: {}", ok));
+        guarded().put(Keys.TYPES, value),
+        a -> LOG.debug("machine types written: {}", a.status()));
   }
 
   /**
--- a/src/main/java/io/saltflow/bookkeeping/LiveCheck.java
+++ b/src/main/java/io/saltflow/bookkeeping/LiveCheck.java
@@ -44,7 +44,6 @@
 
   private final Loop loop;
   private final StateClient state;
-  private final int mostGuards;
   private final Map<JobId, Seen> seen =
       new LinkedHashMap<>(64, 0.75f, true) {
         @Override
@@ -60,15 +59,10 @@
   private Time lastSent = Time.LONG_AGO;
   private boolean planned;
 
-  /**
-   * @param txnOps how many writes a transaction of the state service may have; it takes four times
-   *     as many conditions
-   */
-  LiveCheck(Routine parent, Loop loop, StateClient state, int txnOps) {
+  LiveCheck(Routine parent, Loop loop, StateClient state) {
     super(parent);
     this.loop = loop;
     this.state = state;
-    this.mostGuards = Math.min(MOST_GUARDS, 4 * Math.max(1, txnOps));
   }
 
   /** The job's own record was of this version. */
@@ -109,6 +103,10 @@
     }
   }
 
+  private int mostGuards() {
+    return Math.min(MOST_GUARDS, state.limits().conditions());
+  }
+
   private void flush() {
     planned = false;
     lastSent = loop.now();
@@ -124,7 +122,7 @@
         answer(e.getValue(), Verdict.TO_READ);
         continue;
       }
-      if (guards + s.guards.size() > mostGuards) {
+      if (guards + s.guards.size() > mostGuards()) {
         compare(as, some);
         some = new LinkedHashMap<>();
         guards = 0;
@@ -153,6 +151,9 @@
         a -> {
           if (a.status() == 409) {
             moved(as, a, some, compared);
+          } else if (a.refusedForGood() && some.size() > 1) {
+            // More conditions than are taken now: each part is asked for by itself.
+            halves(some).forEach(half -> compare(as, half));
           } else {
             Verdict verdict = a.ok() ? Verdict.LIVE : Verdict.UNKNOWN;
             some.values().forEach(askers -> answer(askers, verdict));
@@ -194,6 +195,14 @@
     }
   }
 
+  private static List<Map<JobId, List<Consumer<Verdict>>>> halves(
+      Map<JobId, List<Consumer<Verdict>>> all) {
+    Map<JobId, List<Consumer<Verdict>>> first = new LinkedHashMap<>();
+    Map<JobId, List<Consumer<Verdict>>> second = new LinkedHashMap<>();
+    all.forEach((id, askers) -> (first.size() < all.size() / 2 ? first : second).put(id, askers));
+    return List.of(first, second);
+  }
+
   private static void answer(List<Consumer<Verdict>> askers, Verdict verdict) {
     askers.forEach(asker -> asker.accept(verdict));
   }
--- a/src/main/java/io/saltflow/bookkeeping/OrderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/OrderBooks.java
@@ -22,6 +22,9 @@
   private static final String CORRECTIONS = "corrections";
   private static final String SOONEST = "soonest";
 
+  /** What may be cut short: it is found out again. */
+  static final String[] DETAILS = {SOONEST};
+
   private OrderBooks() {}
 
   /** What an operator did with a job; null: it was put in front of its lane. */
--- a/src/main/java/io/saltflow/bookkeeping/PlanBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/PlanBooks.java
@@ -49,17 +49,14 @@
   private final StateClient state;
   private final Supplier<Txn> guarded;
   private final Supplier<Time> now;
-  private final int txnOps;
   private final KeyWrites writes;
   private Decided decided;
 
-  PlanBooks(
-      Routine parent, StateClient state, Supplier<Txn> guarded, Supplier<Time> now, int txnOps) {
+  PlanBooks(Routine parent, StateClient state, Supplier<Txn> guarded, Supplier<Time> now) {
     super(parent);
     this.state = state;
     this.guarded = guarded;
     this.now = now;
-    this.txnOps = txnOps;
     this.writes = new KeyWrites(this, state, guarded);
   }
 
@@ -118,13 +115,14 @@
   public void record() {
     Basis basis = decided.basisToRecord(now.get());
     if (basis != null) {
-      writes.write(Keys.BASIS, OrderBooks.encode(basis), ok -> decided.basisRecorded(basis, ok));
+      Body value = state.limits().shortened(OrderBooks.encode(basis), OrderBooks.DETAILS);
+      writes.write(Keys.BASIS, value, ok -> decided.basisRecorded(basis, ok));
     }
     Morning morning = decided.morningToRecord(now.get());
     if (morning != null) {
       writes.write(
           Keys.READY + morning.name(),
-          ReadyBooks.encode(morning),
+          state.limits().shortened(ReadyBooks.encode(morning), ReadyBooks.DETAILS),
           ok -> decided.morningRecorded(morning, ok));
     }
     for (String name : decided.morningsToForget()) {
@@ -133,7 +131,7 @@
     }
     List<JobId> over = decided.movedAndOver(now.get());
     if (!over.isEmpty()) {
-      List<JobId> some = over.subList(0, Math.min(txnOps, over.size()));
+      List<JobId> some = over.subList(0, Math.min(state.limits().operations(), over.size()));
       Txn txn = guarded.get();
       some.forEach(id -> txn.delete(Keys.moved(id)));
       state.commit(
--- a/src/main/java/io/saltflow/bookkeeping/QueueBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/QueueBooks.java
@@ -163,9 +163,18 @@
     Batch batch = core.nextBatch(chunks.wantedBytes(affordable), wallMs.getAsLong());
     List<String> parts = chunks.split(EntryCodec.encode(batch.entries()));
     if (parts.size() > chunks.most()) {
-      // It packed less well than those before; the next try is of fewer bytes.
-      core.notRecorded();
-      loop.after(Span.millis(1), this, this::flush);
+      // It packed less well than those before, or the limits were lowered; the next try is of
+      // fewer bytes, and what is too large by itself is refused.
+      boolean smaller = core.tooLarge();
+      if (!smaller) {
+        state
+            .limits()
+            .tooLarge(
+                Keys.QUEUES + "*",
+                EntryCodec.encode(batch.entries()).length,
+                "queues go on when larger values or transactions are taken");
+      }
+      loop.after(smaller ? Span.millis(1) : AGAIN, this, this::flush);
       return;
     }
     writing = true;
@@ -216,10 +225,7 @@
             // It may have been carried out, or may yet be: only the same again is harmless.
             case 0 -> loop.after(AGAIN, this, () -> write(batch, parts, to));
             default -> {
-              if (a.status() == 400) {
-                // No batch should ever be malformed: without a word it would be tried for ever.
-                LOG.error("batch {} of {} keys is refused as malformed", batch.number(), to.size());
-              }
+              // What is refused for good has lowered the limits, by which the next is cut.
               writing = false;
               core.notRecorded();
               loop.after(AGAIN, this, this::flush);
--- a/src/main/java/io/saltflow/bookkeeping/ReadyBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/ReadyBooks.java
@@ -30,6 +30,9 @@
   private static final String ENOUGH = "enough";
   private static final String ENDED = "ended";
 
+  /** What may be cut short, in this order: a leader finds it out again. */
+  static final String[] DETAILS = {LATE, PUSH};
+
   private ReadyBooks() {}
 
   static Body encode(Morning m) {
--- a/src/main/java/io/saltflow/bookkeeping/ServiceBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/ServiceBooks.java
@@ -2,6 +2,7 @@
 
 import io.saltflow.coordination.Authority;
 import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JsonSize;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Stamp;
 import io.saltflow.transport.Loop;
@@ -30,22 +31,15 @@
   private final Loop loop;
   private final StateClient state;
   private final Authority authority;
-  private final int valueBytes;
   private final Runnable onDeposed;
   private final Map<String, Stamp> versions = new HashMap<>();
 
   public ServiceBooks(
-      Routine parent,
-      Loop loop,
-      StateClient state,
-      Authority authority,
-      double valueKb,
-      Runnable onDeposed) {
+      Routine parent, Loop loop, StateClient state, Authority authority, Runnable onDeposed) {
     super(parent);
     this.loop = loop;
     this.state = state;
     this.authority = authority;
-    this.valueBytes = (int) (valueKb * 1024 * 4 / 5);
     this.onDeposed = onDeposed;
   }
 
@@ -80,8 +74,9 @@
    * @param urgent somebody waits for it, or a service is being taken back; else users' writes go
    *     first
    */
-  public void write(String name, Body record, int bytes, boolean urgent, Consumer<Result> then) {
-    if (bytes > valueBytes) {
+  public void write(String name, Body record, boolean urgent, Consumer<Result> then) {
+    if (!state.limits().fits(record)) {
+      state.limits().tooLarge(keyOf(name), JsonSize.of(record), "the change is refused");
       then.accept(Result.TOO_LARGE);
       return;
     }
@@ -101,11 +96,12 @@
             then.accept(Result.RECORDED);
           } else if (a.status() == 0) {
             // It may have been carried out, or may yet be: only the same again is harmless.
-            loop.after(AGAIN, this, () -> write(name, record, bytes, urgent, then));
+            loop.after(AGAIN, this, () -> write(name, record, urgent, then));
           } else if (a.status() == 409) {
             refused(a, name, then);
           } else {
-            then.accept(Result.NOT_NOW);
+            boolean tooLarge = a.refusedForGood() && !state.limits().fits(record);
+            then.accept(tooLarge ? Result.TOO_LARGE : Result.NOT_NOW);
           }
         });
   }
--- a/src/main/java/io/saltflow/bookkeeping/StateClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -59,6 +59,16 @@
       return status == 200;
     }
 
+    /** The same request will be refused again; what it was guarded by was not looked at. */
+    boolean refusedForGood() {
+      return status == 400 && (body == null || !Wire.NO_SUCH_LEASE.equals(body.get(Wire.ERROR)));
+    }
+
+    /** Certainly not executed, whatever it was guarded by. */
+    boolean notExecuted() {
+      return status == 400 || status == 429 || status == 503;
+    }
+
     /** Whether a transaction was refused for that key: it was not of the guarded version. */
     public boolean refusedFor(String key) {
       return status == 409
@@ -89,20 +99,37 @@
   private final HttpClient client;
   private final HttpClient watches;
   private final double wps;
+  private final StateLimits limits;
   private final Budget requests;
 
   /** What polls may use of it: less when the service, which all nodes ask, says it is too much. */
   private final Throttle polls;
 
-  private Budget writes;
+  private final Budget writes;
+
+  /** How many times its usual share of the changes this node may use. */
+  private double share = 1;
+
   private final Map<Rank, ArrayDeque<Pending>> queues = new EnumMap<>(Rank.class);
   private boolean pumping;
   private Time lastGood;
   private Time firstBad = Time.NEVER;
 
+  /**
+   * @param rps requests a second of this node
+   * @param wps changes a second of this node, where it has its usual share
+   * @param limits of the service, for all that writes
+   */
   public StateClient(
-      Routine parent, Loop loop, HttpClient client, HttpClient watches, double rps, double wps) {
+      Routine parent,
+      Loop loop,
+      HttpClient client,
+      HttpClient watches,
+      double rps,
+      double wps,
+      StateLimits limits) {
     super(parent);
+    this.limits = limits;
     this.loop = loop;
     this.client = client;
     this.watches = watches;
@@ -116,6 +143,11 @@
     }
   }
 
+  /** What the service takes, as far as is known: asked for each write. */
+  public StateLimits limits() {
+    return limits;
+  }
+
   /** How long ago the service last answered a request of ours. */
   public Span quiet() {
     return loop.now().since(lastGood);
@@ -164,7 +196,8 @@
    * changes. What it can't have is refused to it as to anybody.
    */
   public void share(double times) {
-    writes = new Budget(wps * times, wps * times, loop.now());
+    share = times;
+    writes.rate(wps * share * limits.part(loop.now()), loop.now());
   }
 
   /** Whether a write of a user's would go at once. */
@@ -186,6 +219,7 @@
    */
   private void pump() {
     Time now = loop.now();
+    writes.rate(wps * share * limits.part(now), now);
     List<Pending> ready = new ArrayList<>();
     List<Pending> late = new ArrayList<>();
     boolean writesBlocked = false;
@@ -242,7 +276,12 @@
         p.target,
         p.body == null ? NOTHING : MsgPack.encode(p.body),
         p.timeout,
-        a -> answered(a, p.then));
+        a -> {
+          if (a.status() == 429 && p.writeCount > 0) {
+            limits.tooManyChanges(loop.now());
+          }
+          answered(a, p.then);
+        });
   }
 
   private void answered(HttpClient.Answer a, Consumer<Answer> then) {
@@ -299,8 +338,23 @@
         });
   }
 
+  /** What is refused for good lowers the limits that are believed before it is told. */
   public void commit(Rank rank, Txn txn, Span timeout, Consumer<Answer> then) {
-    call(rank, "POST", Wire.PATH_TXN, txn.body(), txn.writeCount(), timeout, then);
+    call(
+        rank,
+        "POST",
+        Wire.PATH_TXN,
+        txn.body(),
+        txn.writeCount(),
+        timeout,
+        a -> {
+          if (a.refusedForGood()) {
+            limits.refused(txn);
+          } else if (a.ok()) {
+            limits.taken(txn);
+          }
+          then.accept(a);
+        });
   }
 
   /** A whole prefix, as of a revision. */
--- a/src/main/java/io/saltflow/bookkeeping/Unpacking.java
+++ b/src/main/java/io/saltflow/bookkeeping/Unpacking.java
@@ -4,6 +4,7 @@
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.JsonSize;
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Stamp;
 import java.util.ArrayList;
@@ -55,6 +56,7 @@
   private final Map<String, Integer> open = new HashMap<>();
   private final List<String> empty = new ArrayList<>();
   private final Set<String> found = new HashSet<>();
+  private final Set<Item> refusedItems = new HashSet<>();
   private boolean oneByOne;
 
   /**
@@ -95,15 +97,17 @@
     return left.isEmpty() && empty.isEmpty();
   }
 
-  /** The next transaction, of at most so many writes. */
-  Step next(int most) {
+  /** The next transaction, as large as may be; what would never be taken is left out of it. */
+  Step next(StateLimits limits) {
+    int most = limits.operations();
     List<Item> items = new ArrayList<>();
     for (Item item : left) {
       if (items.size() >= (oneByOne ? 1 : most)) {
         break;
       }
       // Of a job that lies in two bundles, one at a time.
-      if (items.stream().noneMatch(i -> i.id.equals(item.id))) {
+      boolean other = items.stream().noneMatch(i -> i.id.equals(item.id));
+      if (other && !refusedItems.contains(item) && fits(item, limits)) {
         items.add(item);
       }
     }
@@ -112,6 +116,28 @@
     return new Step(items, gone);
   }
 
+  /** A record of its own that is too large is not tried: it would hold up all others. */
+  private static boolean fits(Item item, StateLimits limits) {
+    Body record = JobStore.withPlace(item.record, item.place);
+    if (limits.fits(record)) {
+      return true;
+    }
+    limits.tooLarge(
+        Keys.live(item.id),
+        JsonSize.of(record),
+        "it stays in " + item.bundle + " and waits until larger values are taken");
+    return false;
+  }
+
+  /** The transaction was refused for what it holds; a single job that is refused is set aside. */
+  void refusedForGood(Step step, StateLimits limits) {
+    boolean smaller = step.writes() > limits.operations();
+    if (!smaller && step.items.size() == 1 && fits(step.items.get(0), limits)) {
+      refusedItems.add(step.items.get(0));
+    }
+    oneByOne = !smaller;
+  }
+
   void done(Step step) {
     oneByOne = false;
     step.items.forEach(this::settled);
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -208,6 +208,13 @@
     return arrivedWallMs;
   }
 
+  /** Whether these tasks hold all that are recorded as done. */
+  public boolean recordedWithin(BitSet tasks) {
+    BitSet missing = (BitSet) recorded.clone();
+    missing.andNot(tasks);
+    return missing.isEmpty();
+  }
+
   public BitSet doneTasks() {
     return done;
   }
--- a/src/main/java/io/saltflow/kv/KeyStore.java
+++ b/src/main/java/io/saltflow/kv/KeyStore.java
@@ -1,6 +1,7 @@
 package io.saltflow.kv;
 
 import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JsonSize;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
--- a/src/main/java/io/saltflow/kv/Pipeline.java
+++ b/src/main/java/io/saltflow/kv/Pipeline.java
@@ -2,6 +2,7 @@
 
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JsonSize;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
@@ -37,7 +38,7 @@
   }
 
   private final KeyStore store;
-  private final Limits limits;
+  private Limits limits;
   private Batch writing;
   private Batch gathering = new Batch();
   private long epoch;
@@ -49,6 +50,11 @@
     reset();
   }
 
+  /** What is asked for from now on is judged by these. */
+  void limits(Limits now) {
+    limits = now;
+  }
+
   /** The store holds what a former process wrote down. */
   void restored() {
     reset();
--- a/src/main/java/io/saltflow/kv/StateCore.java
+++ b/src/main/java/io/saltflow/kv/StateCore.java
@@ -18,8 +18,8 @@
 
   private final KeyStore store = new KeyStore();
   private final Pipeline pipeline;
-  private final Budget requests;
-  private final Budget writes;
+  private Budget requests;
+  private Budget writes;
   private boolean down;
   private boolean stuck;
 
@@ -29,6 +29,13 @@
     writes = new Budget(limits.writeRps(), limits.writeRps(), now);
   }
 
+  /** Other limits hold from now on; what is stored stays as it is. */
+  public void setLimits(Limits limits, Time now) {
+    pipeline.limits(limits);
+    requests = new Budget(limits.rps(), limits.rps(), now);
+    writes = new Budget(limits.writeRps(), limits.writeRps(), now);
+  }
+
   /** The contents as far as they are durable. */
   public KeyStore store() {
     return store;
--- a/src/main/java/io/saltflow/protocol/Budget.java
+++ b/src/main/java/io/saltflow/protocol/Budget.java
@@ -2,8 +2,8 @@
 
 /** A rate that is kept by waiting: so many a second, with a burst of so many at once. */
 public final class Budget {
-  private final double perSecond;
-  private final double burst;
+  private double perSecond;
+  private double burst;
   private double tokens;
   private Time last;
 
@@ -14,6 +14,14 @@
     this.last = now;
   }
 
+  /** Another rate holds from now on, with a burst of one second. */
+  public void rate(double newPerSecond, Time now) {
+    refill(now);
+    perSecond = Math.max(0.1, newPerSecond);
+    burst = perSecond;
+    tokens = Math.min(tokens, burst);
+  }
+
   /** Takes n if they are there. A debt is allowed for what must not wait. */
   public boolean take(int n, Time now) {
     refill(now);
--- a/src/main/java/io/saltflow/kv/JsonSize.java
+++ b/src/main/java/io/saltflow/protocol/JsonSize.java
@@ -1,15 +1,15 @@
-package io.saltflow.kv;
+package io.saltflow.protocol;
 
-import io.saltflow.protocol.Body;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 
 /** How many bytes a body takes as JSON without spaces: PROTOCOL's limits count that form. */
-final class JsonSize {
+public final class JsonSize {
   private JsonSize() {}
 
-  static int of(Object value) {
+  /** Bytes of a body, map, list, text, number, boolean or null. */
+  public static int of(Object value) {
     if (value instanceof Body b) {
       return of(b.fields());
     }
--- a/src/main/java/io/saltflow/queues/QueueCore.java
+++ b/src/main/java/io/saltflow/queues/QueueCore.java
@@ -367,6 +367,11 @@
     }
   }
 
+  /** The batch can't be recorded in one piece; false: no smaller one could be. */
+  public boolean tooLarge() {
+    return recorder.tooLarge();
+  }
+
   /** Time has passed: pauses, times to live and deliveries that were kept too long. */
   public void tick(Time time, long wall) {
     context.at(time, wall);
--- a/src/main/java/io/saltflow/queues/Recorder.java
+++ b/src/main/java/io/saltflow/queues/Recorder.java
@@ -127,6 +127,25 @@
     batch = null;
   }
 
+  /**
+   * It is more than is taken at once. One unit that is so by itself is refused if it can be. False:
+   * it can't, and no smaller batch can be tried before it.
+   */
+  boolean tooLarge() {
+    List<Unit> real = inFlight.stream().filter(u -> !u.entries.isEmpty()).toList();
+    notRecorded();
+    if (real.size() > 1) {
+      return true;
+    }
+    Unit alone = real.get(0);
+    if (alone.dropped == null) {
+      return false;
+    }
+    publishes.remove(alone);
+    alone.dropped.run();
+    return true;
+  }
+
   /** It is certainly not, and never will be: its units come again, first. */
   void notRecorded() {
     List<Unit> units = inFlight;
--- a/src/main/java/io/saltflow/services/ServiceDuty.java
+++ b/src/main/java/io/saltflow/services/ServiceDuty.java
@@ -10,7 +10,6 @@
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.Budget;
 import io.saltflow.protocol.JobId;
-import io.saltflow.protocol.MsgPack;
 import io.saltflow.protocol.ProbeFrame;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
@@ -66,9 +65,7 @@
     this.leader = leader;
     plans = new Budget(PLANS_PER_S, PLANS_PER_S, loop.now());
     probing = new ProbeDuty(this, loop, node.probes(), this::found);
-    books =
-        new ServiceBooks(
-            this, loop, node.state(), node.authority(), node.valueKb(), node.onDeposed());
+    books = new ServiceBooks(this, loop, node.state(), node.authority(), node.onDeposed());
   }
 
   /** Reads the records; until then no service's task is started or stopped. */
@@ -268,11 +265,10 @@
       LiveService live, Service next, boolean urgent, Consumer<ServiceBooks.Result> then) {
     live.writing = true;
     live.budget(leader, loop.now());
-    Body body = ServiceCodec.encode(next);
+    Body body = node.state().limits().shortenedFromStart(ServiceCodec.encode(next), "history");
     books.write(
         next.name(),
         body,
-        MsgPack.encode(body).length,
         urgent,
         result -> {
           live.writing = false;
--- a/src/main/java/io/saltflow/services/ServiceNode.java
+++ b/src/main/java/io/saltflow/services/ServiceNode.java
@@ -23,7 +23,6 @@
     Authority authority,
     StateClient state,
     JobStore jobs,
-    double valueKb,
     LongSupplier wallMs,
     Function<JobSpec, String> neverRuns,
     Supplier<List<String>> zones,
--- a/src/main/java/io/saltflow/serving/QueueDuty.java
+++ b/src/main/java/io/saltflow/serving/QueueDuty.java
@@ -75,7 +75,7 @@
     this.wallMs = node.wallMs();
     this.serving = serving;
     this.perform = perform;
-    Chunks chunks = new Chunks(node.limits());
+    Chunks chunks = new Chunks(node.state().limits());
     AmqpSettings.Bounds b = settings.bounds();
     core =
         new QueueCore(
--- a/src/main/java/io/saltflow/serving/QueueNode.java
+++ b/src/main/java/io/saltflow/serving/QueueNode.java
@@ -1,7 +1,6 @@
 package io.saltflow.serving;
 
 import io.saltflow.bookkeeping.JobStore;
-import io.saltflow.bookkeeping.LeaderBooks;
 import io.saltflow.bookkeeping.StateClient;
 import io.saltflow.coordination.Authority;
 import io.saltflow.protocol.JobSpec;
@@ -21,7 +20,6 @@
     Authority authority,
     StateClient state,
     JobStore jobs,
-    LeaderBooks.Limits limits,
     double writesPerS,
     Span skew,
     LongSupplier wallMs,
--- /dev/null
+++ b/src/test/java/io/saltflow/app/LoweredLimitsTest.java
@@ -0,0 +1,358 @@
+package io.saltflow.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.kv.KeyStore;
+import io.saltflow.kv.Limits;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.CloudCodec;
+import io.saltflow.protocol.JsonSize;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.standin.CloudFront;
+import io.saltflow.standin.CloudStore;
+import io.saltflow.standin.Depot;
+import io.saltflow.standin.StandInMachine;
+import io.saltflow.standin.StateStore;
+import io.saltflow.statestore.StateFront;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The state service takes smaller values and transactions all of a sudden. A controller that had
+ * read its limits once wrote what was refused for ever: no job was unpacked, marked or ended any
+ * more, and nothing said so.
+ */
+class LoweredLimitsTest {
+  private static final Limits BEFORE = new Limits(2000, 400, 8, 8);
+  private static final Limits AFTER = new Limits(2000, 400, 2, 4);
+  private static final int WAITING = 180;
+  private static final int ENDING = 10;
+  private static final int BUNDLES = 3;
+  private static final int IN_A_BUNDLE = 15;
+  private static final int TASKS = 300;
+  private static final int LATER = 30;
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private final Root root = new Root();
+  private final Root machines = new Root();
+  private final Map<String, Integer> answers = new TreeMap<>();
+  private final Map<String, BitSet> doneBefore = new LinkedHashMap<>();
+  private Loop loop;
+  private StateStore store;
+  private Config config;
+  private Node node;
+  private int served;
+
+  /** The state service's limits are lowered before its answer of this number. */
+  private int lowerAt = Integer.MAX_VALUE;
+
+  private void start() throws IOException, ConfigError, BadMessage {
+    loop = new Loop();
+    store = new StateStore(BEFORE, steps -> {}, loop.now());
+    StateFront state = new StateFront(root, loop, store.core(), () -> store.flush(loop.now()));
+    InetSocketAddress at = Outside.freePort();
+    Depot depot = new Depot(new Descriptions(this::record)::of);
+    MachineType type =
+        new MachineType("box", new Size(8, 0, 32), 10, 1, 0.5, Span.millis(300), List.of("a"));
+    CloudStore rented = new CloudStore(List.of(type), 8, 100, Span.seconds(1), "vm-", loop.now());
+    StandInMachine.Rhythm rhythm = new StandInMachine.Rhythm(Span.millis(500), Span.seconds(20));
+    CloudFront cloud =
+        new CloudFront(
+            machines,
+            loop,
+            rented,
+            (parent, each) ->
+                new StandInMachine(
+                    parent,
+                    loop,
+                    each,
+                    List.of(at),
+                    rhythm,
+                    depot,
+                    ThreadLocalRandom.current()::nextLong));
+    HttpServer server =
+        new HttpServer(
+            root,
+            loop,
+            Addresses.parse("127.0.0.1:0"),
+            64,
+            (method, target, body, answer) -> {
+              if (!StateFront.serves(target)) {
+                cloud.handle(method, target, body, answer);
+                return;
+              }
+              if (++served == lowerAt) {
+                lower();
+              }
+              state.handle(method, target, body, answer);
+            });
+    String outside = "127.0.0.1:" + server.port();
+    config =
+        Config.parse(
+            ConfigTest.SETTINGS
+                .replace("10.9.9.9:1", outside)
+                .replace("serve_on = \"127.0.0.1:0\"", "serve_on = \"" + Addresses.text(at) + '"')
+                .replace("write_rps = 25.0", "write_rps = 400.0")
+                .replace("rps = 100.0", "rps = 2000.0")
+                .replace("report_s = 3.0", "report_s = 0.5")
+                .replace("cpus_max = 40.0", "cpus_max = 400.0")
+                .replace("list_lag_s = 5.0", "list_lag_s = 1.0"));
+    seed(type);
+    lead();
+  }
+
+  private Body record(String key) {
+    KeyStore.Value v = store.value(key);
+    return v == null ? null : v.data();
+  }
+
+  private void lower() {
+    store.core().setLimits(AFTER, loop.now());
+  }
+
+  private void lead() throws IOException {
+    node = new Node(loop, config, OperatorSettings.defaults(), 1 + served);
+    node.start();
+  }
+
+  /** What the leader of before left: full pages, jobs that are done, and bundles. */
+  private void seed(MachineType type) throws BadMessage {
+    put("types", CloudCodec.encodeTypes(List.of(type)));
+    Body page = Body.of();
+    int pages = 0;
+    for (int n = 0; n < WAITING; n++) {
+      String id = id(100 + n);
+      // No machine is as large.
+      put("live/" + id, recorded(id, TASKS, 100));
+      BitSet done = new BitSet();
+      for (int task = 0; task < TASKS; task += 2 + n % 3) {
+        done.set(task);
+      }
+      done.clear(TASKS - 4, TASKS);
+      doneBefore.put(id, done);
+      page.with(id, text(done));
+      if (JsonSize.of(page) > 8000) {
+        put(String.format("progress/%05d", pages++), page);
+        page = Body.of();
+      }
+    }
+    for (int n = 0; n < ENDING; n++) {
+      put("live/" + id(500 + n), recorded(id(500 + n), 4, 1));
+      page.with(id(500 + n), "4+");
+    }
+    put(String.format("progress/%05d", pages), page);
+    for (int b = 0; b < BUNDLES; b++) {
+      Body bundle = Body.of();
+      for (int n = 0; n < IN_A_BUNDLE; n++) {
+        String id = id(600 + b * IN_A_BUNDLE + n);
+        bundle.with(id, recorded(id, 1, 1));
+      }
+      put("live/~former-" + b, bundle);
+    }
+  }
+
+  /** As the record has it: how many are done from the first on, and the bits of the others. */
+  private static String text(BitSet done) {
+    int first = done.nextClearBit(0);
+    byte[] rest = done.get(first, done.length()).toByteArray();
+    return first + "+" + Base64.getEncoder().withoutPadding().encodeToString(rest);
+  }
+
+  private static BitSet tasks(String text) {
+    int plus = text.indexOf('+');
+    int first = Integer.parseInt(text.substring(0, plus));
+    BitSet rest = BitSet.valueOf(Base64.getDecoder().decode(text.substring(plus + 1)));
+    BitSet done = new BitSet();
+    done.set(0, first);
+    rest.stream().forEach(i -> done.set(first + i));
+    return done;
+  }
+
+  private static String id(int n) {
+    return String.format("req-%06d", n);
+  }
+
+  private static Body job(String id, int tasks, double memoryGb) {
+    return NodeTest.submission(id, "red")
+        .with("shards", tasks)
+        .with("cores", 1.0)
+        .with("ramGb", memoryGb)
+        .with("sizeGb", 0.1)
+        .with("expectS", 0.2);
+  }
+
+  private static Body recorded(String id, int tasks, double memoryGb) {
+    return Body.of().with("spec", job(id, tasks, memoryGb)).with("at", System.currentTimeMillis());
+  }
+
+  private void put(String key, Body value) throws BadMessage {
+    Body write = Body.of().with("put", key).with("data", value);
+    Body txn = Body.of().with("guards", List.of()).with("writes", List.of(write));
+    assertEquals(200, store.commit(MsgPack.decode(MsgPack.encode(txn))).status(), key);
+  }
+
+  private void pass(long ms) throws IOException {
+    loop.after(Span.millis(ms), root, loop::pause);
+    loop.run();
+  }
+
+  private void runUntil(String what, BooleanSupplier reached) throws IOException {
+    for (int i = 0; i < 1500 && !reached.getAsBoolean(); i++) {
+      pass(20);
+    }
+    assertTrue(reached.getAsBoolean(), what);
+  }
+
+  @AfterEach
+  void end() {
+    node.cancel();
+    machines.cancel();
+    root.cancel();
+  }
+
+  private boolean over(int from, int count) {
+    for (int n = from; n < from + count; n++) {
+      if (store.value("over/" + id(n)) == null) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Submits these jobs all at once, each again until it is accepted. */
+  private void submit(int from, int count) {
+    HttpClient user =
+        new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + node.port()), 8, 64);
+    for (int n = from; n < from + count; n++) {
+      submit(user, id(n));
+    }
+  }
+
+  private void submit(HttpClient user, String id) {
+    user.call(
+        "POST",
+        "/submissions",
+        MsgPack.encode(job(id, 2, 1)),
+        Span.seconds(5),
+        a -> {
+          if (a.status() == 200 || a.status() == 201) {
+            answers.put(id, a.status());
+          } else {
+            loop.after(Span.millis(200), root, () -> submit(user, id));
+          }
+        });
+  }
+
+  private List<KeyStore.Value> values(String prefix) {
+    List<KeyStore.Value> out = new ArrayList<>();
+    for (int n = 0; n < 1000; n++) {
+      KeyStore.Value v = store.value(String.format("%s%05d", prefix, n));
+      if (v != null) {
+        out.add(v);
+      }
+    }
+    return out;
+  }
+
+  /** Each task that was recorded as done still is, whichever page says so. */
+  private void nothingIsLost() {
+    doneBefore.forEach(
+        (id, before) -> {
+          BitSet missing = (BitSet) before.clone();
+          for (KeyStore.Value page : values("progress/")) {
+            if (page.data().get(id) instanceof String text) {
+              missing.andNot(tasks(text));
+            }
+          }
+          assertTrue(missing.isEmpty(), id + " lost " + missing);
+        });
+  }
+
+  private boolean pagesFit() {
+    return values("progress/").stream().allMatch(page -> JsonSize.of(page.data()) <= 2048);
+  }
+
+  /** All that goes on: what was left is ended and unpacked, what is new is accepted and done. */
+  private void allGoesOn() throws IOException {
+    runUntil("jobs that are done end", () -> over(500, ENDING));
+    runUntil("bundled jobs are done", () -> over(600, BUNDLES * IN_A_BUNDLE));
+    submit(800, LATER);
+    runUntil("new jobs are accepted", () -> answers.size() == LATER);
+    runUntil("new jobs are done", () -> over(800, LATER));
+    runUntil("pages are taken apart", this::pagesFit);
+    nothingIsLost();
+    for (int b = 0; b < BUNDLES; b++) {
+      assertEquals(null, store.value("live/~former-" + b));
+    }
+  }
+
+  /** A successor finds all of it. */
+  private void takeOver() throws IOException {
+    node.cancel();
+    pass(50);
+    answers.clear();
+    lead();
+    runUntil("another leads", node::ready);
+    submit(900, LATER);
+    runUntil("new jobs are done", () -> over(900, LATER));
+    nothingIsLost();
+  }
+
+  @Test
+  void inTheMiddleOfATerm() throws Exception {
+    start();
+    runUntil("it leads", node::ready);
+    runUntil("jobs are being done", () -> store.value("over/" + id(610)) != null);
+    lower();
+    submit(1000, LATER);
+    allGoesOn();
+    takeOver();
+  }
+
+  @Test
+  void inATakeover() throws Exception {
+    // In the midst of what a new leader reads.
+    lowerAt = 8;
+    start();
+    allGoesOn();
+    takeOver();
+  }
+
+  @Test
+  void rightAfterAnOutage() throws Exception {
+    start();
+    runUntil("it leads", node::ready);
+    store.setDown(true, loop.now());
+    pass(1500);
+    lower();
+    store.setDown(false, loop.now());
+    allGoesOn();
+    takeOver();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/bookkeeping/PagesSplitTest.java
@@ -0,0 +1,334 @@
+package io.saltflow.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.kv.KeyStore;
+import io.saltflow.kv.Limits;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JsonSize;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.standin.StateStore;
+import io.saltflow.statestore.StateFront;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpReply;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Pages that are larger than the state service takes are taken apart, whenever its limits are
+ * lowered and whatever becomes of each write. What was confirmed of an entry is found afterwards,
+ * both by who takes all pages together and by earlier versions, for which the last page counts.
+ */
+class PagesSplitTest {
+  private static final Limits LARGE = new Limits(1e6, 1e6, 8, 8);
+  private static final int ENTRIES = 36;
+  private static final int PADDING = 300;
+
+  /** So many times faster than the machine's clock: what gets no answer is waited for. */
+  private static final int FASTER = 40;
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  /** An entry that only ever grows. */
+  private static final class Counter {
+    final String name;
+    long count;
+
+    Counter(String name, long count) {
+      this.name = name;
+      this.count = count;
+    }
+  }
+
+  private Root root;
+
+  /** What was certainly written. */
+  private final Map<String, Long> confirmed = new HashMap<>();
+
+  private Loop loop;
+  private StateStore store;
+  private StateFront front;
+  private HttpServer server;
+  private Limits lowered;
+  private int messages;
+  private int lowerAt = Integer.MAX_VALUE;
+  private Random faults;
+  private long leaderKey;
+  private Root leader;
+  private StateClient state;
+  private Pages<Counter> pages;
+  private Map<String, Counter> entries;
+
+  private void start() throws IOException {
+    root = new Root();
+    leader = null;
+    loop = new Loop(() -> System.nanoTime() * FASTER, System::currentTimeMillis);
+    store = new StateStore(LARGE, steps -> {}, loop.now());
+    front = new StateFront(root, loop, store.core(), () -> store.flush(loop.now()));
+    server = new HttpServer(root, loop, Addresses.parse("127.0.0.1:0"), 64, this::serve);
+    lead();
+  }
+
+  private void serve(String method, String target, byte[] body, Consumer<HttpReply> answer) {
+    if (++messages == lowerAt) {
+      store.core().setLimits(lowered, loop.now());
+    }
+    if (faults != null && faults.nextInt(6) == 0) {
+      if (faults.nextBoolean()) {
+        // Carried out late, if at all.
+        loop.after(
+            Span.millis(faults.nextInt(4000)),
+            root,
+            () -> front.handle(method, target, body, reply -> {}));
+      } else {
+        front.handle(method, target, body, reply -> {});
+      }
+      return;
+    }
+    front.handle(method, target, body, answer);
+  }
+
+  /** A leader reads what is there and goes on with it. */
+  private void lead() throws IOException {
+    if (leader != null) {
+      leader.cancel();
+    }
+    leader = new Root();
+    HttpClient http =
+        new HttpClient(leader, loop, Addresses.parse("127.0.0.1:" + server.port()), 4, 64);
+    state = new StateClient(leader, loop, http, http, 1e6, 1e6, new StateLimits(8, 8, 1e6));
+    pages =
+        new Pages<>(
+            leader, state, this::guarded, "p/", () -> new Span(0), loop::now, new CounterForm());
+    put(Keys.LEADER, Body.of());
+    leaderKey = store.value(Keys.LEADER).stamp();
+    entries = new TreeMap<>();
+    for (Map.Entry<String, KeyStore.Value> page : stored().entrySet()) {
+      pages.found(page.getKey(), new Stamp(page.getValue().stamp()));
+      page.getValue()
+          .data()
+          .fields()
+          .forEach(
+              (name, value) -> {
+                Counter c = entries.computeIfAbsent(name, n -> new Counter(n, 0));
+                c.count = Math.max(c.count, count(value));
+                pages.loaded(page.getKey(), c);
+              });
+    }
+  }
+
+  private void put(String key, Body value) {
+    try {
+      store.commit(MsgPack.decode(MsgPack.encode(new Txn().put(key, value).body())));
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private Txn guarded() {
+    return new Txn().guard(Keys.LEADER, new Stamp(leaderKey));
+  }
+
+  private final class CounterForm implements Pages.Form<Counter> {
+    @Override
+    public String name(Counter item) {
+      return item.name;
+    }
+
+    @Override
+    public Object encode(Counter item) {
+      return item.count + "+" + "x".repeat(PADDING);
+    }
+
+    @Override
+    public int longest(Counter item) {
+      return JsonSize.of(item.name) + JsonSize.of("") + 8 + PADDING;
+    }
+
+    @Override
+    public boolean keeps(Counter item, Object value) {
+      return true;
+    }
+
+    @Override
+    public void written(List<Counter> items, List<Object> values, boolean ok) {
+      for (int i = 0; ok && i < items.size(); i++) {
+        confirmed.merge(items.get(i).name, count(values.get(i)), Math::max);
+      }
+    }
+  }
+
+  private static long count(Object value) {
+    String text = (String) value;
+    return Long.parseLong(text.substring(0, text.indexOf('+')));
+  }
+
+  private Map<String, KeyStore.Value> stored() {
+    Map<String, KeyStore.Value> out = new TreeMap<>();
+    for (int n = 0; n < 200; n++) {
+      String key = String.format("p/%05d", n);
+      if (store.value(key) != null) {
+        out.put(key, store.value(key));
+      }
+    }
+    return out;
+  }
+
+  /** As an earlier version reads it: in the order of keys, the last counts. */
+  private void nothingIsLost() {
+    Map<String, Long> last = new HashMap<>();
+    stored()
+        .values()
+        .forEach(page -> page.data().fields().forEach((name, v) -> last.put(name, count(v))));
+    confirmed.forEach(
+        (name, count) ->
+            assertTrue(last.getOrDefault(name, -1L) >= count, name + " is older than " + count));
+  }
+
+  private void pass() throws IOException {
+    loop.after(Span.millis(1), root, loop::pause);
+    loop.run();
+    nothingIsLost();
+  }
+
+  private void change(int n, boolean urgent) {
+    Counter c = entries.computeIfAbsent(String.format("e%03d", n), name -> new Counter(name, 0));
+    c.count++;
+    pages.changed(c, urgent);
+  }
+
+  private void fill() throws IOException {
+    for (int n = 0; n < ENTRIES; n++) {
+      change(n, true);
+    }
+    for (int i = 0; i < 400 && confirmed.size() < ENTRIES; i++) {
+      pages.flush(true);
+      pass();
+    }
+    assertEquals(ENTRIES, confirmed.size());
+    assertEquals(2, stored().size(), "two full pages");
+  }
+
+  private boolean allWritten() {
+    return entries.values().stream().allMatch(c -> confirmed.getOrDefault(c.name, -1L) >= c.count);
+  }
+
+  private boolean settled(Limits limits) {
+    Map<String, Integer> places = new HashMap<>();
+    boolean fit = true;
+    for (KeyStore.Value page : stored().values()) {
+      fit &= JsonSize.of(page.data()) <= limits.valueKb() * 1024;
+      page.data().fields().keySet().forEach(name -> places.merge(name, 1, Integer::sum));
+    }
+    return fit && allWritten() && places.values().stream().allMatch(n -> n == 1);
+  }
+
+  /** Once each entry has changed, each is on one page that is small enough. */
+  private void settle(Limits limits) throws IOException {
+    for (int n = 0; n < ENTRIES; n++) {
+      change(n, n % 2 == 0);
+    }
+    for (int i = 0; i < 6000 && !settled(limits); i++) {
+      pages.flush(true);
+      pass();
+    }
+    assertTrue(settled(limits));
+  }
+
+  @AfterEach
+  void end() {
+    leader.cancel();
+    root.cancel();
+  }
+
+  /** The limits are lowered, and the leader ends, at each message in turn. */
+  @ParameterizedTest
+  @CsvSource({"2,4", "1,2"})
+  void loweredAndTakenOverAtEachMessage(double valueKb, int operations) throws IOException {
+    lowered = new Limits(1e6, 1e6, valueKb, operations);
+    for (int endAfter = 0; endAfter < 24; endAfter++) {
+      start();
+      confirmed.clear();
+      fill();
+      messages = 0;
+      lowerAt = 1 + endAfter % 5;
+      for (int step = 0; messages < endAfter && step < 400; step++) {
+        change(step * 7 % ENTRIES, step % 2 == 0);
+        pages.flush(true);
+        pass();
+      }
+      lead();
+      nothingIsLost();
+      settle(lowered);
+      end();
+    }
+  }
+
+  /** Answers are lost and writes carried out late, with takeovers in between. */
+  @Test
+  void whateverBecomesOfEachWrite() throws IOException {
+    lowered = new Limits(1e6, 1e6, 2, 4);
+    for (int seed = 0; seed < 12; seed++) {
+      start();
+      confirmed.clear();
+      fill();
+      Random random = new Random(seed);
+      messages = 0;
+      lowerAt = 1 + random.nextInt(10);
+      faults = new Random(seed);
+      for (int step = 0; step < 120; step++) {
+        change(random.nextInt(ENTRIES), random.nextBoolean());
+        pages.flush(random.nextInt(3) == 0);
+        pass();
+        if (random.nextInt(40) == 0) {
+          lead();
+        }
+      }
+      faults = null;
+      settle(lowered);
+      end();
+    }
+  }
+
+  /** A page of which one part changes all the time, and the other never. */
+  @Test
+  void aWriteThatIsWaitedForDoesNotWaitForTheRestOfItsPage() throws IOException {
+    lowered = new Limits(1e6, 1e6, 2, 4);
+    start();
+    fill();
+    store.core().setLimits(lowered, loop.now());
+    change(3, true);
+    for (int i = 0; i < 400 && !allWritten(); i++) {
+      pages.flush(false);
+      pass();
+    }
+    assertTrue(allWritten());
+    assertEquals(ENTRIES, confirmed.size());
+    assertTrue(store.value("p/00002").data().fields().containsKey("e003"));
+    assertEquals(
+        Body.of().with("e003", "2+" + "x".repeat(PADDING)).fields(),
+        store.value("p/00002").data().fields(),
+        "nothing else has moved yet");
+  }
+}
