The limits to come, state.next, are kept from the first moment

Cause: from some moment after an upgrade the state service takes less, without notice; what was written before that by its present limits would be refused. Change: the settings' state.next may name the limits to come, with the same fields; the lesser of both holds for all that is written. Limits below the floor (2 changes a transaction, 1 KiB a value) are said at the start and by check-config. A successor takes apart one page of an earlier version at a time.

--- a/src/main/java/io/saltflow/app/Config.java
+++ b/src/main/java/io/saltflow/app/Config.java
@@ -3,6 +3,7 @@
 import com.electronwill.nightconfig.core.UnmodifiableConfig;
 import com.electronwill.nightconfig.core.io.ParsingException;
 import com.electronwill.nightconfig.toml.TomlParser;
+import io.saltflow.bookkeeping.StateLimits;
 import io.saltflow.coordination.Policy;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
@@ -112,10 +113,10 @@
         Span.seconds(positive(c, "settings.workers.report_s", null)),
         Span.seconds(positive(c, "settings.workers.lease_s", null)),
         Span.seconds(positive(c, "settings.workers.cancel_s", null)),
-        positive(c, "settings.state.rps", null),
-        positive(c, "settings.state.write_rps", null),
-        positive(c, "settings.state.value_kb", null),
-        (int) positive(c, "settings.state.txn_ops", null),
+        lesser(c, "rps"),
+        lesser(c, "write_rps"),
+        lesser(c, "value_kb"),
+        (int) lesser(c, "txn_ops"),
         positive(c, "settings.cloud.rps", null),
         Span.seconds(amount(c, "settings.cloud.list_lag_s", 5.0)),
         (int) positive(c, "settings.resources.sockets", 1000.0),
@@ -137,9 +138,31 @@
         out.add("settings.teams " + t.name() + ": gpus is more than gpus_max, which holds");
       }
     }
+    if (txnOps < StateLimits.LEAST_OPERATIONS) {
+      out.add(
+          "settings.state.txn_ops (or that of next): with fewer than "
+              + StateLimits.LEAST_OPERATIONS
+              + " no job can be ended or cancelled");
+    }
+    if (valueKb * 1024 < StateLimits.LEAST_VALUE_BYTES) {
+      out.add(
+          "settings.state.value_kb (or that of next): with less than "
+              + StateLimits.LEAST_VALUE_BYTES
+              + " bytes jobs with long descriptions are refused, and what is decided may not be"
+              + " recorded");
+    }
     return out;
   }
 
+  /**
+   * A limit of the state service: the lesser of what holds now and of what will hold from some
+   * moment on, without notice. What is written in between must be within both.
+   */
+  private static double lesser(UnmodifiableConfig c, String name) throws ConfigError {
+    double now = positive(c, "settings.state." + name, null);
+    return Math.min(now, positive(c, "settings.state.next." + name, now));
+  }
+
   /** The tightest time that the aims of a kind give each class. */
   private static Map<String, Span> tightestByClass(UnmodifiableConfig c, String kind)
       throws ConfigError {
--- a/src/test/java/io/saltflow/app/ConfigTest.java
+++ b/src/test/java/io/saltflow/app/ConfigTest.java
@@ -121,6 +121,29 @@
     assertTrue(Config.parse(none).doubts().get(0).startsWith("settings.teams: none"));
   }
 
+  /** What will hold without notice holds for all that is written from the first moment. */
+  @Test
+  void theLesserOfTheLimitsThatHoldAndThoseToComeCounts() throws ConfigError {
+    String next =
+        "[settings.state.next]\nrps = 120.0\nwrite_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 4\n";
+    Config c = Config.parse(SETTINGS + next);
+    assertEquals(100.0, c.stateRps(), "more to come is not believed before it is there");
+    assertEquals(18.0, c.stateWriteRps());
+    assertEquals(2.0, c.valueKb());
+    assertEquals(4, c.txnOps());
+    assertEquals(List.of(), c.doubts());
+    Config some = Config.parse(SETTINGS + "[settings.state.next]\nvalue_kb = 0.5\n");
+    assertEquals(8, some.txnOps(), "what it does not name stays");
+    assertTrue(some.doubts().get(0).startsWith("settings.state.value_kb"));
+    Config least = Config.parse(SETTINGS.replace("txn_ops = 8", "txn_ops = 1"));
+    assertTrue(least.doubts().get(0).startsWith("settings.state.txn_ops"));
+    ConfigError e =
+        assertThrows(
+            ConfigError.class,
+            () -> Config.parse(SETTINGS + "[settings.state.next]\ntxn_ops = 0\n"));
+    assertTrue(e.getMessage().startsWith("settings.state.next.txn_ops"), e.getMessage());
+  }
+
   @Test
   void timesOfAimsAreRead() throws ConfigError {
     Config c = Config.parse(SETTINGS);
--- a/src/test/java/io/saltflow/app/LoweredLimitsTest.java
+++ b/src/test/java/io/saltflow/app/LoweredLimitsTest.java
@@ -13,6 +13,7 @@
 import io.saltflow.protocol.MsgPack;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Wire;
 import io.saltflow.standin.CloudFront;
 import io.saltflow.standin.CloudStore;
 import io.saltflow.standin.Depot;
@@ -37,6 +38,8 @@
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * The state service takes smaller values and transactions all of a sudden. A controller that had
@@ -45,7 +48,6 @@
  */
 class LoweredLimitsTest {
   private static final Limits BEFORE = new Limits(2000, 400, 8, 8);
-  private static final Limits AFTER = new Limits(2000, 400, 2, 4);
   private static final int WAITING = 180;
   private static final int ENDING = 10;
   private static final int BUNDLES = 3;
@@ -63,6 +65,13 @@
   private final Root machines = new Root();
   private final Map<String, Integer> answers = new TreeMap<>();
   private final Map<String, BitSet> doneBefore = new LinkedHashMap<>();
+  private Limits after = new Limits(2000, 400, 2, 4);
+  private String next = "";
+
+  /** The largest value, and the most changes of a transaction, that were asked for. */
+  private int largest;
+
+  private int mostChanges;
   private Loop loop;
   private StateStore store;
   private Config config;
@@ -110,30 +119,48 @@
               if (++served == lowerAt) {
                 lower();
               }
+              measure(target, body);
               state.handle(method, target, body, answer);
             });
     String outside = "127.0.0.1:" + server.port();
     config =
         Config.parse(
             ConfigTest.SETTINGS
-                .replace("10.9.9.9:1", outside)
-                .replace("serve_on = \"127.0.0.1:0\"", "serve_on = \"" + Addresses.text(at) + '"')
-                .replace("write_rps = 25.0", "write_rps = 400.0")
-                .replace("rps = 100.0", "rps = 2000.0")
-                .replace("report_s = 3.0", "report_s = 0.5")
-                .replace("cpus_max = 40.0", "cpus_max = 400.0")
-                .replace("list_lag_s = 5.0", "list_lag_s = 1.0"));
+                    .replace("10.9.9.9:1", outside)
+                    .replace(
+                        "serve_on = \"127.0.0.1:0\"", "serve_on = \"" + Addresses.text(at) + '"')
+                    .replace("write_rps = 25.0", "write_rps = 400.0")
+                    .replace("rps = 100.0", "rps = 2000.0")
+                    .replace("report_s = 3.0", "report_s = 0.5")
+                    .replace("cpus_max = 40.0", "cpus_max = 400.0")
+                    .replace("list_lag_s = 5.0", "list_lag_s = 1.0")
+                + next);
     seed(type);
     lead();
   }
 
+  private void measure(String target, byte[] body) {
+    if (!target.equals(Wire.PATH_TXN)) {
+      return;
+    }
+    try {
+      List<Body> writes = MsgPack.decode(body).maps(Wire.WRITES);
+      mostChanges = Math.max(mostChanges, writes.size());
+      for (Body w : writes) {
+        largest = Math.max(largest, w.get("data") == null ? 0 : JsonSize.of(w.map("data")));
+      }
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private Body record(String key) {
     KeyStore.Value v = store.value(key);
     return v == null ? null : v.data();
   }
 
   private void lower() {
-    store.core().setLimits(AFTER, loop.now());
+    store.core().setLimits(after, loop.now());
   }
 
   private void lead() throws IOException {
@@ -295,7 +322,8 @@
   }
 
   private boolean pagesFit() {
-    return values("progress/").stream().allMatch(page -> JsonSize.of(page.data()) <= 2048);
+    return values("progress/").stream()
+        .allMatch(page -> JsonSize.of(page.data()) <= after.valueKb() * 1024);
   }
 
   /** All that goes on: what was left is ended and unpacked, what is new is accepted and done. */
@@ -335,8 +363,10 @@
     takeOver();
   }
 
-  @Test
-  void inATakeover() throws Exception {
+  @ParameterizedTest
+  @CsvSource({"2,4", "1,2"})
+  void inATakeover(double valueKb, int operations) throws Exception {
+    after = new Limits(2000, 400, valueKb, operations);
     // In the midst of what a new leader reads.
     lowerAt = 8;
     start();
@@ -344,6 +374,18 @@
     takeOver();
   }
 
+  /** The new version keeps to both from its first moment, and takes apart what the old one left. */
+  @Test
+  void whatIsToComeIsKeptFromTheFirstMoment() throws Exception {
+    next = "[settings.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 300.0\n";
+    start();
+    allGoesOn();
+    assertTrue(largest <= 2048, "a value of " + largest);
+    assertEquals(4, mostChanges);
+    lower();
+    takeOver();
+  }
+
   @Test
   void rightAfterAnOutage() throws Exception {
     start();
--- a/src/test/java/io/saltflow/bookkeeping/PagesSplitTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/PagesSplitTest.java
@@ -111,13 +111,17 @@
 
   /** A leader reads what is there and goes on with it. */
   private void lead() throws IOException {
+    lead(new StateLimits(8, 8, 1e6));
+  }
+
+  private void lead(StateLimits limits) throws IOException {
     if (leader != null) {
       leader.cancel();
     }
     leader = new Root();
     HttpClient http =
         new HttpClient(leader, loop, Addresses.parse("127.0.0.1:" + server.port()), 4, 64);
-    state = new StateClient(leader, loop, http, http, 1e6, 1e6, new StateLimits(8, 8, 1e6));
+    state = new StateClient(leader, loop, http, http, 1e6, 1e6, limits);
     pages =
         new Pages<>(
             leader, state, this::guarded, "p/", () -> new Span(0), loop::now, new CounterForm());
@@ -311,6 +315,31 @@
     }
   }
 
+  /** A successor with lesser limits takes one page apart at a time: the rate is for others too. */
+  @Test
+  void pagesOfAnEarlierVersionAreTakenApartOneByOne() throws IOException {
+    lowered = new Limits(1e6, 1e6, 2, 4);
+    start();
+    fill();
+    StateLimits next = new StateLimits(4, 2, 1e6);
+    lead(next);
+    int passes = 0;
+    int most = 0;
+    while (!settled(lowered)) {
+      long before = store.epoch();
+      pages.flush(true);
+      passes++;
+      for (int i = 0; i < 40; i++) {
+        pass();
+      }
+      most = Math.max(most, (int) (store.epoch() - before));
+    }
+    // Of 24 and 12 entries, 5 fit on a page: four more pages for the first, two for the other.
+    assertTrue(most <= 5, most + " changes at once");
+    assertTrue(passes <= 5, passes + " passes");
+    assertEquals(ENTRIES, confirmed.size());
+  }
+
   /** A page of which one part changes all the time, and the other never. */
   @Test
   void aWriteThatIsWaitedForDoesNotWaitForTheRestOfItsPage() throws IOException {
