--- a/src/main/java/io/saltflow/bookkeeping/OrderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/OrderBooks.java
@@ -7,6 +7,7 @@
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.Stamp;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -22,9 +23,6 @@
   private static final String CORRECTIONS = "corrections";
   private static final String SOONEST = "soonest";
 
-  /** What may be cut short: it is found out again. */
-  static final String[] DETAILS = {SOONEST};
-
   private OrderBooks() {}
 
   /** What an operator did with a job; null: it was put in front of its lane. */
@@ -45,6 +43,22 @@
         .with(SOONEST, new ArrayList<>(basis.soonest()));
   }
 
+  /** The same as far as it may be written: without what says least, which is found out again. */
+  static Body encode(Basis basis, StateLimits limits) {
+    Map<String, Double> corrections = new TreeMap<>(basis.corrections());
+    List<String> leastFirst = new ArrayList<>(corrections.keySet());
+    leastFirst.sort(Comparator.comparingDouble(c -> Math.abs(Math.log(basis.correction(c)))));
+    Body value = limits.shortened(encode(basis), SOONEST);
+    for (String jobClass : leastFirst) {
+      if (limits.fits(value)) {
+        break;
+      }
+      corrections.remove(jobClass);
+      value.with(CORRECTIONS, new TreeMap<String, Object>(corrections));
+    }
+    return value;
+  }
+
   static Basis decode(Body b) throws BadMessage {
     Map<String, Double> corrections = new TreeMap<>();
     Body each = b.map(CORRECTIONS);
--- a/src/main/java/io/saltflow/bookkeeping/PlanBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/PlanBooks.java
@@ -115,7 +115,7 @@
   public void record() {
     Basis basis = decided.basisToRecord(now.get());
     if (basis != null) {
-      Body value = state.limits().shortened(OrderBooks.encode(basis), OrderBooks.DETAILS);
+      Body value = OrderBooks.encode(basis, state.limits());
       writes.write(Keys.BASIS, value, ok -> decided.basisRecorded(basis, ok));
     }
     Morning morning = decided.morningToRecord(now.get());
