Bursts, polls and queues under lowered limits: tests

BundlesTest: a burst of submissions, polls of 120 jobs and the unpacking go on when 2 KiB and 4 changes are taken instead of 8 and 8; a description that is too large now is refused unless its job is known. QueueBooksTest: batches get smaller, and a message that is too large now holds up no other.

--- a/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
@@ -193,10 +193,14 @@
 
   /** Plays the leader until all is unpacked; how many changes were refused. */
   private int unpack(Unpacking unpacking) throws BadMessage {
+    return unpack(unpacking, TXN_OPS);
+  }
+
+  private int unpack(Unpacking unpacking, int operations) throws BadMessage {
     int refused = 0;
     for (int i = 0; i < 500 && !unpacking.isEmpty(); i++) {
-      Unpacking.Step step = unpacking.next(new StateLimits(TXN_OPS, 8, 30));
-      assertTrue(step.writes() > 0 && step.writes() <= TXN_OPS);
+      Unpacking.Step step = unpacking.next(new StateLimits(operations, 8, 30));
+      assertTrue(step.writes() > 0 && step.writes() <= operations);
       var reply = store.commit(txn(step.into(new Txn())));
       if (reply.status() == 200) {
         unpacking.done(step);
@@ -376,6 +380,55 @@
     }
   }
 
+  private void lowerTo(double valueKb, int operations) {
+    store.core().setLimits(new Limits(1000, 30, valueKb, operations), loop.now());
+  }
+
+  /** A burst of submissions, and polls of all of them, when less is taken than was said. */
+  @Test
+  void burstsAndPollsGoOnWhenLimitsAreLowered() throws IOException, BadMessage {
+    JobStore node = node("one");
+    admit(node, 0, 60);
+    lowerTo(2, 4);
+    admit(node, 60, 120);
+    told.clear();
+    for (int n = 0; n < 120; n++) {
+      JobId id = id(n);
+      node.find(id, o -> told.put(id, o));
+    }
+    runUntil(() -> told.size() == 120);
+    for (int n = 0; n < 120; n++) {
+      assertEquals(live(id(n)), told.get(id(n)));
+    }
+    assertEquals(0, unpack(found(), 4));
+    for (int n = 0; n < 120; n++) {
+      assertTrue(store.value(Keys.live(id(n))) != null);
+    }
+  }
+
+  private static JobSpec large(int n) throws BadMessage {
+    return JobCodec.decode(
+        MsgPack.decode(MsgPack.encode(JobCodec.encode(spec(n)).with("bundle", "i".repeat(3000)))));
+  }
+
+  /** Refused, and said so, rather than tried for ever; but not one that was accepted before. */
+  @Test
+  void aDescriptionThatIsTooLargeNowIsRefusedUnlessItIsKnown() throws IOException, BadMessage {
+    JobStore node = node("one");
+    node.admit(large(1), 5, o -> told.put(id(1), o));
+    runUntil(() -> told.size() == 1);
+    assertEquals(new JobStore.Outcome.Created(id(1)), told.get(id(1)));
+    lowerTo(2, 4);
+    told.clear();
+    node.admit(large(1), 5, o -> told.put(id(1), o));
+    node.admit(large(2), 5, o -> told.put(id(2), o));
+    node.admit(spec(3), 5, o -> told.put(id(3), o));
+    runUntil(() -> told.size() == 3);
+    assertEquals(live(id(1)), told.get(id(1)));
+    assertEquals(new JobStore.Outcome.TooLarge(), told.get(id(2)));
+    assertEquals(new JobStore.Outcome.Created(id(3)), told.get(id(3)));
+  }
+
   /** A guard that was never seen proves nothing: an unknown job is read, not taken for live. */
   @Test
   void recordThatWasReplacedIsReadAgain() throws IOException, BadMessage {
--- a/src/test/java/io/saltflow/bookkeeping/QueueBooksTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/QueueBooksTest.java
@@ -46,7 +46,6 @@
 class QueueBooksTest {
   private static final QueueId QUEUE = new QueueId("/", "q");
   private static final byte[] NOTHING = new byte[0];
-  private static final StateLimits LIMITS = new StateLimits(8, 8, 200);
 
   private static final ResultForm FORM =
       new ResultForm() {
@@ -69,7 +68,8 @@
 
   private final Root root = new Root();
   private final SplittableRandom random = new SplittableRandom(5);
-  private final Chunks chunks = new Chunks(LIMITS);
+  private final StateLimits limits = new StateLimits(8, 8, 200);
+  private final Chunks chunks = new Chunks(limits);
   private Loop loop;
   private StateStore store;
   private StateClient state;
@@ -104,7 +104,7 @@
             });
     HttpClient http =
         new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + server.port()), 8, 64);
-    state = new StateClient(root, loop, http, http, 1000, 200, LIMITS);
+    state = new StateClient(root, loop, http, http, 1000, 200, limits);
     lead(1);
   }
 
@@ -253,6 +253,27 @@
     assertEquals(0, core.size());
   }
 
+  /**
+   * Less is taken at once than was said. Batches get smaller, what is in the record is read as
+   * before, and a message that is too large now holds up no other.
+   */
+  @Test
+  void batchesGetSmallerWhenLessIsTaken() throws Exception {
+    publish(0, 300, 100);
+    publish(300, 304, 16 * 1024);
+    await(() -> confirmed == 304);
+    store.core().setLimits(new Limits(1000, 200, 2, 4), loop.now());
+    publish(304, 600, 100);
+    await(() -> confirmed == 600);
+    assertEquals(4, limits.operations());
+    assertTrue(limits.valueBytes() <= 2048);
+    publish(600, 601, 16 * 1024);
+    publish(601, 700, 100);
+    await(() -> confirmed == 699);
+    lead(2);
+    assertEquals(699, core.size());
+  }
+
   /** A leader whose key is gone writes nothing more, and knows it at once. */
   @Test
   void aDeposedLeaderRecordsNothing() throws Exception {
