--- a/src/main/java/io/saltflow/bookkeeping/DependencyBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/DependencyBooks.java
@@ -54,27 +54,19 @@
   private final Set<JobId> unclear = new LinkedHashSet<>();
 
   private int transactions;
-  private int cancelsPerTransaction;
   private Time writeAfter = Time.LONG_AGO;
   private Leader leader;
 
   /**
    * @param guarded begins a transaction that fails when another leads
-   * @param txnOps how many writes a transaction may have
    */
   DependencyBooks(
-      Routine parent,
-      StateClient state,
-      JobStore jobs,
-      Supplier<Txn> guarded,
-      int txnOps,
-      Supplier<Time> now) {
+      Routine parent, StateClient state, JobStore jobs, Supplier<Txn> guarded, Supplier<Time> now) {
     super(parent);
     this.state = state;
     this.jobs = jobs;
     this.guarded = guarded;
     this.now = now;
-    this.cancelsPerTransaction = Math.max(1, txnOps / WRITES_PER_CANCEL);
   }
 
   /** Whose jobs it is about from now on. */
@@ -166,11 +158,12 @@
         open.add(id);
       }
     }
+    int each = Math.max(1, state.limits().operations() / WRITES_PER_CANCEL);
     int from = 0;
     while (from < open.size()
         && transactions < MOST_TRANSACTIONS
         && !now.get().before(writeAfter)) {
-      int to = Math.min(open.size(), from + cancelsPerTransaction);
+      int to = Math.min(open.size(), from + each);
       record(List.copyOf(open.subList(from, to)));
       from = to;
     }
@@ -208,12 +201,7 @@
 
   private void refused(List<JobId> some, StateClient.Answer a) {
     writeAfter = now.get().plus(AGAIN);
-    if (a.status() == 400 && cancelsPerTransaction > 1) {
-      LOG.warn(
-          "the state service refused to record {} cancellations at once: each is recorded alone",
-          some.size());
-      cancelsPerTransaction = 1;
-    } else if (a.status() == 409 || a.status() == 0) {
+    if (a.status() == 409 || a.status() == 0) {
       // An end came first, or the transaction may yet be carried out.
       unclear.addAll(some);
     }
--- a/src/main/java/io/saltflow/bookkeeping/DependencyLookup.java
+++ b/src/main/java/io/saltflow/bookkeeping/DependencyLookup.java
@@ -34,7 +34,6 @@
   private static final int MAX_PENDING = 256;
 
   private static final int MAX_GUARDS = 64;
-  private static final int GUARDS_PER_WRITE = 4;
   private static final int GUARDS_PER_JOB = 2;
 
   /** The ends of jobs, as this node knows or reads them. */
@@ -49,23 +48,20 @@
   private final Loop loop;
   private final StateClient state;
   private final Ends ends;
-  private final int jobsPerRequest;
   private Map<JobId, List<Consumer<DependencyState>>> unsent = new LinkedHashMap<>();
   private int inFlight;
   private Time lastSent = Time.LONG_AGO;
   private boolean planned;
 
-  /**
-   * @param txnOps how many writes a transaction of the state service may have; it takes four times
-   *     as many conditions
-   */
-  DependencyLookup(Routine parent, Loop loop, StateClient state, Ends ends, int txnOps) {
+  DependencyLookup(Routine parent, Loop loop, StateClient state, Ends ends) {
     super(parent);
     this.loop = loop;
     this.state = state;
     this.ends = ends;
-    int guards = Math.min(MAX_GUARDS, GUARDS_PER_WRITE * Math.max(1, txnOps));
-    jobsPerRequest = guards / GUARDS_PER_JOB;
+  }
+
+  private int jobsPerRequest() {
+    return Math.max(1, Math.min(MAX_GUARDS, state.limits().conditions()) / GUARDS_PER_JOB);
   }
 
   /** Tells the state of a job as of a moment after this call. */
@@ -96,6 +92,7 @@
     unsent = new LinkedHashMap<>();
     inFlight += all.size();
     Map<JobId, List<Consumer<DependencyState>>> some = new LinkedHashMap<>();
+    int jobsPerRequest = jobsPerRequest();
     for (Map.Entry<JobId, List<Consumer<DependencyState>>> e : all.entrySet()) {
       some.put(e.getKey(), e.getValue());
       if (some.size() == jobsPerRequest) {
--- a/src/test/java/io/saltflow/bookkeeping/AdmissionWorld.java
+++ b/src/test/java/io/saltflow/bookkeeping/AdmissionWorld.java
@@ -119,8 +119,9 @@
   JobStore node(String name) {
     HttpClient http =
         new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + server.port()), 8, 64);
-    StateClient state = new StateClient(root, loop, http, http, 450, 15);
-    return new JobStore(root, loop, state, valueKb, txnOps, name, Lanes.NONE);
+    StateClient state =
+        new StateClient(root, loop, http, http, 450, 15, new StateLimits(txnOps, valueKb, 30));
+    return new JobStore(root, loop, state, name, Lanes.NONE);
   }
 
   /** Something happens right before the message of that number is carried out. */
