--- a/src/main/java/io/saltflow/bookkeeping/StateClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -9,6 +9,7 @@
 import io.saltflow.protocol.Throttle;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
+import io.saltflow.transport.HttpCaller;
 import io.saltflow.transport.HttpClient;
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
@@ -86,8 +87,8 @@
   }
 
   private final Loop loop;
-  private final HttpClient client;
-  private final HttpClient watches;
+  private final HttpCaller client;
+  private final HttpCaller watches;
   private final double wps;
   private final Budget requests;
 
@@ -101,7 +102,7 @@
   private Time firstBad = Time.NEVER;
 
   public StateClient(
-      Routine parent, Loop loop, HttpClient client, HttpClient watches, double rps, double wps) {
+      Routine parent, Loop loop, HttpCaller client, HttpCaller watches, double rps, double wps) {
     super(parent);
     this.loop = loop;
     this.client = client;
--- a/src/main/java/io/saltflow/transport/HttpClient.java
+++ b/src/main/java/io/saltflow/transport/HttpClient.java
@@ -16,7 +16,7 @@
  * request that gets no answer in time closes its connection and ends with status 0: it may have
  * been executed, or may yet be.
  */
-public final class HttpClient extends Routine {
+public final class HttpClient extends Routine implements HttpCaller {
   private static final int MAX_BODY = 8 * 1024 * 1024;
   private static final Span POOL_IDLE = Span.seconds(20);
 
@@ -56,6 +56,7 @@
     loop.every(Span.seconds(5), this, this::dropIdle);
   }
 
+  @Override
   public void call(String method, String target, byte[] body, Span timeout, Consumer<Answer> then) {
     Request request = new Request(method, target, body, loop.now().plus(timeout), then);
     if (queue.size() >= maxQueue) {
--- /dev/null
+++ b/src/test/java/io/saltflow/app/AnswersWorld.java
@@ -0,0 +1,504 @@
+package io.saltflow.app;
+
+import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.bookkeeping.LeaderBooks;
+import io.saltflow.bookkeeping.StateClient;
+import io.saltflow.coordination.Authority;
+import io.saltflow.coordination.Job;
+import io.saltflow.coordination.Leader;
+import io.saltflow.kv.KeyStore;
+import io.saltflow.kv.Limits;
+import io.saltflow.lanes.Lanes;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Term;
+import io.saltflow.protocol.Time;
+import io.saltflow.protocol.Wire;
+import io.saltflow.standin.StateStore;
+import io.saltflow.statestore.StateFront;
+import io.saltflow.transport.HttpCaller;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpReply;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.IntUnaryOperator;
+
+/**
+ * Several nodes' user interfaces and one leader's books before one state service, by a clock of the
+ * test. Every request to the state service is a message whose execution, answer and loss are steps
+ * of their own; which step comes next is chosen from outside. {@link AnswerHistory} judges what
+ * users are told.
+ */
+final class AnswersWorld {
+  /** What a user does: one request to one node. */
+  record Action(Kind kind, int job, int node) {}
+
+  enum Kind {
+    SUBMIT,
+    /** The same id with a description that a node would refuse. */
+    SUBMIT_ODD,
+    POLL,
+    CANCEL
+  }
+
+  /**
+   * What is played.
+   *
+   * @param users each does one thing after the other, all of them at the same time
+   * @param before jobs that were accepted before it begins, each with a record of its own
+   * @param ending those of them whose tasks are all done, as the leader knows
+   * @param lost so many answers of the state service never come
+   * @param late so many requests get no answer and are executed later
+   * @param early so often a moment passes while something else might happen first
+   * @param writesPerS what each node may write
+   */
+  record Play(
+      int nodes,
+      List<List<Action>> users,
+      int before,
+      Set<Integer> ending,
+      int lost,
+      int late,
+      int early,
+      double writesPerS) {}
+
+  private static final Span TICK = Span.millis(100);
+  private static final int MOST_TICKS = 400;
+  private static final int MOST_TRIES = 6;
+  private static final byte[] NOTHING = new byte[0];
+  private static final Config CONFIG = config();
+  private static final MachineType TYPE =
+      new MachineType("box", new Size(8, 0, 32), 1, 1, 0.5, Span.seconds(15), List.of("a"));
+
+  private static long clockMs = 1_000_000;
+  private static final Loop LOOP = loop();
+
+  private static Loop loop() {
+    try {
+      return new Loop(() -> clockMs * 1_000_000, () -> clockMs);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static Config config() {
+    try {
+      return Config.parse(ConfigTest.SETTINGS);
+    } catch (ConfigError e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  /** A request to the state service on its way, or its answer. */
+  private static final class Message {
+    final String method;
+    final String target;
+    final byte[] body;
+    final Consumer<HttpClient.Answer> then;
+    final Time sent = LOOP.now();
+    HttpReply reply;
+    boolean held;
+    boolean lost;
+    boolean givenUp;
+
+    Message(String method, String target, byte[] body, Consumer<HttpClient.Answer> then) {
+      this.method = method;
+      this.target = target;
+      this.body = body;
+      this.then = then;
+    }
+
+    /** Whether a step may execute it: one that is held back only when nobody waits for it. */
+    boolean executable() {
+      return reply == null && (!held || givenUp);
+    }
+
+    boolean answerable() {
+      return reply != null && !lost && !givenUp;
+    }
+
+    void end(int status, byte[] bytes) {
+      givenUp = true;
+      then.accept(new HttpClient.Answer(status, bytes, sent, 0));
+    }
+  }
+
+  private final class Node {
+    final StateClient state;
+    final JobStore jobs;
+    final UserApi users;
+
+    Node(int number, double writesPerS) {
+      HttpCaller network = AnswersWorld.this::send;
+      state = new StateClient(root, LOOP, network, network, 1e6, writesPerS);
+      jobs = new JobStore(root, LOOP, state, 8, 8, "node-" + number, Lanes.NONE);
+      users =
+          new UserApi(
+              jobs, state, CONFIG.teams(), () -> List.of(TYPE), id -> null, LOOP::dayMs, LOOP::now);
+    }
+  }
+
+  private static final class User {
+    final Deque<Action> todo;
+    boolean waits;
+    int tries;
+
+    User(List<Action> script) {
+      todo = new ArrayDeque<>(script);
+    }
+  }
+
+  private final Play play;
+  private final IntUnaryOperator chooser;
+  private final Root root = new Root();
+  private final StateStore store =
+      new StateStore(new Limits(1e6, 1e6, 8, 8), steps -> {}, LOOP.now());
+  private final StateFront front =
+      new StateFront(root, LOOP, store.core(), () -> store.flush(LOOP.now()));
+  private final List<Node> nodes = new ArrayList<>();
+  private final List<User> users = new ArrayList<>();
+  private final List<Message> messages = new ArrayList<>();
+  private final Set<JobId> told = new LinkedHashSet<>();
+  private final AnswerHistory history;
+  private LeaderBooks books;
+  private Leader leader;
+  private int lost;
+  private int late;
+  private int early;
+  private int ticks;
+
+  private AnswersWorld(Play play, IntUnaryOperator chooser) {
+    this.play = play;
+    this.chooser = chooser;
+    history = new AnswerHistory(this::recorded);
+    for (int n = 0; n < play.nodes; n++) {
+      nodes.add(new Node(n, play.writesPerS));
+    }
+    play.users.forEach(script -> users.add(new User(script)));
+    prepare();
+  }
+
+  /**
+   * Plays it once.
+   *
+   * @param chooser of so many possible steps, the number of the next
+   * @return what was wrong, or null
+   */
+  static String play(Play play, IntUnaryOperator chooser) {
+    AnswersWorld world = new AnswersWorld(play, chooser);
+    try {
+      world.run();
+      return world.history.fault();
+    } finally {
+      world.root.cancel();
+      clockMs += 10_000;
+      fire();
+    }
+  }
+
+  // ---- What was there before
+
+  private void prepare() {
+    List<Job> known = new ArrayList<>();
+    for (int n = 0; n < play.before; n++) {
+      JobId id = id(n);
+      Body spec = submission(n);
+      commit(
+          Body.of()
+              .with(Wire.GUARDS, List.of())
+              .with(
+                  Wire.WRITES,
+                  List.of(
+                      Body.of()
+                          .with(Wire.PUT, JobStore.keyOfLive(id))
+                          .with(Wire.VALUE, Body.of().with("spec", spec).with("at", 5L)))));
+      history.acceptedBefore(id);
+      told.add(id);
+      try {
+        KeyStore.Value value = store.value(JobStore.keyOfLive(id));
+        JobStore.Recorded r =
+            JobStore.decode(MsgPack.decode(MsgPack.encode(value.data())), new Stamp(value.stamp()));
+        BitSet done = new BitSet();
+        if (play.ending.contains(n)) {
+          done.set(0, r.spec().tasks());
+        }
+        known.add(new Job(r.spec(), 5, done, true));
+      } catch (BadMessage e) {
+        throw new IllegalStateException(e);
+      }
+    }
+    lead(known);
+  }
+
+  private void lead(List<Job> known) {
+    commit(
+        Body.of()
+            .with(Wire.GUARDS, List.of())
+            .with(
+                Wire.WRITES,
+                List.of(Body.of().with(Wire.PUT, "lead").with(Wire.VALUE, Body.of()))));
+    Authority authority = new Authority(Span.seconds(5), Span.seconds(10));
+    authority.won(new Term(1), new Stamp(store.value("lead").stamp()), LOOP.now());
+    leader =
+        new Leader(
+            OperatorSettings.defaults().policy(CONFIG),
+            new Term(1),
+            known,
+            List.of(),
+            true,
+            List.of(TYPE),
+            LOOP.now(),
+            LOOP.dayMs());
+    Node own = nodes.get(0);
+    LeaderBooks.Limits limits = new LeaderBooks.Limits(8, 8, 1000);
+    // Its writes have a share of their own: users' requests use up the nodes'.
+    StateClient writes = new StateClient(root, LOOP, this::send, this::send, 1e6, 1e6);
+    books = new LeaderBooks(root, writes, own.jobs, authority, limits, LOOP::now);
+    books.serve(leader);
+  }
+
+  private void commit(Body txn) {
+    try {
+      store.commit(MsgPack.decode(MsgPack.encode(txn)));
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  static JobId id(int n) {
+    return new JobId(String.format("req-%06d", n));
+  }
+
+  private static Body submission(int n) {
+    return NodeTest.submission(id(n).text(), "red");
+  }
+
+  // ---- The network
+
+  private void send(
+      String method, String target, byte[] body, Span timeout, Consumer<HttpClient.Answer> then) {
+    Message m = new Message(method, target, body, then);
+    messages.add(m);
+    LOOP.after(
+        timeout,
+        root,
+        () -> {
+          if (!m.givenUp) {
+            m.end(0, NOTHING);
+          }
+        });
+  }
+
+  private void execute(Message m) {
+    front.handle(m.method, m.target, m.body, reply -> m.reply = reply);
+    history.moved();
+  }
+
+  private static void fire() {
+    LOOP.post(LOOP::pause);
+    try {
+      LOOP.run();
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  // ---- The steps
+
+  private void run() {
+    while (true) {
+      List<Runnable> steps = steps();
+      if (steps.isEmpty()) {
+        if (over() || ++ticks > MOST_TICKS) {
+          break;
+        }
+        tick();
+      } else {
+        steps.get(steps.size() == 1 ? 0 : chooser.applyAsInt(steps.size())).run();
+      }
+      fire();
+    }
+    if (!over()) {
+      history.fail("somebody waits for ever: " + users.stream().filter(u -> u.waits).count());
+    }
+    told.forEach(this::lookAtTheEnd);
+  }
+
+  private static void tick() {
+    clockMs += TICK.ms();
+  }
+
+  private boolean over() {
+    return users.stream().allMatch(u -> u.todo.isEmpty() && !u.waits)
+        && messages.stream().allMatch(m -> m.reply != null || !m.executable())
+        && messages.stream().allMatch(m -> m.givenUp)
+        && leader.toFinish().isEmpty()
+        && bundled().isEmpty();
+  }
+
+  /** What may happen next. Time passes when nothing else does. */
+  private List<Runnable> steps() {
+    messages.removeIf(m -> m.givenUp && m.reply != null);
+    List<Runnable> out = new ArrayList<>();
+    for (Message m : List.copyOf(messages)) {
+      if (m.executable()) {
+        out.add(() -> execute(m));
+      }
+      if (m.answerable()) {
+        out.add(() -> m.end(m.reply.status(), m.reply.body()));
+      }
+      trouble(m, out);
+    }
+    for (User u : users) {
+      if (!u.waits && !u.todo.isEmpty()) {
+        out.add(() -> ask(u));
+      }
+    }
+    if (!leader.toFinish().isEmpty() && !books.busy()) {
+      out.add(books::finish);
+    }
+    if (early < play.early && !out.isEmpty() && users.stream().anyMatch(u -> u.waits)) {
+      out.add(
+          () -> {
+            early++;
+            tick();
+          });
+    }
+    if (messages.isEmpty() && !bundled().isEmpty()) {
+      out.add(this::unpack);
+    }
+    return out;
+  }
+
+  private void trouble(Message m, List<Runnable> out) {
+    if (m.reply != null || m.held || m.givenUp) {
+      return;
+    }
+    if (lost < play.lost) {
+      out.add(
+          () -> {
+            lost++;
+            execute(m);
+            m.lost = true;
+          });
+    }
+    if (late < play.late) {
+      out.add(
+          () -> {
+            late++;
+            m.held = true;
+          });
+    }
+  }
+
+  private Map<String, KeyStore.Value> bundled() {
+    Map<String, KeyStore.Value> out = new HashMap<>();
+    for (Body pair : list()) {
+      String key = (String) pair.get(Wire.KEY);
+      if (JobStore.isBundle(key)) {
+        out.put(key, store.value(key));
+      }
+    }
+    return out;
+  }
+
+  private List<Body> list() {
+    try {
+      return MsgPack.decode(MsgPack.encode(store.list("live/", "", 1000).body())).maps(Wire.ITEMS);
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void unpack() {
+    bundled()
+        .forEach(
+            (key, value) -> {
+              try {
+                Body body = MsgPack.decode(MsgPack.encode(value.data()));
+                books.bundle(key, body, new Stamp(value.stamp()));
+              } catch (BadMessage e) {
+                throw new IllegalStateException(e);
+              }
+            });
+    books.unpack();
+  }
+
+  // ---- Users
+
+  private void ask(User u) {
+    Action next = u.todo.peek();
+    u.waits = true;
+    JobId id = id(next.job);
+    AnswerHistory.Question q = history.asked(id, next.kind, next.node);
+    Consumer<HttpReply> then =
+        reply -> {
+          u.waits = false;
+          history.told(q, reply);
+          if (reply.status() / 100 == 2) {
+            told.add(id);
+          }
+          if (reply.status() != 503 || ++u.tries >= MOST_TRIES) {
+            u.todo.poll();
+            u.tries = 0;
+          }
+        };
+    UserApi api = nodes.get(next.node).users;
+    switch (next.kind) {
+      case SUBMIT -> api.submit(MsgPack.encode(submission(next.job)), then);
+      case SUBMIT_ODD ->
+          api.submit(MsgPack.encode(submission(next.job).with("crew", "nobody")), then);
+      case POLL -> api.poll(id.text(), then);
+      case CANCEL -> api.withdraw(id.text(), then);
+      default -> throw new IllegalStateException(next.toString());
+    }
+  }
+
+  // ---- The records
+
+  private boolean inABundle(JobId id) {
+    return bundled().values().stream().anyMatch(v -> v.data().get(id.text()) != null);
+  }
+
+  /** How a job is recorded now: null, live, or the name of its end. */
+  private String recorded(JobId id) {
+    KeyStore.Value over = store.value("over/" + id.text());
+    if (over != null) {
+      return over.data().get("phase").toString();
+    }
+    boolean live = store.value(JobStore.keyOfLive(id)) != null || inABundle(id);
+    return live ? AnswerHistory.LIVE : null;
+  }
+
+  /** Each comes out once: as a record of its own or as an end. */
+  private void lookAtTheEnd(JobId id) {
+    boolean live = store.value(JobStore.keyOfLive(id)) != null;
+    boolean over = store.value("over/" + id.text()) != null;
+    if (live == over || inABundle(id)) {
+      history.fail(id + " at the end: live " + live + ", over " + over);
+    }
+  }
+}
