Admissions: a known job does not break its bundle up

A bundle that was refused for one job that is known already was written anew with a change for each of its up to 32 jobs, at a node's share of the changes for seconds. Now only the named ones are looked up and the others go together again.

--- a/src/main/java/io/saltflow/bookkeeping/Admissions.java
+++ b/src/main/java/io/saltflow/bookkeeping/Admissions.java
@@ -168,8 +168,10 @@
               live.seenIn(w.id, key, new Stamp(a.revision()));
               w.then.accept(new JobStore.Outcome.Created(w.id));
             }
-          } else if (a.status() == 409 || a.status() == 400) {
-            // One is known already, or together they are too large: each for itself.
+          } else if (a.status() == 409) {
+            withoutTheKnown(a, some);
+          } else if (a.status() == 400) {
+            // Together they are too large: each for itself.
             some.forEach(this::alone);
           } else {
             again(a, some);
@@ -177,18 +179,41 @@
         });
   }
 
+  /**
+   * Some are known already, perhaps by a try of ours whose answer was lost. The others go together
+   * once more: each for itself they would use up the rate of changes for seconds.
+   */
+  private void withoutTheKnown(StateClient.Answer a, List<Waiting> some) {
+    List<Waiting> known = new ArrayList<>();
+    List<Waiting> others = new ArrayList<>();
+    for (Waiting w : some) {
+      boolean named = a.refusedFor(Keys.live(w.id)) || a.refusedFor(Keys.over(w.id));
+      (named ? known : others).add(w);
+    }
+    if (known.isEmpty()) {
+      some.forEach(this::alone);
+      return;
+    }
+    known.forEach(w -> find.accept(w.id, w.then));
+    putBack(others);
+    later();
+  }
+
+  /** They go before those that came after them. */
+  private void putBack(List<Waiting> some) {
+    for (int i = some.size() - 1; i >= 0; i--) {
+      waiting.addFirst(some.get(i));
+    }
+  }
+
   /** What got no clear answer is tried again at once, or given up on at once. */
   private void again(StateClient.Answer a, List<Waiting> some) {
     // One whose answer was lost may lie in two bundles then. That makes one job of it: the leader
     // gives a job a record of its own only where there is none and it has not ended.
-    boolean worthIt = a.status() == 0 || a.status() == 429;
-    for (int i = some.size() - 1; i >= 0; i--) {
-      Waiting w = some.get(i);
-      if (worthIt) {
-        waiting.addFirst(w);
-      } else {
-        w.then.accept(new JobStore.Outcome.Unknown());
-      }
+    if (a.status() == 0 || a.status() == 429) {
+      putBack(some);
+    } else {
+      some.forEach(w -> w.then.accept(new JobStore.Outcome.Unknown()));
     }
     later();
   }
--- a/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/BundlesTest.java
@@ -189,6 +189,51 @@
     assertEquals(live(id(4)), told.get(id(4)));
   }
 
+  private long changesAsked() {
+    return asked.stream().filter(a -> a.equals("POST /multi")).count();
+  }
+
+  /**
+   * Users repeat some of their submissions at another node within a burst: the bundle that holds
+   * such a one is refused for it, and the others go together again. Each for itself they used up
+   * two seconds of the node's share of the changes, and who came behind them was refused.
+   */
+  @Test
+  void oneThatIsKnownAlreadyDoesNotBreakItsBundleUp() throws IOException {
+    admit(node("one"), 20, 22);
+    JobStore other = node("other");
+    asked.clear();
+    told.clear();
+    for (int n = 0; n < 60; n++) {
+      JobId each = id(n);
+      other.admit(spec(n), 5, o -> told.put(each, o));
+    }
+    runUntil(() -> told.size() == 60);
+    for (int n = 0; n < 60; n++) {
+      boolean known = n == 20 || n == 21;
+      assertEquals(known ? live(id(n)) : new JobStore.Outcome.Created(id(n)), told.get(id(n)));
+    }
+    assertTrue(changesAsked() < 30, changesAsked() + " transactions");
+  }
+
+  /** A repeated submission of what this node knows is compared, which costs no change. */
+  @Test
+  void repeatedSubmissionsCostNoChanges() throws IOException {
+    JobStore node = node("one");
+    admit(node, 0, 20);
+    asked.clear();
+    told.clear();
+    for (int n = 0; n < 20; n++) {
+      JobId each = id(n);
+      node.admit(spec(n), 5, o -> told.put(each, o));
+    }
+    runUntil(() -> told.size() == 20);
+    for (int n = 0; n < 20; n++) {
+      assertEquals(live(id(n)), told.get(id(n)));
+    }
+    assertTrue(asked.size() <= 3, asked.toString());
+  }
+
   private static Body txn(Txn txn) throws BadMessage {
     return MsgPack.decode(MsgPack.encode(txn.body()));
   }
