Odd requests: types are recorded, and a known job is never refused

The leader wrote the machine types only while it knew none, so mostly never. A repeated submission that is too large was answered 400.

NodeTest.theTypesAreRecorded and aKnownJobIsNotJudgedAgain failed before; NodeTest passes.

--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -330,9 +330,7 @@
             return;
           }
           if (list != null) {
-            if (types.get().isEmpty() || !leader.knowsTypes()) {
-              books.writeTypes(list);
-            }
+            books.recordTypes(list);
             onTypes.accept(list);
             leader.typesKnown(list);
           } else if (!leader.knowsTypes()) {
--- a/src/main/java/io/saltflow/app/UserApi.java
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -112,7 +112,8 @@
           if (outcome instanceof JobStore.Outcome.Created) {
             bounded.accept(Replies.job(201, id, Wire.STATE_PENDING, 0, 0));
           } else if (outcome instanceof JobStore.Outcome.TooLarge) {
-            bounded.accept(Replies.error(400, "the description is too large to be recorded"));
+            HttpReply tooLarge = Replies.error(400, "the description is too large to be recorded");
+            unlessKnown(id, tooLarge, bounded);
           } else {
             bounded.accept(reply(id, outcome, Replies.comeBack("not recorded", 1)));
           }
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -49,6 +49,9 @@
   private int underWay;
   private boolean unpackingStep;
 
+  /** The machine types that are on record, as far as this leader knows. */
+  private List<List<Object>> recordedTypes = List.of();
+
   public LeaderBooks(
       Routine parent,
       StateClient state,
@@ -406,11 +409,20 @@
     }
   }
 
-  public void writeTypes(List<MachineType> types) {
+  /**
+   * Writes the machine types down for controllers that start anew while the cloud can't be asked,
+   * unless this leader has certainly written the same before. Prices, which move, don't matter.
+   */
+  public void recordTypes(List<MachineType> types) {
+    List<List<Object>> known =
+        types.stream().map(t -> List.<Object>of(t.name(), t.size(), t.zones())).toList();
+    if (known.equals(recordedTypes)) {
+      return;
+    }
     commit(
         StateClient.Rank.BOOKS,
         guarded().put(Keys.TYPES, CloudCodec.encodeTypes(types)),
-        ok -> LOG.debug("machine types written: {}", ok));
+        ok -> recordedTypes = ok ? known : recordedTypes);
   }
 
   /**
--- a/src/test/java/io/saltflow/app/NodeTest.java
+++ b/src/test/java/io/saltflow/app/NodeTest.java
@@ -219,10 +219,43 @@
     byte[] whole = MsgPack.encode(submission("req-000013", "red"));
     assertEquals(400, call("POST", "/submissions", Arrays.copyOf(whole, whole.length - 1)));
     assertEquals(413, call("POST", "/submissions", new byte[64 * 1024 + 1]));
+    Body wordy = submission("req-000014", "red").with("bundle", "x".repeat(9000));
+    assertEquals(400, call("POST", "/submissions", MsgPack.encode(wordy)));
     assertEquals(405, call("GET", "/submissions", NOTHING));
     assertEquals(404, call("GET", "/nothing", NOTHING));
   }
 
+  /** Whatever a repeated submission of a known job says, it is told where the job stands. */
+  @Test
+  void aKnownJobIsNotJudgedAgain() throws IOException {
+    Body wordy = submission("req-000001", "red").with("bundle", "x".repeat(9000));
+    Body torn = submission("req-000001", "red").with("cores", "many");
+    Body huge = submission("req-000001", "red").with("cores", 900.0);
+    Body service = submission("req-000001", "red").with("lane", "service/x");
+    for (Body odd : List.of(wordy, torn, huge, service)) {
+      assertEquals(200, call("POST", "/submissions", MsgPack.encode(odd)), odd.toString());
+    }
+    assertEquals(200, call("POST", "/submissions/req-000001/withdraw", NOTHING));
+    restart(1);
+    user = new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + node.port()), 4, 16);
+    for (Body odd : List.of(wordy, torn, huge, service)) {
+      assertEquals(200, call("POST", "/submissions", MsgPack.encode(odd)), odd.toString());
+      assertEquals("cancelled", body.get("phase"));
+    }
+  }
+
+  /**
+   * The machine types are on record, so that controllers which all start anew while the cloud can't
+   * be asked still judge submissions.
+   */
+  @Test
+  void theTypesAreRecorded() throws IOException {
+    for (int i = 0; i < 200 && state.value("types") == null; i++) {
+      pass(20);
+    }
+    assertNotNull(state.value("types"));
+  }
+
   @Test
   void inAnOutageNothingIsToldThatIsNotKnown() throws IOException {
     assertEquals(200, call("POST", "/submissions/req-000001/withdraw", NOTHING));
