Admissions: a transaction whose answer stays away is sent again

Users of jobs that were long on record waited the 1.5 s of a try where the answer alone was lost or the transaction was held up. The same transaction is sent again after 60 ms, or after four times as long as answers usually take, at most three times and only where three quarters of a second's writes are unused. Its guards let it be carried out once; a refusal that names the bundle's own key tells that it was.

--- a/src/main/java/io/saltflow/bookkeeping/Admissions.java
+++ b/src/main/java/io/saltflow/bookkeeping/Admissions.java
@@ -26,6 +26,17 @@
   private static final Span PACE = Span.millis(50);
   private static final Span PATIENCE = Span.millis(3500);
 
+  /** An answer that takes so long, and several times as long as usual, is not waited for alone. */
+  private static final Span HEDGE_AFTER = Span.millis(60);
+
+  private static final int HEDGE_TIMES = 4;
+
+  /** How slowly what is taken for usual follows what is seen. */
+  private static final double USUAL_KEPT = 0.8;
+
+  /** So often at most is one transaction sent within its timeout. */
+  private static final int MOST_SENT = 3;
+
   /** Fewer than so many are written with a key each: the leader would have to do it later. */
   private static final int FEW = 3;
 
@@ -43,6 +54,10 @@
   private final String name;
   private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
   private long sequence;
+
+  /** How long answers take, smoothed, in milliseconds; the service is taken for slow at first. */
+  private double usualMs = 100;
+
   private boolean planned;
 
   /**
@@ -123,21 +138,7 @@
 
   private void alone(Waiting w) {
     Txn txn = absent(new Txn(), w.id).put(Keys.live(w.id), w.record);
-    state.commit(
-        StateClient.Rank.USER,
-        txn,
-        TRY,
-        a -> {
-          if (a.ok()) {
-            live.seen(w.id, new Stamp(a.revision()));
-            w.then.accept(new JobStore.Outcome.Created(w.id));
-          } else if (a.status() == 409) {
-            // Known already; perhaps by a try of ours whose answer was lost.
-            find.accept(w.id, w.then);
-          } else {
-            again(a, List.of(w));
-          }
-        });
+    new Attempt(List.of(w), txn, null).send();
   }
 
   static Txn absent(Txn txn, JobId id) {
@@ -158,25 +159,96 @@
     }
     String key = Bundles.key(name + "-" + (++sequence));
     txn.guard(key, Stamp.ABSENT).put(key, Bundles.encode(records));
-    state.commit(
-        StateClient.Rank.USER,
-        txn,
-        TRY,
-        a -> {
-          if (a.ok()) {
-            for (Waiting w : some) {
-              live.seenIn(w.id, key, new Stamp(a.revision()));
-              w.then.accept(new JobStore.Outcome.Created(w.id));
-            }
-          } else if (a.status() == 409) {
-            withoutTheKnown(a, some);
-          } else if (a.status() == 400) {
-            // Together they are too large: each for itself.
-            some.forEach(this::alone);
-          } else {
-            again(a, some);
-          }
-        });
+    new Attempt(some, txn, key).send();
+  }
+
+  /**
+   * One transaction, sent again while its answer stays away: of those whose answers are lost or
+   * come seconds late, users of jobs that are long on record waited for the whole timeout. It may
+   * be sent as often as one likes, since its guards let it be carried out once.
+   */
+  private final class Attempt {
+    private final List<Waiting> some;
+    private final Txn txn;
+
+    /** The key of the bundle; null: a single job. */
+    private final String bundle;
+
+    private int sent;
+    private int unanswered;
+    private boolean settled;
+
+    Attempt(List<Waiting> some, Txn txn, String bundle) {
+      this.some = some;
+      this.txn = txn;
+      this.bundle = bundle;
+    }
+
+    void send() {
+      sent++;
+      unanswered++;
+      state.commit(StateClient.Rank.USER, txn, TRY, this::answered);
+      long patienceMs = (long) Math.max(HEDGE_AFTER.ms(), HEDGE_TIMES * usualMs);
+      loop.after(Span.millis(patienceMs), Admissions.this, this::hedge);
+    }
+
+    private void hedge() {
+      boolean wanted = !settled && unanswered > 0 && sent < MOST_SENT;
+      if (wanted && waiting.isEmpty() && state.maySpareWrites()) {
+        send();
+      }
+    }
+
+    private void answered(StateClient.Answer a) {
+      unanswered--;
+      if (a.status() != 0) {
+        long tookMs = loop.now().since(a.sent()).ms();
+        usualMs = USUAL_KEPT * usualMs + (1 - USUAL_KEPT) * tookMs;
+      }
+      if (settled) {
+        return;
+      }
+      boolean clear = a.ok() || a.status() == 409;
+      if (!clear && unanswered > 0) {
+        return;
+      }
+      settled = true;
+      if (a.ok()) {
+        created(new Stamp(a.revision()));
+      } else if (bundle != null) {
+        bundleRefused(a);
+      } else if (a.status() == 409) {
+        // Known already; perhaps by a try of ours whose answer was lost.
+        find.accept(some.get(0).id, some.get(0).then);
+      } else {
+        again(a, some);
+      }
+    }
+
+    private void created(Stamp version) {
+      for (Waiting w : some) {
+        if (bundle == null) {
+          live.seen(w.id, version);
+        } else {
+          live.seenIn(w.id, bundle, version);
+        }
+        w.then.accept(new JobStore.Outcome.Created(w.id));
+      }
+    }
+
+    private void bundleRefused(StateClient.Answer a) {
+      if (a.refusedFor(bundle)) {
+        // The key is of this transaction alone: it was carried out, and its answer was lost.
+        some.forEach(w -> w.then.accept(new JobStore.Outcome.Created(w.id)));
+      } else if (a.status() == 409) {
+        withoutTheKnown(a, some);
+      } else if (a.status() == 400) {
+        // Together they are too large: each for itself.
+        some.forEach(Admissions.this::alone);
+      } else {
+        again(a, some);
+      }
+    }
   }
 
   /**
--- a/src/main/java/io/saltflow/bookkeeping/StateClient.java
+++ b/src/main/java/io/saltflow/bookkeeping/StateClient.java
@@ -38,6 +38,9 @@
   /** The part of its rate that a node's polls may always use. */
   private static final double LEAST_POLLS = 0.1;
 
+  /** The part of a second's writes that is left alone by those that need not be. */
+  private static final double SPARE = 0.75;
+
   /** What goes first. */
   public enum Rank {
     LEADERSHIP,
@@ -180,6 +183,11 @@
     return writes.has(1, loop.now());
   }
 
+  /** Whether one would that need not be written: nearly all that may be written at once is left. */
+  boolean maySpareWrites() {
+    return mayWrite() && writes.has((int) Math.ceil(wps * SPARE), loop.now());
+  }
+
   /**
    * Sends what the budget allows, by rank and in order. Nothing of a lower rank is written while
    * something of a higher one waits for the budget of writes, or a transaction of many writes would
--- /dev/null
+++ b/src/test/java/io/saltflow/app/AnswersLoadTest.java
@@ -0,0 +1,304 @@
+package io.saltflow.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.bookkeeping.JobStore;
+import io.saltflow.bookkeeping.StateClient;
+import io.saltflow.kv.Limits;
+import io.saltflow.lanes.Lanes;
+import io.saltflow.protocol.JobId;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.standin.StateStore;
+import io.saltflow.statestore.StateFront;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpReply;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * How long users wait for the acceptance of their jobs, by a simulated clock: three nodes before a
+ * state service with its limits, users who look closely after each answer, and answers that come
+ * late.
+ */
+class AnswersLoadTest {
+  private static final byte[] NOTHING = new byte[0];
+  private static final int NODES = 3;
+  private static final Span POLL_EVERY = Span.seconds(5);
+  private static final Span RETRY = Span.seconds(1);
+  private static final Span NO_ANSWER = Span.seconds(5);
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private Root root = new Root();
+  private Random random = new Random(7);
+  private final List<Long> waits = new ArrayList<>();
+  private final Map<String, Integer> refusals = new TreeMap<>();
+  private final List<UserApi> nodes = new ArrayList<>();
+  private long clockMs = 1_000_000;
+  private Loop loop;
+  private StateFront front;
+
+  /** The share of transactions with writes that get no answer and are executed later. */
+  private double late;
+
+  /** How long a message is on its way, in milliseconds. */
+  private long wayMs = 3;
+
+  private boolean closeLooks;
+  private int open;
+
+  @BeforeEach
+  void start() throws IOException {
+    loop = new Loop(() -> clockMs * 1_000_000, () -> clockMs);
+  }
+
+  @AfterEach
+  void end() {
+    root.cancel();
+  }
+
+  /** Begins anew; what users have waited is kept. */
+  private void anew(long seed) {
+    root.cancel();
+    root = new Root();
+    random = new Random(seed);
+    nodes.clear();
+    clockMs += 60_000;
+  }
+
+  private void nodes(double rps, double writeRps, int txnOps) {
+    StateStore store =
+        new StateStore(new Limits(rps, writeRps, 16, txnOps), steps -> {}, loop.now());
+    front = new StateFront(root, loop, store.core(), () -> store.flush(loop.now()));
+    MachineType type =
+        new MachineType("box", new Size(8, 0, 32), 1, 1, 0.5, Span.seconds(15), List.of("a"));
+    for (int n = 0; n < NODES; n++) {
+      StateClient state =
+          new StateClient(root, loop, this::send, this::send, rps * 0.45, writeRps * 0.5);
+      JobStore jobs = new JobStore(root, loop, state, 16, txnOps, "node-" + n, Lanes.NONE);
+      nodes.add(
+          new UserApi(
+              jobs,
+              state,
+              config().teams(),
+              () -> List.of(type),
+              id -> null,
+              loop::dayMs,
+              loop::now));
+    }
+  }
+
+  private static Config config() {
+    try {
+      return Config.parse(ConfigTest.SETTINGS);
+    } catch (ConfigError e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void after(long ms, Runnable action) {
+    loop.after(Span.millis(ms), root, action);
+  }
+
+  private void send(
+      String method, String target, byte[] body, Span timeout, Consumer<HttpClient.Answer> then) {
+    boolean[] ended = new boolean[1];
+    var sent = loop.now();
+    Consumer<HttpReply> answer =
+        reply -> {
+          if (!ended[0]) {
+            ended[0] = true;
+            then.accept(new HttpClient.Answer(reply.status(), reply.body(), sent, 0));
+          }
+        };
+    after(timeout.ms(), () -> answer.accept(HttpReply.NONE));
+    boolean held = method.equals("POST") && random.nextDouble() < late;
+    long way = held ? 2000 + random.nextInt(10_000) : wayMs;
+    after(way, () -> front.handle(method, target, body, r -> after(wayMs, () -> answer.accept(r))));
+  }
+
+  // ---- Users
+
+  private void user(int n) {
+    open++;
+    submit(n, loop.now().ms(), random.nextInt(NODES));
+  }
+
+  private void submit(int n, long since, int node) {
+    boolean[] ended = new boolean[1];
+    Runnable again = () -> submit(n, since, random.nextInt(NODES));
+    after(
+        NO_ANSWER.ms(),
+        () -> {
+          if (!ended[0]) {
+            ended[0] = true;
+            refused("no answer");
+            after(RETRY.ms(), again);
+          }
+        });
+    nodes
+        .get(node)
+        .submit(
+            submission(n),
+            reply -> {
+              if (ended[0]) {
+                return;
+              }
+              ended[0] = true;
+              if (reply.status() / 100 == 2) {
+                waits.add(loop.now().ms() - since);
+                open--;
+                accepted(n);
+              } else {
+                assertEquals(503, reply.status());
+                refused(new String(reply.body(), 7, Math.min(20, reply.body().length - 7)));
+                after(RETRY.ms(), again);
+              }
+            });
+  }
+
+  private void refused(String why) {
+    refusals.merge(why.replaceAll("req-[0-9]+", "it"), 1, Integer::sum);
+  }
+
+  private static byte[] submission(int n) {
+    return MsgPack.encode(NodeTest.submission(id(n).text(), "red"));
+  }
+
+  private static JobId id(int n) {
+    return new JobId(String.format("req-%06d", n));
+  }
+
+  private void accepted(int n) {
+    if (closeLooks) {
+      for (int i = 0; i < 4 * NODES; i++) {
+        int node = i % NODES;
+        after(1 + i * 2L, () -> nodes.get(node).poll(id(n).text(), reply -> {}));
+      }
+      for (int node = 0; node < NODES; node++) {
+        int at = node;
+        after(5, () -> nodes.get(at).submit(submission(n), reply -> {}));
+      }
+    }
+    poll(n, 0);
+  }
+
+  private void poll(int n, int times) {
+    UserApi api = nodes.get(random.nextInt(NODES));
+    if (times == 6) {
+      api.withdraw(id(n).text(), reply -> {});
+    } else {
+      api.poll(id(n).text(), reply -> {});
+      after(POLL_EVERY.ms(), () -> poll(n, times + 1));
+    }
+  }
+
+  /** So many submissions a second for so long, and until the last is accepted. */
+  private void play(double perS, int seconds) throws IOException {
+    int jobs = (int) (perS * seconds);
+    int before = waits.size();
+    for (int n = 0; n < jobs; n++) {
+      int each = n;
+      after((long) (1000 * seconds * random.nextDouble()), () -> user(each));
+    }
+    for (int ms = 0; ms < seconds * 1000 || open > 0; ms += 1) {
+      clockMs += 1;
+      loop.post(loop::pause);
+      loop.run();
+      assertTrue(ms < 600_000);
+    }
+    assertEquals(before + jobs, waits.size());
+    Collections.sort(waits);
+  }
+
+  private double within(long ms) {
+    return (double) waits.stream().filter(w -> w <= ms).count() / waits.size();
+  }
+
+  private String told() {
+    return String.format(
+        "%d jobs, %.1f%% within 200 ms, %.1f%% in 2 s, p95 %d ms, most %d ms, refused %s",
+        waits.size(),
+        100 * within(200),
+        100 * within(2000),
+        waits.get(waits.size() * 95 / 100),
+        waits.get(waits.size() - 1),
+        refusals);
+  }
+
+  private void small(double perS, int seconds, int seeds) throws IOException {
+    for (int seed = 0; seed < seeds; seed++) {
+      anew(seed);
+      nodes(120, 30, 8);
+      play(perS, seconds);
+    }
+  }
+
+  private void large(double perS, int seconds, int seeds) throws IOException {
+    for (int seed = 0; seed < seeds; seed++) {
+      anew(seed);
+      nodes(600, 250, 24);
+      play(perS, seconds);
+    }
+  }
+
+  /** Twelve questions and three repeated submissions after each acceptance delay nobody. */
+  @Test
+  void closeLooksDelayNoSubmission() throws IOException {
+    closeLooks = true;
+    small(4, 60, 1);
+    large(20, 60, 1);
+    assertTrue(within(200) > 0.992, told());
+  }
+
+  /** Every twelfth transaction gets no answer; its user waited 1.5 s for the next. */
+  @Test
+  void lateAnswersDelayNoSubmission() throws IOException {
+    late = 0.08;
+    large(20, 60, 1);
+    small(4, 60, 1);
+    assertTrue(within(200) > 0.992, told());
+  }
+
+  /**
+   * A service that is slow for all gets no more to do: nothing is sent twice because it takes as
+   * long as everything does.
+   */
+  @Test
+  void aBurstBeforeASlowServiceIsNotSentTwice() throws IOException {
+    wayMs = 150;
+    small(60, 4, 4);
+    assertTrue(within(2000) > 0.99, told());
+    waits.clear();
+    closeLooks = true;
+    large(150, 4, 4);
+    assertTrue(within(2000) > 0.89, told());
+  }
+
+  @Test
+  void aBurstWithCloseLooksAndLateAnswers() throws IOException {
+    late = 0.08;
+    closeLooks = true;
+    small(60, 4, 4);
+    assertTrue(within(2000) > 0.97, told());
+  }
+}
