--- a/src/main/java/io/saltflow/app/UserApi.java
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -121,7 +121,8 @@
             String reason = Wire.AWAITS + ": " + never.dependency() + " was never accepted";
             bounded.accept(Replies.error(422, reason));
           } else if (outcome instanceof JobStore.Outcome.TooLarge) {
-            bounded.accept(Replies.error(400, "the description is too large to be recorded"));
+            HttpReply tooLarge = Replies.error(400, "the description is too large to be recorded");
+            unlessKnown(id, tooLarge, bounded);
           } else {
             bounded.accept(reply(id, outcome, Replies.comeBack("not recorded", 1)));
           }
--- a/src/main/java/io/saltflow/bookkeeping/Admissions.java
+++ b/src/main/java/io/saltflow/bookkeeping/Admissions.java
@@ -28,6 +28,17 @@
   private static final Span PACE = Span.millis(50);
   private static final Span PATIENCE = Span.millis(3500);
 
+  /** An answer that takes so long, and several times as long as usual, is not waited for alone. */
+  private static final Span HEDGE_AFTER = Span.millis(60);
+
+  private static final int HEDGE_TIMES = 4;
+
+  /** How slowly what is taken for usual follows what is seen. */
+  private static final double USUAL_KEPT = 0.8;
+
+  /** So often at most is one transaction sent within its timeout. */
+  private static final int MOST_SENT = 3;
+
   /** Fewer than so many are written with a key each: the leader would have to do it later. */
   private static final int FEW = 3;
 
@@ -48,6 +59,10 @@
   private final String name;
   private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
   private long sequence;
+
+  /** How long answers take, smoothed, in milliseconds; the service is taken for slow at first. */
+  private double usualMs = 100;
+
   private boolean planned;
 
   /**
@@ -148,23 +163,7 @@
 
   private void alone(Waiting w) {
     Txn txn = absent(new Txn(), w.id).put(Keys.live(w.id), w.record);
-    state.commit(
-        StateClient.Rank.USER,
-        txn,
-        TRY,
-        a -> {
-          if (a.ok()) {
-            live.seen(w.id, new Stamp(a.revision()));
-            w.then.accept(new JobStore.Outcome.Created(w.id));
-          } else if (a.status() == 409) {
-            // Known already; perhaps by a try of ours whose answer was lost.
-            find.accept(w.id, w.then);
-          } else if (a.refusedForGood() && w.bytes > state.limits().valueBytes()) {
-            tooLarge(w.id, w.then);
-          } else {
-            again(a, List.of(w));
-          }
-        });
+    new Attempt(List.of(w), txn, null).send();
   }
 
   static Txn absent(Txn txn, JobId id) {
@@ -185,44 +184,138 @@
     }
     String key = Bundles.key(name + "-" + (++sequence));
     txn.guard(key, Stamp.ABSENT).put(key, Bundles.encode(records));
-    state.commit(
-        StateClient.Rank.USER,
-        txn,
-        TRY,
-        a -> {
-          if (a.ok()) {
-            for (Waiting w : some) {
-              live.seenIn(w.id, key, new Stamp(a.revision()));
-              w.then.accept(new JobStore.Outcome.Created(w.id));
-            }
-          } else if (a.refusedForGood() && some.size() > fitting(some)) {
-            // Together they are more than is taken now: in smaller bundles.
-            requeue(some);
-          } else if (a.status() == 409 || a.status() == 400) {
-            // One is known already: each for itself.
-            some.forEach(this::alone);
-          } else {
-            again(a, some);
-          }
-        });
+    new Attempt(some, txn, key).send();
+  }
+
+  /**
+   * One transaction, sent again while its answer stays away: of those whose answers are lost or
+   * come seconds late, users of jobs that are long on record waited for the whole timeout. It may
+   * be sent as often as one likes, since its guards let it be carried out once.
+   */
+  private final class Attempt {
+    private final List<Waiting> some;
+    private final Txn txn;
+
+    /** The key of the bundle; null: a single job. */
+    private final String bundle;
+
+    private int sent;
+    private int unanswered;
+    private boolean settled;
+
+    Attempt(List<Waiting> some, Txn txn, String bundle) {
+      this.some = some;
+      this.txn = txn;
+      this.bundle = bundle;
+    }
+
+    void send() {
+      sent++;
+      unanswered++;
+      state.commit(StateClient.Rank.USER, txn, TRY, this::answered);
+      long patienceMs = (long) Math.max(HEDGE_AFTER.ms(), HEDGE_TIMES * usualMs);
+      loop.after(Span.millis(patienceMs), Admissions.this, this::hedge);
+    }
+
+    private void hedge() {
+      boolean wanted = !settled && unanswered > 0 && sent < MOST_SENT;
+      if (wanted && waiting.isEmpty() && state.maySpareWrites()) {
+        send();
+      }
+    }
+
+    private void answered(StateClient.Answer a) {
+      unanswered--;
+      if (a.status() != 0) {
+        long tookMs = loop.now().since(a.sent()).ms();
+        usualMs = USUAL_KEPT * usualMs + (1 - USUAL_KEPT) * tookMs;
+      }
+      if (settled) {
+        return;
+      }
+      boolean clear = a.ok() || a.status() == 409;
+      if (!clear && unanswered > 0) {
+        return;
+      }
+      settled = true;
+      if (a.ok()) {
+        created(new Stamp(a.revision()));
+      } else if (bundle != null) {
+        bundleRefused(a);
+      } else if (a.status() == 409) {
+        // Known already; perhaps by a try of ours whose answer was lost.
+        find.accept(some.get(0).id, some.get(0).then);
+      } else if (a.refusedForGood() && some.get(0).bytes > state.limits().valueBytes()) {
+        tooLarge(some.get(0).id, some.get(0).then);
+      } else {
+        again(a, some);
+      }
+    }
+
+    private void created(Stamp version) {
+      for (Waiting w : some) {
+        if (bundle == null) {
+          live.seen(w.id, version);
+        } else {
+          live.seenIn(w.id, bundle, version);
+        }
+        w.then.accept(new JobStore.Outcome.Created(w.id));
+      }
+    }
+
+    private void bundleRefused(StateClient.Answer a) {
+      if (a.refusedFor(bundle)) {
+        // The key is of this transaction alone: it was carried out, and its answer was lost.
+        some.forEach(w -> w.then.accept(new JobStore.Outcome.Created(w.id)));
+      } else if (a.status() == 409) {
+        withoutTheKnown(a, some);
+      } else if (a.refusedForGood() && some.size() > fitting(some)) {
+        // Together they are more than is taken now: in smaller bundles.
+        putBack(some);
+        later();
+      } else if (a.status() == 400) {
+        some.forEach(Admissions.this::alone);
+      } else {
+        again(a, some);
+      }
+    }
+  }
+
+  /**
+   * Some are known already, perhaps by a try of ours whose answer was lost. The others go together
+   * once more: each for itself they would use up the rate of changes for seconds.
+   */
+  private void withoutTheKnown(StateClient.Answer a, List<Waiting> some) {
+    List<Waiting> known = new ArrayList<>();
+    List<Waiting> others = new ArrayList<>();
+    for (Waiting w : some) {
+      boolean named = a.refusedFor(Keys.live(w.id)) || a.refusedFor(Keys.over(w.id));
+      (named ? known : others).add(w);
+    }
+    if (known.isEmpty()) {
+      some.forEach(this::alone);
+      return;
+    }
+    known.forEach(w -> find.accept(w.id, w.then));
+    putBack(others);
+    later();
+  }
+
+  /** They go before those that came after them. */
+  private void putBack(List<Waiting> some) {
+    for (int i = some.size() - 1; i >= 0; i--) {
+      waiting.addFirst(some.get(i));
+    }
   }
 
   /** What got no clear answer is tried again at once, or given up on at once. */
   private void again(StateClient.Answer a, List<Waiting> some) {
     // One whose answer was lost may lie in two bundles then. That makes one job of it: the leader
     // gives a job a record of its own only where there is none and it has not ended.
-    boolean worthIt = a.status() == 0 || a.status() == 429;
-    if (worthIt) {
-      requeue(some);
+    if (a.status() == 0 || a.status() == 429) {
+      putBack(some);
     } else {
       some.forEach(w -> w.then.accept(new JobStore.Outcome.Unknown()));
-      later();
-    }
-  }
-
-  private void requeue(List<Waiting> some) {
-    for (int i = some.size() - 1; i >= 0; i--) {
-      waiting.addFirst(some.get(i));
     }
     later();
   }
--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -51,6 +51,9 @@
   private int underWay;
   private boolean unpackingStep;
 
+  /** The machine types that are on record, as far as this leader knows. */
+  private List<List<Object>> recordedTypes = List.of();
+
   public LeaderBooks(
       Routine parent, StateClient state, JobStore jobs, Authority authority, Supplier<Time> now) {
     super(parent);
@@ -450,10 +453,19 @@
     }
   }
 
-  /** A part of them would be taken for all: what is too large is not written. */
-  public void writeTypes(List<MachineType> types) {
+  /**
+   * Writes the machine types down for controllers that start anew while the cloud can't be asked,
+   * unless this leader has certainly written the same before. Prices, which move, don't matter.
+   */
+  public void recordTypes(List<MachineType> types) {
+    List<List<Object>> known =
+        types.stream().map(t -> List.<Object>of(t.name(), t.size(), t.zones())).toList();
+    if (known.equals(recordedTypes)) {
+      return;
+    }
     Body value = CloudCodec.encodeTypes(types);
     if (!state.limits().fits(value)) {
+      // A part of them would be taken for all.
       state
           .limits()
           .tooLarge(Keys.TYPES, JsonSize.of(value), "each node asks the cloud for the types");
@@ -462,7 +474,7 @@
     commit(
         StateClient.Rank.BOOKS,
         guarded().put(Keys.TYPES, value),
-        a -> LOG.debug("machine types written: {}", a.status()));
+        a -> recordedTypes = a.ok() ? known : recordedTypes);
   }
 
   /**
