Takeovers: tasks of jobs that ended meanwhile count against their team

Cause: a job that ended between a machine's first answer by a new leader and its report with the new token was forgotten while a task of it still ran there.

Change: EndedJobs keeps such jobs until every machine is accounted for, only to count what is listed of them.

--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -49,6 +49,7 @@
   private final Policy policy;
   private final Term term;
   private final Map<JobId, Job> jobs;
+  private final EndedJobs endedJobs = new EndedJobs();
   private final Events events;
   private final Map<MachineId, Machine> machines = new LinkedHashMap<>();
   private final Time tookOver;
@@ -102,6 +103,18 @@
     unheardSize = unheardSize.plus(m.unheardAs);
   }
 
+  /** The job is over, and what former leaders launched of it may still be on machines. */
+  void ended(Job job) {
+    if (!allAccounted()) {
+      endedJobs.add(job);
+    }
+  }
+
+  /** Every machine is accounted for: what may run of ended jobs is known. */
+  void forgetEnded() {
+    endedJobs.clear();
+  }
+
   /** Types have become known: machines that counted as larger than any limit are measured. */
   void recount() {
     unheard = 0;
@@ -247,6 +260,12 @@
       exited(m, job, known ? p : null, t, now);
       return;
     }
+    if (job == null) {
+      // Cancelled between the machine's first answer and this report, which accounts for the
+      // machine. Not counted, the task let its team start another while the halt that answers this
+      // report was lost, and both ran beyond the team's limit.
+      job = endedJobs.find(t.task().job());
+    }
     if (!ours || job == null || t.task().index() >= job.spec.tasks()) {
       // A list made before our token was seen may be minutes old: taking a task from it as present
       // would hide where the task really is.
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -221,6 +221,7 @@
   private void forgetIfEmpty(Job job) {
     if (job.cancelled && job.present.isEmpty()) {
       jobs.remove(job.id());
+      fencing.ended(job);
       outcomes.over(job.id());
     }
   }
@@ -243,6 +244,7 @@
   public void finished(Job job, Time now) {
     if (jobs.remove(job.id()) != null) {
       decided.done(job);
+      fencing.ended(job);
     }
     outcomes.over(job.id());
     double lateS = job.lateS(now);
@@ -359,6 +361,7 @@
     if (fencing.allAccounted()) {
       accounted = true;
       accountedAt = now;
+      fencing.forgetEnded();
       decided.accounted(now);
       changed = true;
       LOG.info(
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -85,7 +85,7 @@
     }
   }
 
-  private static final class OnMachine {
+  static final class OnMachine {
     final Attempt attempt;
     Report.TaskState state = Report.TaskState.FETCHING;
     Report.ExitCause cause;
@@ -100,6 +100,10 @@
     boolean exited() {
       return state == Report.TaskState.EXITED;
     }
+
+    boolean isRunning() {
+      return state == Report.TaskState.RUNNING;
+    }
   }
 
   /** A machine with its worker. */
@@ -114,6 +118,10 @@
     Term token = Term.NONE;
     long leaseFrom;
     long nextReport;
+
+    /** When a higher token last made it report early: once per half of the lease (PROTOCOL). */
+    private long tokenToldAt = -LEASE;
+
     boolean dead;
     boolean failsAll;
     long cutUntil;
@@ -122,6 +130,9 @@
     /** Until then its reports arrive and no answer reaches it. */
     long deafUntil;
 
+    /** Until then it can open no connection to any controller: its reports are never sent. */
+    long muteUntil;
+
     /** Until then it waits for an answer: it has one report in flight. */
     long waitsUntil;
 
@@ -141,7 +152,7 @@
       List<Report.TaskReport> list = new ArrayList<>();
       tasks.forEach(
           (id, t) -> list.add(new Report.TaskReport(id, t.attempt, t.state, t.cause, false)));
-      return new Report(this.id, "", TYPE.name(), zone, spot, session, ++tick, token, null, list);
+      return new Report(this.id, "", type.name(), zone, spot, session, ++tick, token, null, list);
     }
 
     /** Its process, or all of the machine, was gone for a moment: the same name, all forgotten. */
@@ -210,7 +221,10 @@
       }
       if (!from.equals(token)) {
         token = from;
-        nextReport = now + STEP;
+        if (now - tokenToldAt >= LEASE / 2) {
+          tokenToldAt = now;
+          nextReport = now + STEP;
+        }
       }
       for (Order o : orders) {
         OnMachine t = tasks.get(o.task());
@@ -284,6 +298,9 @@
   static final MachineType TYPE =
       new MachineType("box", new Size(8, 0, 32), 1, 0.4, 0.1, Span.seconds(15), List.of("a", "b"));
 
+  /** What the cloud rents. */
+  MachineType type = TYPE;
+
   final UniformRandomProvider random;
   final Policy policy;
   final Map<JobId, JobRecord> records = new TreeMap<>();
@@ -292,6 +309,7 @@
   final List<String> trace = new ArrayList<>();
   final List<String> broken = new ArrayList<>();
   final List<Lead> old = new ArrayList<>();
+  private final TeamLimits limits = new TeamLimits(this);
   private final List<Held> held = new ArrayList<>();
   private final List<LateWrite> lateWrites = new ArrayList<>();
 
@@ -494,6 +512,7 @@
     refused.removeIf(o -> o.served() || !o.authority.mayKeep(time()));
     driveUnaware();
     checkCancelled();
+    limits.check();
   }
 
   void run(double seconds) {
@@ -554,7 +573,7 @@
     }
     List<Leader.LedgerEntry> known = forgetLedger ? List.of() : new ArrayList<>(ledger);
     lead.page.addAll(ledger);
-    lead.core = new Leader(policy, lead.term, jobs, known, true, List.of(TYPE), time(), now);
+    lead.core = new Leader(policy, lead.term, jobs, known, true, List.of(type), time(), now);
     lead.authority.synced(time());
     lead.core.decided().basis(basis);
     lead.core.decided().mornings(mornings.values());
@@ -647,6 +666,11 @@
     }
     w.nextReport = now + 3000;
     Report r = w.report();
+    if (now < w.muteUntil) {
+      // Refused at once: the next node is tried a second later.
+      w.nextReport = now + 1000;
+      return;
+    }
     if (now < w.cutUntil) {
       // Held back by the cut, and delivered when it ends, however old it is by then.
       held.add(new Held(w.cutUntil, r));
@@ -712,7 +736,9 @@
 
   private void deliverAnswers() {
     for (Underway u : List.copyOf(underway)) {
-      if (now >= u.at) {
+      // What has reached a machine that hangs is read when it goes on.
+      boolean read = u.to.works() || now - u.sent > PATIENCE;
+      if (now >= u.at && read) {
         underway.remove(u);
         boolean heard = u.to.works() && now >= u.to.deafUntil && u.session == u.to.session;
         if (heard && now - u.sent <= PATIENCE) {
