Leases: one that a successor may have renewed is not taken for over

Change: the end of a lease counts only if it was over when the last confirmed renewal was sent, as nobody else can have been elected before. Leader.tick takes that moment, and LeaderDuty gives Authority.renewed.

--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -224,7 +224,7 @@
   }
 
   private void tick() {
-    leader.tick(loop.now());
+    leader.tick(loop.now(), authority.renewed());
     books.finish();
     books.unpack();
     books.mark();
--- a/src/main/java/io/saltflow/coordination/Authority.java
+++ b/src/main/java/io/saltflow/coordination/Authority.java
@@ -80,7 +80,7 @@
     synced = new Time(synced.ms() - steadyStopped.ms());
   }
 
-  /** When the last renewal was sent that was confirmed. */
+  /** When the last renewal was sent that was confirmed: nobody else was elected before. */
   public Time renewed() {
     return renewed;
   }
--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -389,10 +389,19 @@
     return m;
   }
 
-  /** Ends what a lease that is certainly over has ended. */
-  void tick(Time now) {
+  /**
+   * Ends what a lease that is certainly over has ended.
+   *
+   * <p>A successor that was elected without this leader knowing may have answered the machine and
+   * so renewed its lease. Only a lease that was over while nobody else can have been elected proves
+   * anything; judged by the present time, a task was started again while it ran.
+   *
+   * @param soleLeaderUntil nobody else was elected before this
+   */
+  void tick(Time now, Time soleLeaderUntil) {
+    Time known = Time.earlier(now, soleLeaderUntil);
     Time formerAnswers = tookOver.plus(policy.keepAfterSync());
-    if (missing && !now.before(formerAnswers.plus(policy.leaseSurelyOver()))) {
+    if (missing && !known.before(formerAnswers.plus(policy.leaseSurelyOver()))) {
       LOG.info("whatever the ledger lacks, its lease is over by now");
       missing = false;
     }
@@ -401,7 +410,7 @@
       // report that got no 200 renews nothing: a worker that hears nobody kept a takeover waiting
       // for ever when each of its reports counted.
       Time last = m.accounted ? m.lastAnswered : Time.later(m.lastAnswered, formerAnswers);
-      if (now.before(last.plus(policy.leaseSurelyOver()))) {
+      if (known.before(last.plus(policy.leaseSurelyOver()))) {
         continue;
       }
       if (m.mightHoldOldTasks) {
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -369,17 +369,24 @@
     }
   }
 
+  /** As {@link #tick(Time, Time)}, of a leader that nobody can have replaced. */
+  public void tick(Time now) {
+    tick(now, now);
+  }
+
   /**
    * Once in a while: leases that are over, notices, and a round. It looks at every machine and
    * task, so with a large fleet not each call does.
+   *
+   * @param soleLeaderUntil nobody else was elected before this ({@link Authority#renewed()})
    */
-  public void tick(Time now) {
+  public void tick(Time now, Time soleLeaderUntil) {
     if (now.since(lastTick).compareTo(roundPause.times(TICKS_A_ROUND)) < 0) {
       return;
     }
     lastTick = now;
     usage.sample(fencing.machines(), now);
-    fencing.tick(now);
+    fencing.tick(now, soleLeaderUntil);
     checkAccounted(now);
     for (Machine m : fencing.machines()) {
       drain(m, now);
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -133,6 +133,9 @@
     /** Until then it can open no connection to any controller: its reports are never sent. */
     long muteUntil;
 
+    /** It got no answer from its node, and asks the next one. */
+    private boolean turnedAway;
+
     /** Until then it waits for an answer: it has one report in flight. */
     long waitsUntil;
 
@@ -210,6 +213,7 @@
     /** Its report was sent then: from then on its lease is renewed. */
     void answered(Lead by, long sent, List<Order> orders) {
       if (by.term.compareTo(token) >= 0) {
+        turnedAway = false;
         leaseFrom = sent;
         obey(by.term, orders);
       }
@@ -655,7 +659,7 @@
       }
     }
     core.toMark();
-    core.tick(time());
+    core.tick(time(), unaware.authority.renewed());
     core.toLedger();
     rent(core);
   }
@@ -666,6 +670,9 @@
     }
     w.nextReport = now + 3000;
     Report r = w.report();
+    if (now < w.muteUntil || now < w.cutUntil) {
+      w.turnedAway = true;
+    }
     if (now < w.muteUntil) {
       // Refused at once: the next node is tried a second later.
       w.nextReport = now + 1000;
@@ -682,7 +689,7 @@
     // Workers that the old one serves stay with it until it sends them away.
     Lead to =
         unaware != null && (lead == null || w.token.equals(unaware.core.term())) ? unaware : lead;
-    if (unaware != null && chance(0.2)) {
+    if (unaware != null && (w.turnedAway || chance(0.2))) {
       to = lead;
     }
     if (refused.contains(w.at) && w.at.authority.mayKeep(time())) {
@@ -766,7 +773,7 @@
       return;
     }
     if (!l.served() || l.over) {
-      core.tick(time());
+      core.tick(time(), l.authority.renewed());
       return;
     }
     l.authority.renewed(time());
@@ -788,7 +795,7 @@
     }
     // By turns the leader has time and has none.
     core.load(now / 9000 % 3 == 0 ? 1 : 0.3, 0.1, 0, time());
-    core.tick(time());
+    core.tick(time(), l.authority.renewed());
     for (Job j : core.toFinish()) {
       JobRecord r = records.get(j.id());
       if (write(l, () -> !r.over, () -> finish(r)) || r.over) {
