--- a/src/test/java/io/saltflow/coordination/SupersededLeaderTest.java
+++ b/src/test/java/io/saltflow/coordination/SupersededLeaderTest.java
@@ -1,8 +1,5 @@
 package io.saltflow.coordination;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
-
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.Span;
 import org.junit.jupiter.api.Test;
@@ -30,14 +27,6 @@
     return new JobId(Jobs.id(number));
   }
 
-  private static void assertRulesHeldAndWorkIsDone(World w, String when) {
-    for (int i = 0; i < 1000 && !w.allOver(); i++) {
-      w.step();
-    }
-    assertEquals("", String.join("\n", w.broken), when);
-    assertTrue(w.allOver(), "work was left undone, " + when);
-  }
-
   /**
    * A machine is out of reach for nearly a lease. Just before that is over the office is taken from
    * a leader that is well, and the machine is answered by the successor. The leader that does not
@@ -57,7 +46,7 @@
         w.run(4);
         w.supersede(8000);
         w.run(20);
-        assertRulesHeldAndWorkIsDone(w, "silent " + silent + ", phase " + phase);
+        WorldAssert.assertServed(w, "silent " + silent + ", phase " + phase);
       }
     }
   }
--- a/src/test/java/io/saltflow/coordination/TeamLimitMeetingsTest.java
+++ b/src/test/java/io/saltflow/coordination/TeamLimitMeetingsTest.java
@@ -59,36 +59,6 @@
 
   private static final Term FORMER = new Term(6);
 
-  /** What keeps a machine from being asked. */
-  enum Trouble {
-    HANGS {
-      @Override
-      void strike(World.Worker w, long until) {
-        w.hungUntil = until;
-      }
-    },
-    IS_CUT_OFF {
-      @Override
-      void strike(World.Worker w, long until) {
-        w.cutUntil = until;
-      }
-    },
-    HEARS_NO_ANSWER {
-      @Override
-      void strike(World.Worker w, long until) {
-        w.deafUntil = until;
-      }
-    },
-    IS_MUTE {
-      @Override
-      void strike(World.Worker w, long until) {
-        w.muteUntil = until;
-      }
-    };
-
-    abstract void strike(World.Worker w, long until);
-  }
-
   private static World atTheLimits(long seed) {
     World w = new World(seed, POLICY);
     w.type = GPU_BOX;
@@ -120,22 +90,14 @@
     }
   }
 
-  private static void assertRulesHeldAndWorkIsDone(World w, String when) {
-    for (int i = 0; i < 1000 && !w.allOver(); i++) {
-      w.step();
-    }
-    assertEquals("", String.join("\n", w.broken), when);
-    assertTrue(w.allOver(), "work was left undone, " + when);
-  }
-
   /**
    * The leader changes twice within half a lease, so that machines tell of the second change late.
    * The jobs are cancelled at each half second of that; their machines are out of reach from each
    * of the next half seconds on, for less than a lease.
    */
   @ParameterizedTest
-  @EnumSource(Trouble.class)
-  void cancelledTasksCountUntilTheyAreDisproved(Trouble trouble) {
+  @EnumSource(MachineTrouble.class)
+  void cancelledTasksCountUntilTheyAreDisproved(MachineTrouble trouble) {
     for (int cancel = 0; cancel <= LAST_CANCEL; cancel++) {
       for (int strike = cancel; strike <= cancel + LAST_STRIKE; strike++) {
         World w = atTheLimits(cancel + 100);
@@ -156,7 +118,7 @@
           }
           w.step();
         }
-        assertRulesHeldAndWorkIsDone(w, trouble + ", cancel " + cancel + ", strike " + strike);
+        WorldAssert.assertServed(w, trouble + ", cancel " + cancel + ", strike " + strike);
       }
     }
   }
