--- a/src/test/java/io/saltflow/coordination/TeamLimitMeetingsTest.java
+++ b/src/test/java/io/saltflow/coordination/TeamLimitMeetingsTest.java
@@ -24,10 +24,10 @@
  * whose machines can't be asked. What runs on such a machine counts until it is disproved.
  */
 class TeamLimitMeetingsTest {
-  private static final MachineType GPU_BOX =
+  static final MachineType GPU_BOX =
       new MachineType("box", new Size(8, 2, 32), 1, 0.4, 0.1, Span.seconds(15), List.of("a", "b"));
 
-  private static final Policy POLICY =
+  static final Policy POLICY =
       Policies.of(
           Span.millis(World.LEASE),
           Authority.keepBound(Span.millis(World.LEASE), Span.millis(World.CANCEL)),
