--- a/src/main/java/io/saltflow/app/LeaderDuty.java
+++ b/src/main/java/io/saltflow/app/LeaderDuty.java
@@ -223,7 +223,7 @@
   }
 
   private void tick() {
-    leader.tick(loop.now());
+    leader.tick(loop.now(), authority.renewed());
     books.finish();
     books.dependencies().step();
     books.unpack();
--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -292,6 +292,7 @@
   private void forgetIfEmpty(Job job) {
     if (job.cancelled && job.present.isEmpty()) {
       jobs.remove(job.id());
+      fencing.ended(job);
       outcomes.over(job.id());
     }
   }
@@ -314,6 +315,7 @@
   public void finished(Job job, Time now) {
     if (jobs.remove(job.id()) != null) {
       decided.done(job);
+      fencing.ended(job);
     }
     outcomes.over(job.id());
     double lateS = job.lateS(now);
@@ -431,6 +433,7 @@
     if (fencing.allAccounted()) {
       accounted = true;
       accountedAt = now;
+      fencing.forgetEnded();
       decided.accounted(now);
       changed = true;
       LOG.info(
@@ -438,18 +441,25 @@
     }
   }
 
+  /** As {@link #tick(Time, Time)}, of a leader that nobody can have replaced. */
+  public void tick(Time now) {
+    tick(now, now);
+  }
+
   /**
    * Once in a while: leases that are over, notices, and a round. It looks at every machine and
    * task, so with a large fleet not each call does.
+   *
+   * @param soleLeaderUntil nobody else was elected before this ({@link Authority#renewed()})
    */
-  public void tick(Time now) {
+  public void tick(Time now, Time soleLeaderUntil) {
     if (now.since(lastTick).compareTo(roundPause.times(TICKS_A_ROUND)) < 0) {
       return;
     }
     lastTick = now;
     schedule(now);
     usage.sample(fencing.machines(), now);
-    fencing.tick(now);
+    fencing.tick(now, soleLeaderUntil);
     checkAccounted(now);
     for (Machine m : fencing.machines()) {
       drain(m, now);
