--- a/src/test/java/io/saltflow/coordination/DrawnMeetingsTest.java
+++ b/src/test/java/io/saltflow/coordination/DrawnTeamMeetingsTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Days on which two or three drawn troubles meet while teams are at their limits. */
-class DrawnMeetingsTest {
+class DrawnTeamMeetingsTest {
   private static final int DAY_STEPS = 500;
 
   /** More than the limits let run at a time. */
