Meetings of takeovers and zones, each at every half second of it

The test of a leader that is cut off from all but its workers had all its machines in the other zone: no report reached that leader.

MeetingsTest has machines in both zones and asks that reports reached the leader that was cut off.

--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -517,6 +517,11 @@
     return use.mayDeliver(team, size, before);
   }
 
+  /** Every machine that is known, for checks of what is held to be where. */
+  Collection<Machine> machines() {
+    return fencing.machines();
+  }
+
   /** How often machines have been looked at for a task, for tests that bound a round's work. */
   long looks() {
     return scheduler.looks();
--- a/src/test/java/io/saltflow/coordination/FaultsTest.java
+++ b/src/test/java/io/saltflow/coordination/FaultsTest.java
@@ -15,6 +15,7 @@
 /** Days of random faults, with the rules checked after each step. */
 class FaultsTest {
   private static final double DAY_S = 400;
+  private static final double STILL_LATE_S = 60;
 
   private static World day(long seed, Policy policy, boolean forgetLedger) {
     World w = new World(seed, policy);
@@ -32,8 +33,11 @@
       fault(w, next);
       w.step();
     }
-    // A quiet end, in which everything must get done.
+    // A quiet end, in which everything must get done; what is late, slow or copied is so for a
+    // while longer, and then it is calm and the operators' other demands are looked at too.
     w.loss = 0;
+    w.run(STILL_LATE_S);
+    w.calmDown();
     for (int i = 0; i < 5000 && !w.allOver(); i++) {
       w.step();
     }
--- a/src/test/java/io/saltflow/coordination/MeetingsTest.java
+++ b/src/test/java/io/saltflow/coordination/MeetingsTest.java
@@ -20,6 +20,8 @@
 
   private static World running(long seed, double estimateS) {
     World w = new World(seed, World.policy(Span.millis(World.LEASE)));
+    // Two zones have machines: a leader that is cut off keeps those of one of them.
+    w.mostInZone = 2;
     for (int i = 1; i <= JOBS; i++) {
       w.submit(Jobs.job(i).team("blue").tasks(3).cores(1).estimateS(estimateS).build());
     }
@@ -102,13 +104,17 @@
   /** The one that led goes on for its own zone's machines while another leads. */
   @Test
   void aLeaderIsCutFromStateAndSiblingsButNotFromWorkers() {
+    int[] reports = new int[1];
     atEachMoment(
         80,
         (w, moment) -> {
           w.loseLeader(500L * moment);
           w.run(moment % 13);
           cancelSome(w, moment);
+          w.run(5);
+          reports[0] += w.reportsToCutLeaders;
         });
+    assertTrue(reports[0] > 200, "leaders that were cut off were reported to: " + reports[0]);
   }
 
   /** One after the other on one machine, so that their ends lie far apart. */
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -155,6 +155,33 @@
       say(id + " is back at once, with nothing");
     }
 
+    /** Until when it or its whole zone is cut off. */
+    long cutUntil() {
+      return Math.max(cutUntil, zoneCutUntil.getOrDefault(zone, 0L));
+    }
+
+    /** Whether it does what it is told and can be told: no trouble of its own is left. */
+    boolean well() {
+      return works() && !failsAll && now >= cutUntil() && now >= deafUntil;
+    }
+
+    /** What the tasks on it that have not ended take. */
+    Size used() {
+      Size sum = Size.ZERO;
+      for (Map.Entry<TaskId, OnMachine> e : tasks.entrySet()) {
+        if (!e.getValue().exited()) {
+          sum = sum.plus(records.get(e.getKey().job()).spec.size());
+        }
+      }
+      return sum;
+    }
+
+    /** Whether the task is on it and has not ended. */
+    boolean holds(TaskId task) {
+      OnMachine t = tasks.get(task);
+      return t != null && !t.exited();
+    }
+
     private boolean works() {
       return !dead && now >= upAt && now >= hungUntil;
     }
@@ -358,6 +385,30 @@
   /** Whether machines go deaf and come back at once, beside the other faults. */
   boolean oneWay;
 
+  /** Which part of a leader's transactions is carried out at once, with only its answer lost. */
+  double answersLost;
+
+  /** How soon machines are up at least, and in how many steps more at most. */
+  long bootMs = 8000;
+
+  int bootSteps = 16;
+
+  /** Until when a whole zone is cut off, with the controllers in it. */
+  final Map<String, Long> zoneCutUntil = new TreeMap<>();
+
+  /** Reports and results told to, and launches of, leaders that were cut off at the time. */
+  int reportsToCutLeaders;
+
+  int launchesOfCutLeaders;
+
+  int endsToldToCutLeaders;
+
+  /** Copies of reports that wait for the next leader. */
+  final NextLeaderCopies nextLeader = new NextLeaderCopies(this);
+
+  /** What the operators ask for once all troubles are over. */
+  final CalmChecks calm = new CalmChecks(this);
+
   /** What the cloud has to give. */
   int mostMachines = 24;
 
@@ -493,7 +544,18 @@
     }
     refused.removeIf(o -> o.served() || !o.authority.mayKeep(time()));
     driveUnaware();
+    tickCutLeaders();
     checkCancelled();
+    PlaceChecks.check(this);
+    calm.look();
+  }
+
+  private void tickCutLeaders() {
+    for (Lead o : old) {
+      if (o.cut()) {
+        o.core.tick(time());
+      }
+    }
   }
 
   void run(double seconds) {
@@ -558,6 +620,7 @@
     lead.authority.synced(time());
     lead.core.decided().basis(basis);
     lead.core.decided().mornings(mornings.values());
+    nextLeader.deliver(lead);
   }
 
   /** A leader's write: now, or late and without an answer. */
@@ -569,7 +632,7 @@
     }
     if (guard.getAsBoolean()) {
       write.run();
-      return true;
+      return answersLost == 0 || !chance(answersLost);
     }
     return false;
   }
@@ -647,9 +710,10 @@
     }
     w.nextReport = now + 3000;
     Report r = w.report();
-    if (now < w.cutUntil) {
+    nextLeader.sent(r);
+    if (now < w.cutUntil()) {
       // Held back by the cut, and delivered when it ends, however old it is by then.
-      held.add(new Held(w.cutUntil, r));
+      held.add(new Held(w.cutUntil(), r));
       return;
     }
     if (chance(copies)) {
@@ -691,6 +755,9 @@
     if (!inTime) {
       return;
     }
+    if (to.cut()) {
+      countAtCutLeader(r, orders);
+    }
     if (now < w.deafUntil) {
       // It waits for 4 s, and a second later it asks the other nodes, which it does not hear
       // either.
@@ -710,6 +777,15 @@
     w.answered(to, now, orders);
   }
 
+  private void countAtCutLeader(Report r, List<Order> orders) {
+    reportsToCutLeaders++;
+    endsToldToCutLeaders +=
+        (int) r.tasks().stream().filter(t -> t.cause() == Report.ExitCause.DONE).count();
+    if (orders != null) {
+      launchesOfCutLeaders += (int) orders.stream().filter(o -> o instanceof Order.Launch).count();
+    }
+  }
+
   private void deliverAnswers() {
     for (Underway u : List.copyOf(underway)) {
       if (now >= u.at) {
@@ -831,7 +907,9 @@
       List<MachineId> hosts = new ArrayList<>();
       for (int i = 0; i < r.count() && given(r.zone()); i++) {
         MachineId id = new MachineId(String.format("vm-%06d", machineNumber++));
-        workers.put(id, new Worker(id, r.zone(), r.spot(), now + 8000 + random.nextInt(16) * 500));
+        workers.put(
+            id,
+            new Worker(id, r.zone(), r.spot(), now + bootMs + random.nextInt(bootSteps) * STEP));
         hosts.add(id);
       }
       say(hosts.size() + " of " + r.count() + " machines are rented in " + r.zone());
@@ -855,6 +933,33 @@
         && workers.values().stream().filter(m -> m.zone.equals(zone)).count() < mostInZone;
   }
 
+  /** From now on nothing new goes wrong; what lasts runs out by itself. */
+  void calmDown() {
+    loss = 0;
+    late = 0;
+    slow = 0;
+    copies = 0;
+    answersLost = 0;
+    nextLeader.share = 0;
+    calm.begin();
+  }
+
+  /** Whether some trouble still lasts that was brought about before. */
+  boolean troubled() {
+    boolean machines =
+        workers.values().stream()
+            .anyMatch(
+                m -> now < m.cutUntil() || now < m.hungUntil || now < m.deafUntil || m.failsAll);
+    boolean leaders = lead == null || unaware != null || now < lead.refusedUntil;
+    return machines
+        || leaders
+        || now < stateDownUntil
+        || now < cloudDownUntil
+        || !held.isEmpty()
+        || !lateWrites.isEmpty()
+        || old.stream().anyMatch(Lead::cut);
+  }
+
   boolean allOver() {
     return records.values().stream().allMatch(r -> r.over);
   }
