A retiring machine takes the work that only dear machines may take

Cause: a dear machine that retires was given nothing that isn't urgent, guaranteed or for an accelerator, though a job that may not use spot machines, or is bound to a zone, may run on no cheap one. It waited beside free room.

Change: Fleet.retire marks jobs that no cheap machine that is up may take, and the scheduler lets them on.

--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -190,6 +190,7 @@
       accelerators |= job.pendingCount() > 0 && job.spec.size().gpus() > 0;
       late |= job.pendingCount() > 0 && !job.failsEverywhere() && wouldBeLate(job, waitS, now);
     }
+    markThoseThatOnlyDearOnesTake(jobs, up, cheapest);
     boolean enough = !late && waitS < policy.ordinaryHorizon().toSeconds() * 0.7;
     boolean tooLittle = late || waitS > policy.ordinaryHorizon().toSeconds();
     for (Machine m : up) {
@@ -204,6 +205,33 @@
     }
   }
 
+  /**
+   * A job that none of the cheap machines may ever take, by its zone, its types or because it may
+   * not use spot machines, is served by a dear one that retires: it waited beside its free room for
+   * as long as the others' work could be done in time without that machine.
+   */
+  private void markThoseThatOnlyDearOnesTake(
+      Collection<Job> jobs, List<Machine> up, double cheapest) {
+    Map<String, Machine> cheapKinds = new LinkedHashMap<>();
+    for (Machine m : up) {
+      if (m.pricePerCore() <= cheapest * policy.dearFactor()) {
+        cheapKinds.putIfAbsent(m.kind(), m);
+      }
+    }
+    for (Job job : jobs) {
+      job.onlyOnDear = job.pendingCount() > 0 && !anyMayTake(cheapKinds.values(), job);
+    }
+  }
+
+  private static boolean anyMayTake(Collection<Machine> kinds, Job job) {
+    for (Machine m : kinds) {
+      if (job.spec.size().fitsIn(m.type.size()) && Placement.allowed(job, m)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private static double fleetHourly(Collection<Machine> machines) {
     double hourly = 0;
     for (Machine m : machines) {
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -135,6 +135,9 @@
   /** Ends of a service's tasks that nobody asked for, since they were last taken. */
   private final List<End> ends = new ArrayList<>();
 
+  /** No cheap machine that is up may take any of its tasks, as of the last round. */
+  boolean onlyOnDear;
+
   boolean cancelled;
   boolean finishing;
   boolean dirty;
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -355,6 +355,7 @@
             || job.failsEverywhere()
             || usable.size() <= 1)
         && (!m.retiring
+            || job.onlyOnDear
             || job.spec.size().gpus() > 0
             || guaranteed.contains(job.id())
             || job.spec.priority().compareTo(policy.preemptFrom()) >= 0);
