--- a/src/test/java/io/saltflow/coordination/NextLeaderCopies.java
+++ b/src/test/java/io/saltflow/coordination/NextLeaderCopies.java
@@ -7,7 +7,7 @@
 import io.saltflow.protocol.Order;
 import io.saltflow.protocol.Report;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -20,7 +20,7 @@
   private static final int REMEMBERED_PER_MACHINE = 40;
 
   private final World world;
-  private final Map<MachineId, List<Report>> sent = new HashMap<>();
+  private final Map<MachineId, List<Report>> sent = new LinkedHashMap<>();
 
   /** Of how many machines, of all that reported, a copy comes. */
   double share;
@@ -79,7 +79,7 @@
   }
 
   private static Map<MachineId, Boolean> accounted(Leader core) {
-    Map<MachineId, Boolean> out = new HashMap<>();
+    Map<MachineId, Boolean> out = new LinkedHashMap<>();
     for (Machine m : core.machines()) {
       out.put(m.id(), m.accounted || !m.mightHoldOldTasks);
     }
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -19,8 +19,8 @@
 import io.saltflow.readiness.Morning;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -270,10 +270,10 @@
     Leader core;
 
     /** The ledger as it knows it: a write replaces all of it, as a page's does. */
-    final Set<Leader.LedgerEntry> page = new HashSet<>();
+    final Set<Leader.LedgerEntry> page = new LinkedHashSet<>();
 
     /** What no answered write has brought to the ledger. */
-    final Set<Leader.LedgerEntry> unwritten = new HashSet<>();
+    final Set<Leader.LedgerEntry> unwritten = new LinkedHashSet<>();
 
     long cutUntil;
     long readsUntil;
@@ -314,7 +314,7 @@
   final UniformRandomProvider random;
   final Policy policy;
   final Map<JobId, JobRecord> records = new TreeMap<>();
-  final Set<Leader.LedgerEntry> ledger = new HashSet<>();
+  final Set<Leader.LedgerEntry> ledger = new LinkedHashSet<>();
   final Map<MachineId, Worker> workers = new TreeMap<>();
   final List<String> trace = new ArrayList<>();
   final List<String> broken = new ArrayList<>();
@@ -873,7 +873,7 @@
     l.page.addAll(entries);
     l.unwritten.addAll(entries);
     if (!l.unwritten.isEmpty()) {
-      Set<Leader.LedgerEntry> all = Set.copyOf(l.page);
+      Set<Leader.LedgerEntry> all = new LinkedHashSet<>(l.page);
       long version = ledgerVersion;
       if (write(l, () -> ledgerVersion == version, () -> replaceLedger(all))) {
         core.ledgered(List.copyOf(l.unwritten));
