A team's limit is reserved for a wide job's first task, not kept from all others

Cause: room within the limit was kept at once for the first task of a job that had waited for long, so narrow jobs of its team waited beside free machines although they would not have delayed it.

Change: LimitHold is a reservation within the limit, as the head job's is on machines: what ends before it or fits beside it may start.

--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -291,7 +291,7 @@
       if (!use.mayGive(job) || !e.inTurn(parts)) {
         // Its team's limit stands in its way, not room: no room is made or reserved for it.
         if (e.why == Lineup.Why.FIRST && e.inTurn(parts)) {
-          use.hold(job);
+          holdWithinLimit(job, now);
         }
         return 0;
       }
@@ -319,6 +319,47 @@
     return 0;
   }
 
+  /**
+   * Reserves room within the team's limit for one task of the job, from when enough of the team's
+   * tasks should have ended. It used to be kept at once and from all others: a narrow job waited
+   * for minutes beside free machines, with its team below its limit, for a wide one that could not
+   * begin either and that it would not have delayed.
+   */
+  private void holdWithinLimit(Job job, Time now) {
+    if (use.holds(job.spec.team())) {
+      return;
+    }
+    PriorityQueue<TeamEnd> ends = new PriorityQueue<>(Comparator.comparing(TeamEnd::at));
+    for (Machine m : usable) {
+      for (Presence p : m.presences.values()) {
+        if (p.job.spec.team().equals(job.spec.team())) {
+          ends.add(new TeamEnd(estimates.end(p, now), p.job.spec.size()));
+        }
+      }
+      for (Machine.Assigned a : m.assigned) {
+        if (a.job().spec.team().equals(job.spec.team()) && !a.job().spec.daemon()) {
+          Time end = now.plus(estimates.predict(a.job(), a.index()));
+          ends.add(new TeamEnd(end, a.job().spec.size()));
+        }
+      }
+    }
+    Size left = use.left(job);
+    Time at = now;
+    while (!job.spec.size().fitsIn(left)) {
+      TeamEnd end = ends.poll();
+      if (end == null || end.at.equals(Time.NEVER)) {
+        // Nothing that ends makes room for it: room is kept for nobody.
+        return;
+      }
+      left = left.plus(end.size);
+      at = end.at;
+    }
+    use.hold(job.spec.team(), new LimitHold(job, at, left.minus(job.spec.size()), estimates, now));
+  }
+
+  /** When a task of a team should end, and what it gives back to the limit then. */
+  private record TeamEnd(Time at, Size size) {}
+
   private void offer(
       Lineup.Entry e,
       int index,
--- a/src/main/java/io/saltflow/coordination/TeamUse.java
+++ b/src/main/java/io/saltflow/coordination/TeamUse.java
@@ -17,8 +17,11 @@
   private Size unknown = Size.ZERO;
   private List<Leader.Demand> messages = List.of();
 
-  /** A job of each team for whose task the others of its team leave room within the limit. */
-  private final Map<String, Job> held = new HashMap<>();
+  /** Beyond any limit: what a limit of 0 stands for. */
+  private static final double UNLIMITED = 1e9;
+
+  /** A reservation within each team's limit. */
+  private final Map<String, LimitHold> held = new HashMap<>();
 
   TeamUse(Map<String, Policy.Team> teams) {
     this.teams = teams;
@@ -36,6 +39,10 @@
   /** A round gave a task of the job to a machine that has not been told yet. */
   void given(Job job) {
     given.add(job);
+    LimitHold hold = held.get(job.spec.team());
+    if (hold != null) {
+      hold.given(job);
+    }
   }
 
   void takenBack(Job job) {
@@ -94,9 +101,14 @@
     return present.of(party).plus(given.of(party));
   }
 
-  /** Until {@link #holdNothing} what the team's others give back is left for one task of it. */
-  void hold(Job job) {
-    held.putIfAbsent(job.spec.team(), job);
+  /** Whether something is reserved within the team's limit. */
+  boolean holds(String team) {
+    return held.containsKey(team);
+  }
+
+  /** Until {@link #holdNothing} the team's others leave that room within the limit. */
+  void hold(String team, LimitHold hold) {
+    held.putIfAbsent(team, hold);
   }
 
   void holdNothing() {
@@ -104,10 +116,22 @@
   }
 
   private Size heldFrom(Job job) {
-    Job first = held.get(job.spec.team());
-    return first == null || first == job || !first.waitsForItsFirst()
-        ? Size.ZERO
-        : first.spec.size();
+    LimitHold hold = held.get(job.spec.team());
+    return hold == null ? Size.ZERO : hold.keptFrom(job);
+  }
+
+  /** What the team's limit has left for a task of the job, with what has been given out. */
+  Size left(Job job) {
+    Policy.Team team = teams.get(job.spec.team());
+    if (team == null) {
+      return Size.ZERO;
+    }
+    Size limit =
+        new Size(
+            team.coresLimit() > 0 ? team.coresLimit() : UNLIMITED,
+            team.gpusLimit() > 0 ? team.gpusLimit() : UNLIMITED,
+            UNLIMITED);
+    return limit.minus(most(job.spec.team())).minus(messagesBefore(job));
   }
 
   /** Whether one more task may be given out. */
