A leader's own writes whose answers alone are lost, before a whole controller

Change: OwnWritesTest loses just those answers, one kind at a time and all together, while a machine reports and runs a job: one term, each task launched once, done once, its result cleared. HearingTest: a copy of an earlier session leaves no mark on a machine that reports for itself afterwards.

HearingTest was not run yet.

--- /dev/null
+++ b/src/test/java/io/saltflow/app/OwnWritesTest.java
@@ -0,0 +1,205 @@
+package io.saltflow.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.saltflow.kv.Limits;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Wire;
+import io.saltflow.standin.StateStore;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * A leader's writes that are carried out at once while only their answers are lost: the claim of
+ * the office, the ledger, the mark that a job may be started, and its end. Each is told apart from
+ * somebody else's write, and counts once.
+ */
+class OwnWritesTest {
+  private static final String JOB = "req-000001";
+  private static final int PATIENCE_LOOKS = 600;
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private final Root root = new Root();
+
+  /** Of transactions that put a key that begins so, so many more answers are lost. */
+  private final Map<String, Integer> answersToLose = new HashMap<>();
+
+  private final Map<String, Integer> lost = new HashMap<>();
+
+  /** The machine's tasks as it reports them. */
+  private final Map<String, Body> tasks = new LinkedHashMap<>();
+
+  private final List<String> launched = new ArrayList<>();
+  private Loop loop;
+  private StateStore state;
+  private Node node;
+  private HttpClient client;
+  private long token;
+  private long tick;
+  private int status;
+  private Body body;
+
+  @BeforeEach
+  void start() throws IOException {
+    loop = new Loop();
+  }
+
+  @AfterEach
+  void end() {
+    node.cancel();
+    root.cancel();
+  }
+
+  private void startNode() throws IOException, ConfigError {
+    Outside around = new Outside(loop, new Limits(1000, 1000, 8, 8));
+    state = around.store;
+    String at = around.serve(loop, losing(around.handler()));
+    Config config = Config.parse(ConfigTest.SETTINGS.replace("10.9.9.9:1", at));
+    node = new Node(loop, config, OperatorSettings.defaults(), 1);
+    node.start();
+    client = new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + node.port()), 4, 16);
+  }
+
+  private HttpServer.Handler losing(HttpServer.Handler outside) {
+    return (method, target, sent, answer) -> {
+      String prefix = target.equals(Wire.PATH_TXN) ? prefixToLose(sent) : null;
+      outside.handle(
+          method,
+          target,
+          sent,
+          reply -> {
+            boolean loses = prefix != null && reply.status() == 200;
+            if (loses) {
+              answersToLose.merge(prefix, -1, Integer::sum);
+              lost.merge(prefix, 1, Integer::sum);
+            } else {
+              answer.accept(reply);
+            }
+          });
+    };
+  }
+
+  private String prefixToLose(byte[] txn) {
+    try {
+      for (Body write : MsgPack.decode(txn).maps(Wire.WRITES)) {
+        for (Map.Entry<String, Integer> e : answersToLose.entrySet()) {
+          if (e.getValue() > 0
+              && write.get(Wire.PUT) instanceof String key
+              && key.startsWith(e.getKey())) {
+            return e.getKey();
+          }
+        }
+      }
+      return null;
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private int call(String method, String path, byte[] sent) throws IOException {
+    status = -1;
+    client.call(
+        method,
+        path,
+        sent,
+        Span.seconds(10),
+        a -> {
+          status = a.status();
+          try {
+            body = a.body().length == 0 ? null : MsgPack.decode(a.body());
+          } catch (BadMessage e) {
+            body = null;
+          }
+          loop.after(Span.millis(1), root, loop::pause);
+        });
+    loop.run();
+    return status;
+  }
+
+  private void pass(long ms) throws IOException {
+    loop.after(Span.millis(ms), root, loop::pause);
+    loop.run();
+  }
+
+  /** The machine reports once, and does what it is told: what it launches ends at once. */
+  private void checkIn() throws IOException, BadMessage {
+    Body report =
+        NodeTest.report(token).with("tick", ++tick).with("shards", List.copyOf(tasks.values()));
+    if (call("POST", "/checkin", MsgPack.encode(report)) != 200) {
+      return;
+    }
+    token = body.integer("baton");
+    for (Body order : body.maps("orders")) {
+      String task = order.text("shard");
+      if (order.text("verb").equals("launch") && !tasks.containsKey(task)) {
+        launched.add(task);
+        tasks.put(
+            task,
+            Body.of()
+                .with("shard", task)
+                .with("try", order.integer("try"))
+                .with("phase", "exited")
+                .with("cause", "done"));
+      } else if (order.text("verb").equals("clear")) {
+        tasks.remove(task);
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"lead", "fleet/", "progress/", "over/", "lead fleet/ progress/ over/"})
+  void aWriteWhoseAnswerAloneIsLostCountsOnce(String prefixes)
+      throws IOException, ConfigError, BadMessage {
+    for (String prefix : prefixes.split(" ")) {
+      answersToLose.put(prefix, prefix.equals("lead") ? 1 : 2);
+    }
+    startNode();
+    byte[] job = MsgPack.encode(NodeTest.submission(JOB, "red"));
+    for (int i = 0; i < PATIENCE_LOOKS && call("POST", "/submissions", job) != 201; i++) {
+      pass(20);
+    }
+    assertEquals(201, status);
+    for (int i = 0; i < PATIENCE_LOOKS && state.value("over/" + JOB) == null; i++) {
+      checkIn();
+      pass(50);
+    }
+    // It goes on for a while: a lost answer is noticed after a try's time only.
+    for (int i = 0; i < 60; i++) {
+      checkIn();
+      pass(50);
+    }
+    for (String prefix : prefixes.split(" ")) {
+      assertTrue(lost.getOrDefault(prefix, 0) > 0, "an answer was lost: " + prefix);
+    }
+    assertNotNull(state.value("over/" + JOB));
+    assertEquals(200, call("GET", "/submissions/" + JOB, new byte[0]));
+    assertEquals("done", body.get("phase"));
+    assertEquals(List.of(JOB + "/0", JOB + "/1"), launched.stream().sorted().toList());
+    assertEquals(Map.of(), tasks, "results are cleared when they are recorded");
+    assertEquals(1L, state.value("term").data().get("term"), "one claim, one term");
+    assertEquals(1L, token);
+  }
+}
--- a/src/test/java/io/saltflow/hearing/HearingTest.java
+++ b/src/test/java/io/saltflow/hearing/HearingTest.java
@@ -26,6 +26,7 @@
     "its lease ran out in a cut, 0 1 t | 40 2 ts, false",
     "launches in vain at the only node, 0 1 t | 5 2 tx | 10 3 tx, true",
     "launches carried out after a gap, 0 1 t | 15 4 t | 30 7 tl, false",
+    "a copy of the session before and then its own, 0 9 - | 5 1 -s | 6 2 ts, false",
     "a burst of old copies, 0 1 - | 0 2 - | 1 3 - | 2 4 - | 3 5 -, false",
     "we answered too late, 0 1 t | 15 4 to | 30 7 to | 45 9 to, false"
   })
