--- a/src/test/java/io/saltflow/coordination/DrawnTeamMeetingsTest.java
+++ b/src/test/java/io/saltflow/coordination/DrawnTeamMeetingsTest.java
@@ -84,7 +84,7 @@
     play(seed);
   }
 
-  /** Off CI: {@code mvn test -Dtest=DrawnMeetingsTest -Dmeetings.seeds=2000}. */
+  /** Off CI: {@code mvn test -Dtest=DrawnTeamMeetingsTest -Dmeetings.seeds=2000}. */
   @Test
   @EnabledIfSystemProperty(named = "meetings.seeds", matches = "\\d+")
   void manyMeetings() {
