What a former version forgot of a dependent job is not started twice

Cause: a leader of the version in production can't read the records of dependent jobs, and drops their entries from the progress pages that it writes again. A successor found such a job released by its needs' ends and not marked, and started it while a machine that it had not heard of yet ran it. Change: a job that is found at a takeover without an entry and that needs no live job is started only a lease after all machines are accounted for. A job that needs a live one can't have been started, so only the few between an end and their mark wait.

--- a/src/main/java/io/saltflow/coordination/Leader.java
+++ b/src/main/java/io/saltflow/coordination/Leader.java
@@ -111,6 +111,7 @@
     for (Job job : jobs) {
       add(job);
     }
+    pipelines.takenOver();
     account = new Account();
     use = new TeamUse(policy.teams());
     outcomes = new TaskOutcomes(policy, this.jobs, estimates, usage, account);
--- a/src/main/java/io/saltflow/coordination/Pipelines.java
+++ b/src/main/java/io/saltflow/coordination/Pipelines.java
@@ -8,9 +8,11 @@
 import io.saltflow.protocol.Time;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,7 +31,14 @@
   /** Jobs that wait for others; none of them is among the scheduler's. */
   private final Map<JobId, Job> held = new LinkedHashMap<>();
 
-  /** Jobs that may start as far as their needs go, but may be on machines already. */
+  /**
+   * Jobs that a former leader may have started though no page that we can read says so. One is that
+   * of a version which knows no dependencies: it stops what runs of such a job where it can, and
+   * drops what was recorded of it.
+   */
+  private final Set<JobId> maybeOnMachines = new HashSet<>();
+
+  /** Those of them whose needs are all done. */
   private final Map<JobId, Job> doubtful = new LinkedHashMap<>();
 
   private final Estimates estimates;
@@ -69,6 +78,15 @@
     return true;
   }
 
+  /** All that was live at the takeover has been added: what needs none of it may be running. */
+  void takenOver() {
+    for (JobId id : held.keySet()) {
+      if (!graph.needsLiveJob(id)) {
+        maybeOnMachines.add(id);
+      }
+    }
+  }
+
   /** A job that waits for others; null: there is no such. */
   Job held(JobId id) {
     return held.get(id);
@@ -104,6 +122,7 @@
   private void forget(JobId id) {
     held.remove(id);
     doubtful.remove(id);
+    maybeOnMachines.remove(id);
   }
 
   /**
@@ -120,7 +139,7 @@
         continue;
       }
       known.countsFromMs = Math.max(known.arrivedWallMs, each.lastEndMs());
-      if (job != null && job.maybeStartedBefore) {
+      if (job != null && (job.maybeStartedBefore || maybeOnMachines.contains(job.id()))) {
         doubtful.put(job.id(), job);
       } else {
         out.add(known);
@@ -131,6 +150,7 @@
       doubtful.clear();
     }
     for (Job job : out) {
+      maybeOnMachines.remove(job.id());
       if (held.remove(job.id()) != null) {
         double waitedS = (job.countsFromMs - job.arrivedWallMs) / 1000.0;
         LOG.info("{} may start: all that it needs is done, {} s after it", job.id(), waitedS);
--- a/src/main/java/io/saltflow/pipelines/DependencyGraph.java
+++ b/src/main/java/io/saltflow/pipelines/DependencyGraph.java
@@ -175,6 +175,11 @@
     }
   }
 
+  /** Whether a job that it needs is live: then it can't have been started by anybody. */
+  public boolean needsLiveJob(JobId id) {
+    return nodes.containsKey(id) && !liveNeeds(id).isEmpty();
+  }
+
   /** Jobs whose needs are all recorded as done since this was last asked. */
   public List<Released> takeReleased() {
     if (released.isEmpty()) {
--- a/src/test/java/io/saltflow/coordination/PipelinesTest.java
+++ b/src/test/java/io/saltflow/coordination/PipelinesTest.java
@@ -260,6 +260,36 @@
     day.runUntilOver(200);
   }
 
+  /**
+   * A leader of a version that knows no dependencies led in between. It could not read the job's
+   * record and dropped its entry in the progress pages, and a machine out of its reach runs the
+   * task: a successor that took it for one that was never started would run it twice.
+   */
+  @Test
+  void whatAFormerVersionForgotIsNotStartedTwice() {
+    PipelineDay day = new PipelineDay(13);
+    day.submit(Jobs.job(5).cores(5).estimateS(120));
+    day.submit(Jobs.job(6).cores(5).estimateS(120));
+    JobId first = day.submit(step(1).estimateS(30));
+    JobId second = day.submit(step(2).estimateS(100), first);
+    for (int s = 0; s < 90 && day.record(second).startedAt < 0; s++) {
+      day.run(1);
+    }
+    World.Worker runs =
+        day.world.workers.values().stream()
+            .filter(w -> w.tasks.keySet().stream().anyMatch(task -> task.job().equals(second)))
+            .findFirst()
+            .get();
+    runs.cutUntil = day.world.now + 60_000;
+    day.world.supersede(0);
+    day.record(second).started = false;
+    JobId other = day.submit(step(3));
+    day.run(14);
+    assertTrue(day.record(other).startedAt > 0, "others go on");
+    day.runUntilOver(500);
+    assertTrue(day.done(second));
+  }
+
   /** Only damaged records can say that: the others go on. */
   @Test
   void jobsThatNeedEachOtherInACircleHoldNobodyUp() {
