--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -14,11 +14,8 @@
 import io.saltflow.shares.Party;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
@@ -351,41 +348,11 @@
     return other;
   }
 
-  /**
-   * Those that are too many now: first what does not run yet, then those in the zones that are left
-   * first, then those that share a zone or a machine with most others, then what began last. Tasks
-   * on machines that will go soon go with them, unless none is wanted.
-   */
+  /** Those of a service's tasks that are too many now, see {@link Surplus}. */
   List<Presence> surplus() {
-    if (most == UNSAID || present.size() <= most) {
-      return List.of();
-    }
-    List<Presence> staying = new ArrayList<>();
-    for (Presence p : present.values()) {
-      if (!p.stopping && (most == 0 || !p.machine.goesSoon())) {
-        staying.add(p);
-      }
-    }
-    if (staying.size() <= most) {
-      return List.of();
-    }
-    Comparator<Presence> byAge =
-        Comparator.comparing((Presence p) -> p.runningSince == null ? Time.NEVER : p.runningSince)
-            .thenComparing(p -> p.index);
-    staying.sort(byAge);
-    Map<Presence, Integer> crowded = new HashMap<>();
-    Map<String, Integer> places = new HashMap<>();
-    for (Presence p : staying) {
-      int onMachine = places.merge(p.machine.id.text(), 1, Integer::sum);
-      int inZone = places.merge("zone " + p.machine.zone, 1, Integer::sum);
-      crowded.put(p, Math.max(inZone, onMachine > 1 ? onMachine * present.size() : 0));
-    }
-    staying.sort(
-        Comparator.comparing((Presence p) -> p.runningSince == null)
-            .thenComparing(p -> leaveFirst.contains(p.machine.zone))
-            .thenComparing(crowded::get)
-            .thenComparing(byAge));
-    return staying.subList(most, staying.size());
+    return most == UNSAID || present.size() <= most
+        ? List.of()
+        : Surplus.of(present.values(), most, leaveFirst);
   }
 
   /** A task of it runs. True: it is the first that is known of. */
