--- a/src/main/java/io/saltflow/coordination/Pipelines.java
+++ b/src/main/java/io/saltflow/coordination/Pipelines.java
@@ -109,7 +109,7 @@
     graph.cancelled(id);
     int more = graph.toCancel().size() - before;
     if (more > 0) {
-      LOG.info("{} was cancelled, and so are {} jobs that need it", id, more);
+      LOG.info("{} jobs that depend on {} are cancelled with it", more, id);
     }
   }
 
@@ -153,7 +153,7 @@
       maybeOnMachines.remove(job.id());
       if (held.remove(job.id()) != null) {
         double waitedS = (job.countsFromMs - job.arrivedWallMs) / 1000.0;
-        LOG.info("{} may start: all that it needs is done, {} s after it", job.id(), waitedS);
+        LOG.info("{} is released after {} s: what it depends on is done", job.id(), waitedS);
       }
     }
     return out;
