Pages: a set that no page can hold any more keeps its old copy, shown

A job's set of done tasks that would lose recorded tasks under lowered limits goes on on a later page, and the page with the longer one is left as it is.

--- a/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/LeaderBooks.java
@@ -128,7 +128,8 @@
 
     @Override
     public boolean keeps(Job job, Object value) {
-      return job.recordedWithin(decode(job, value));
+      boolean whole = DoneTasks.longest(job.spec().tasks()) <= mostText(job);
+      return whole || job.recordedWithin(decode(job, value));
     }
 
     private static BitSet decode(Job job, Object value) {
--- a/src/test/java/io/saltflow/bookkeeping/PagesSplitTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/PagesSplitTest.java
@@ -53,6 +53,8 @@
   /** An entry that only ever grows. */
   private static final class Counter {
     final String name;
+    int padding = PADDING;
+    int recorded;
     long count;
 
     Counter(String name, long count) {
@@ -83,6 +85,7 @@
   private void start() throws IOException {
     root = new Root();
     leader = null;
+    lowerAt = Integer.MAX_VALUE;
     loop = new Loop(() -> System.nanoTime() * FASTER, System::currentTimeMillis);
     store = new StateStore(LARGE, steps -> {}, loop.now());
     front = new StateFront(root, loop, store.core(), () -> store.flush(loop.now()));
@@ -162,23 +165,28 @@
 
     @Override
     public Object encode(Counter item) {
-      return item.count + "+" + "x".repeat(PADDING);
+      return item.count + "+" + "x".repeat(padding(item));
+    }
+
+    private int padding(Counter item) {
+      return Math.min(item.padding, state.limits().valueBytes() - 30);
     }
 
     @Override
     public int longest(Counter item) {
-      return JsonSize.of(item.name) + JsonSize.of("") + 8 + PADDING;
+      return JsonSize.of(item.name) + JsonSize.of("") + 8 + padding(item);
     }
 
     @Override
     public boolean keeps(Counter item, Object value) {
-      return true;
+      return ((String) value).length() >= item.recorded;
     }
 
     @Override
     public void written(List<Counter> items, List<Object> values, boolean ok) {
       for (int i = 0; ok && i < items.size(); i++) {
         confirmed.merge(items.get(i).name, count(values.get(i)), Math::max);
+        items.get(i).recorded = ((String) values.get(i)).length();
       }
     }
   }
@@ -222,16 +230,27 @@
     pages.changed(c, urgent);
   }
 
+  private void gone(int n) {
+    String name = String.format("e%03d", n);
+    pages.gone(name, true);
+    entries.remove(name);
+    confirmed.remove(name);
+  }
+
   private void fill() throws IOException {
-    for (int n = 0; n < ENTRIES; n++) {
+    fill(ENTRIES);
+    assertEquals(2, stored().size(), "two full pages");
+  }
+
+  private void fill(int count) throws IOException {
+    for (int n = 0; n < count; n++) {
       change(n, true);
     }
-    for (int i = 0; i < 400 && confirmed.size() < ENTRIES; i++) {
+    for (int i = 0; i < 6000 && !allWritten(); i++) {
       pages.flush(true);
       pass();
     }
-    assertEquals(ENTRIES, confirmed.size());
-    assertEquals(2, stored().size(), "two full pages");
+    assertTrue(allWritten());
   }
 
   private boolean allWritten() {
@@ -250,7 +269,11 @@
 
   /** Once each entry has changed, each is on one page that is small enough. */
   private void settle(Limits limits) throws IOException {
-    for (int n = 0; n < ENTRIES; n++) {
+    settle(limits, 0);
+  }
+
+  private void settle(Limits limits, int from) throws IOException {
+    for (int n = from; n < ENTRIES; n++) {
       change(n, n % 2 == 0);
     }
     for (int i = 0; i < 6000 && !settled(limits); i++) {
@@ -301,8 +324,13 @@
       messages = 0;
       lowerAt = 1 + random.nextInt(10);
       faults = new Random(seed);
+      // The first page has room in every other day.
+      int from = seed % 2 * 20;
+      for (int n = 0; n < from; n++) {
+        gone(n);
+      }
       for (int step = 0; step < 120; step++) {
-        change(random.nextInt(ENTRIES), random.nextBoolean());
+        change(from + random.nextInt(ENTRIES - from), random.nextBoolean());
         pages.flush(random.nextInt(3) == 0);
         pass();
         if (random.nextInt(40) == 0) {
@@ -310,7 +338,7 @@
         }
       }
       faults = null;
-      settle(lowered);
+      settle(lowered, from);
       end();
     }
   }
@@ -340,6 +368,37 @@
     assertEquals(ENTRIES, confirmed.size());
   }
 
+  /** What was recorded of an entry and fits nowhere any more stays on its page until it is gone. */
+  @Test
+  void whatAnEntryCanNoLongerHoldIsNotTakenAway() throws IOException {
+    lowered = new Limits(1e6, 1e6, 2, 4);
+    start();
+    Counter big = new Counter("big", 1);
+    big.padding = 3000;
+    entries.put("big", big);
+    pages.changed(big, true);
+    fill(3);
+    store.core().setLimits(lowered, loop.now());
+    int before = ((String) store.value("p/00000").data().get("big")).length();
+    assertTrue(before > 3000);
+    for (int n = 0; n < 30; n++) {
+      change(n % ENTRIES, true);
+      big.count++;
+      pages.changed(big, n % 2 == 0);
+      for (int i = 0; i < 20; i++) {
+        pages.flush(true);
+        pass();
+      }
+    }
+    assertEquals(before, ((String) store.value("p/00000").data().get("big")).length());
+    assertTrue(allWritten(), "each goes on, on another page");
+    assertTrue(stored().size() < 20, stored().size() + " pages");
+    pages.gone("big", true);
+    entries.remove("big");
+    confirmed.remove("big");
+    settle(lowered);
+  }
+
   /** A page of which one part changes all the time, and the other never. */
   @Test
   void aWriteThatIsWaitedForDoesNotWaitForTheRestOfItsPage() throws IOException {
@@ -348,7 +407,7 @@
     fill();
     store.core().setLimits(lowered, loop.now());
     change(3, true);
-    for (int i = 0; i < 400 && !allWritten(); i++) {
+    for (int i = 0; i < 6000 && !allWritten(); i++) {
       pages.flush(false);
       pass();
     }
