New machines that the ledger lacks hold nothing, at each half second of a lagging ledger

Change: writes of the ledger alone can lag in the test world; the test cuts off just the machines that the ledger lacks when the leader ends.

--- a/src/test/java/io/saltflow/coordination/TakeoverMeetingsTest.java
+++ b/src/test/java/io/saltflow/coordination/TakeoverMeetingsTest.java
@@ -98,6 +98,42 @@
     assertTrue(launched[0] > 50, "new machines were given work: " + launched[0]);
   }
 
+  /**
+   * The same, where writes of the ledger alone lag: the leader ends at each half second after new
+   * machines were rented, and those that the ledger lacks can't be reached until the successor has
+   * launched. Work that was given to them before they were written down would run twice.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {2_000, 6_000, 12_000})
+  void machinesThatTheLedgerLacksHoldNothing(long lagMs) {
+    int[] lacking = new int[1];
+    atEachMoment(
+        40,
+        () -> {
+          World w = running(325, 60);
+          w.mostInZone = 10;
+          w.bootMs = 500;
+          w.bootSteps = 4;
+          return w;
+        },
+        (w, moment) -> {
+          for (int i = 1; i <= 4; i++) {
+            w.submit(Jobs.job(100 + i).team("blue").tasks(6).cores(4).estimateS(30).build());
+          }
+          w.ledgerLagsUntil = w.now + lagMs;
+          w.run(1 + moment * 0.5);
+          w.loseLeader(0);
+          for (World.Worker m : w.workers.values()) {
+            if (!w.inLedger(m.id)) {
+              lacking[0]++;
+              m.cutUntil = w.now + 14_000;
+            }
+          }
+          w.run(20);
+        });
+    assertTrue(lacking[0] > 10, "machines that the ledger lacked: " + lacking[0]);
+  }
+
   /** Ten leaders in two minutes; of some the state service is out as well. */
   @ParameterizedTest
   @ValueSource(longs = {0, 8_000, 20_000, 45_000})
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -388,6 +388,9 @@
   /** Which part of a leader's transactions is carried out at once, with only its answer lost. */
   double answersLost;
 
+  /** Until then each write of the ledger gets no answer and is carried out 2 to 12 s later. */
+  long ledgerLagsUntil;
+
   /** How soon machines are up at least, and in how many steps more at most. */
   long bootMs = 8000;
 
@@ -625,7 +628,11 @@
 
   /** A leader's write: now, or late and without an answer. */
   private boolean write(Lead by, BooleanSupplier guard, Runnable write) {
-    if (late > 0 && chance(late)) {
+    return write(by, late > 0 && chance(late), guard, write);
+  }
+
+  private boolean write(Lead by, boolean lags, BooleanSupplier guard, Runnable write) {
+    if (lags) {
       long until = now + 2000 + random.nextInt(20) * STEP;
       lateWrites.add(new LateWrite(until, by.term, guard, write));
       return false;
@@ -875,7 +882,8 @@
     if (!l.unwritten.isEmpty()) {
       Set<Leader.LedgerEntry> all = new LinkedHashSet<>(l.page);
       long version = ledgerVersion;
-      if (write(l, () -> ledgerVersion == version, () -> replaceLedger(all))) {
+      boolean lags = now < ledgerLagsUntil || (late > 0 && chance(late));
+      if (write(l, lags, () -> ledgerVersion == version, () -> replaceLedger(all))) {
         core.ledgered(List.copyOf(l.unwritten));
         l.unwritten.clear();
       }
@@ -960,6 +968,10 @@
         || old.stream().anyMatch(Lead::cut);
   }
 
+  boolean inLedger(MachineId id) {
+    return ledger.stream().anyMatch(e -> e.id().equals(id));
+  }
+
   boolean allOver() {
     return records.values().stream().allMatch(r -> r.over);
   }
