--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -112,9 +112,33 @@
     admissions = new Admissions(this, loop, state, live, this::find, valueBytes, txnOps, process);
   }
 
-  /** Writes a new job down, or finds that it is known. */
+  /**
+   * Writes a new job down, or finds that it is known. One that this node knows is looked up first:
+   * a transaction that is refused counts against the rate of changes like one that is not.
+   */
   public void admit(JobSpec spec, long wallMs, Consumer<Outcome> then) {
-    admissions.add(spec.id(), encode(spec, wallMs, lanes.of(spec)), then);
+    JobId id = spec.id();
+    if (!over.containsKey(id) && !live.knows(id)) {
+      write(spec, wallMs, then);
+      return;
+    }
+    find(
+        id,
+        outcome -> {
+          if (outcome instanceof Outcome.Absent) {
+            write(spec, wallMs, then);
+          } else {
+            then.accept(outcome);
+          }
+        });
+  }
+
+  private void write(JobSpec spec, long wallMs, Consumer<Outcome> then) {
+    JobId id = spec.id();
+    admissions.add(
+        id,
+        encode(spec, wallMs, lanes.of(spec)),
+        outcome -> tellNewest(id, StateClient.Rank.USER, outcome, then));
   }
 
   /** A request that got no clear answer is tried again at once, or given up on at once. */
@@ -150,12 +174,33 @@
       then.accept(new Outcome.Found(known));
       return;
     }
+    look(id, rank, outcome -> tellNewest(id, rank, outcome, then));
+  }
+
+  /**
+   * What was read may be older than what this node has told somebody since, as another request of
+   * its was answered first: an end that it knows stands, and a job that it has accepted or seen
+   * meanwhile is looked up again before it is called absent.
+   */
+  private void tellNewest(
+      JobId id, StateClient.Rank rank, Outcome outcome, Consumer<Outcome> then) {
+    Known ended = over.get(id);
+    if (ended != null) {
+      then.accept(new Outcome.Found(ended));
+    } else if (outcome instanceof Outcome.Absent && live.knows(id)) {
+      find(id, rank, then);
+    } else {
+      then.accept(outcome);
+    }
+  }
+
+  private void look(JobId id, StateClient.Rank rank, Consumer<Outcome> then) {
     live.ask(
         id,
         rank,
         verdict -> {
           switch (verdict) {
-            case LIVE -> then.accept(new Outcome.Found(new Known(id, Phase.LIVE, 0)));
+            case LIVE -> then.accept(live(id));
             case UNKNOWN -> then.accept(new Outcome.Unknown());
             case TO_READ -> {
               if (rank == StateClient.Rank.POLLS) {
@@ -168,6 +213,10 @@
         });
   }
 
+  private static Outcome live(JobId id) {
+    return new Outcome.Found(new Known(id, Phase.LIVE, 0));
+  }
+
   /** Together with others where there are many: after that its version is known here. */
   private void firstLook(JobId id, Consumer<Outcome> then) {
     StateClient.Rank rank = StateClient.Rank.POLLS;
@@ -176,9 +225,7 @@
         new FirstLooks.Asker() {
           @Override
           public void live() {
-            // Its end may have been recorded, and told, here while the list was on its way.
-            Known ended = over.get(id);
-            then.accept(new Outcome.Found(ended == null ? new Known(id, Phase.LIVE, 0) : ended));
+            then.accept(JobStore.live(id));
           }
 
           @Override
@@ -275,7 +322,7 @@
             tellOnce(id, unreadable);
             then.accept(new Outcome.Unknown());
           } else if (found) {
-            then.accept(new Outcome.Found(new Known(id, Phase.LIVE, 0)));
+            then.accept(live(id));
           } else {
             read(id, rank, then, () -> then.accept(new Outcome.Absent()));
           }
