Checkstyle and Error Prone in verify, clean over the whole tree

There was a formatter only; 21 of 28 packages had no package-info.java.

Change: maven-checkstyle-plugin with config/checkstyle.xml, bound to verify, over src/main and src/test, without suppressions: package-info.java in each package, doc comments on types, imports, names, sizes, statements. Error Prone 2.42.0 compiles both trees once more in verify, with warnings as errors. Eight checks are off; CONTRIBUTING.md says why each.

--- a/src/main/java/io/saltflow/agreement/Message.java
+++ b/src/main/java/io/saltflow/agreement/Message.java
@@ -26,6 +26,7 @@
       boolean transfer)
       implements Message {}
 
+  /** The answer to {@link VoteAsked}. */
   record Voted(String from, String to, long term, boolean granted, boolean pre)
       implements Message {}
 
--- a/src/main/java/io/saltflow/amqp/Bytes.java
+++ b/src/main/java/io/saltflow/amqp/Bytes.java
@@ -49,7 +49,7 @@
 
   /** Writes a length over the four bytes at the given place. */
   void lengthAt(int at) {
-    long length = size - at - 4;
+    long length = (long) size - at - 4;
     bytes[at] = (byte) (length >> 24);
     bytes[at + 1] = (byte) (length >> 16);
     bytes[at + 2] = (byte) (length >> 8);
--- a/src/main/java/io/saltflow/amqp/FrameReader.java
+++ b/src/main/java/io/saltflow/amqp/FrameReader.java
@@ -57,7 +57,7 @@
     if ((in.get() & 0xff) != Frame.END) {
       throw new AmqpError(Code.FRAME_ERROR, "a frame does not end where it should");
     }
-    int channel = (head[1] & 0xff) << 8 | head[2] & 0xff;
+    int channel = ((head[1] & 0xff) << 8) | (head[2] & 0xff);
     Frame frame = new Frame(head[0] & 0xff, channel, ByteBuffer.wrap(payload, 0, payloadSize));
     payload = new byte[0];
     headSize = 0;
--- a/src/main/java/io/saltflow/amqp/Session.java
+++ b/src/main/java/io/saltflow/amqp/Session.java
@@ -277,7 +277,7 @@
     }
     channelMax = channelsAsked == 0 ? limits.channels : (int) channelsAsked;
     frameMax = frameAsked == 0 ? limits.frameMax : (int) frameAsked;
-    heartbeat = Span.seconds(m.number(2));
+    heartbeat = Span.seconds((double) m.number(2));
     reader.frameMax(frameMax);
     state = State.OPENING;
   }
--- a/src/main/java/io/saltflow/bookkeeping/Admissions.java
+++ b/src/main/java/io/saltflow/bookkeeping/Admissions.java
@@ -156,7 +156,7 @@
         absent(txn, w.id);
       }
     }
-    String key = Bundles.key(name + "-" + (++sequence));
+    String key = Bundles.key(name + "-" + ++sequence);
     txn.guard(key, Stamp.ABSENT).put(key, Bundles.encode(records));
     state.commit(
         StateClient.Rank.USER,
--- a/src/main/java/io/saltflow/bookkeeping/JobStore.java
+++ b/src/main/java/io/saltflow/bookkeeping/JobStore.java
@@ -58,15 +58,19 @@
 
   /** The outcome of a question that the state service may have left open. */
   public sealed interface Outcome {
+    /** A new record was written. */
     record Created(JobId id) implements Outcome {}
 
+    /** There is a record of the job. */
     record Found(Known job) implements Outcome {}
 
+    /** There is certainly none. */
     record Absent() implements Outcome {}
 
     /** It could not be told: to be asked again. */
     record Unknown() implements Outcome {}
 
+    /** The record would exceed the state service's limit. */
     record TooLarge() implements Outcome {}
   }
 
--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -30,10 +30,10 @@
 
   private static final Size BEYOND_ANY_LIMIT = new Size(1e9, 1e9, 1e9);
 
-  /** What the rest of the core is told. */
   /** Why a replica was lost that nobody told to end. */
   static final String BY_ITSELF = "it ended by itself";
 
+  /** What the rest of the core is told. */
   interface Events {
     void done(Job job, int index, Presence presence, Time now);
 
--- a/src/main/java/io/saltflow/coordination/Fleet.java
+++ b/src/main/java/io/saltflow/coordination/Fleet.java
@@ -156,7 +156,7 @@
       for (int left = e.getValue(); left > 0 && open.size() < MOST_OPEN; ) {
         int count = Math.min(MOST_PER_REQUEST, left);
         left -= count;
-        String name = "r-" + term + "-" + (++hireSequence);
+        String name = "r-" + term + "-" + ++hireSequence;
         Hire hire = new Hire(name, option.type, option.zone, option.spot, count, now);
         open.put(hire.name, hire);
         out.add(hire);
--- a/src/main/java/io/saltflow/coordination/Moves.java
+++ b/src/main/java/io/saltflow/coordination/Moves.java
@@ -385,7 +385,7 @@
       why.put(job.id(), "it fits by sum, and no replicas can be moved for it");
       return false;
     }
-    String name = "p-" + term + "-" + (++sequence);
+    String name = "p-" + term + "-" + ++sequence;
     Kept kept = new Kept(name, job.id(), plan.clear(), plan.moves(), wall(now), null);
     open.put(name, new Open(kept, false, now));
     toRecord.add(kept);
--- a/src/main/java/io/saltflow/coordination/Presence.java
+++ b/src/main/java/io/saltflow/coordination/Presence.java
@@ -7,6 +7,7 @@
 
 /** An attempt that is, or might be, on a machine. While it exists its task starts nowhere else. */
 public final class Presence {
+  /** How far the attempt is known to have come. */
   enum State {
     /** Launched, not yet seen. */
     SENT,
--- a/src/main/java/io/saltflow/coordination/Scheduler.java
+++ b/src/main/java/io/saltflow/coordination/Scheduler.java
@@ -449,7 +449,7 @@
 
   /** Whether a claim on the machine binds the entry: the head's what is behind it, others' all. */
   private static boolean bound(Lineup.Entry e, Machine m, boolean backfilling) {
-    return m.reserved != null && m.reserved.owed ? !e.gathers() : backfilling;
+    return (m.reserved != null && m.reserved.owed) ? !e.gathers() : backfilling;
   }
 
   private boolean mayBackfill(Job job, Machine m, Span run, Time now) {
--- a/src/main/java/io/saltflow/gates/Condition.java
+++ b/src/main/java/io/saltflow/gates/Condition.java
@@ -5,10 +5,13 @@
 
 /** What a gate's text means. */
 public sealed interface Condition {
+  /** Conjunction. */
   record All(List<Condition> parts) implements Condition {}
 
+  /** Disjunction. */
   record Any(List<Condition> parts) implements Condition {}
 
+  /** Negation. */
   record Not(Condition part) implements Condition {}
 
   /** A quantity beside a limit, in the quantity's unit (shares from 0 to 1, times in ms). */
--- a/src/main/java/io/saltflow/gates/Measure.java
+++ b/src/main/java/io/saltflow/gates/Measure.java
@@ -40,6 +40,7 @@
     }
   }
 
+  /** The kinds of argument that a measure takes. */
   enum Argument {
     TEXT,
     WINDOW
--- a/src/main/java/io/saltflow/gates/Quantity.java
+++ b/src/main/java/io/saltflow/gates/Quantity.java
@@ -20,7 +20,7 @@
     if (!text.isEmpty() || window != null) {
       out.append('(').append(text.isEmpty() ? "" : '"' + text + '"');
       out.append(!text.isEmpty() && window != null ? ", " : "");
-      out.append(window == null ? "" : Units.time(window.ms())).append(')');
+      out.append(window == null ? "" : Units.time((double) window.ms())).append(')');
     }
     return out.append(field.isEmpty() ? "" : "." + field).toString();
   }
--- a/src/main/java/io/saltflow/gates/Satisfiable.java
+++ b/src/main/java/io/saltflow/gates/Satisfiable.java
@@ -42,7 +42,7 @@
       if (wanted && held.steady().ms() > limitMs) {
         return held.part()
             + " for "
-            + Units.time(held.steady().ms())
+            + Units.time((double) held.steady().ms())
             + ": longer than a step lasts";
       }
       return fault(held.part(), wanted);
--- a/src/main/java/io/saltflow/gates/Watch.java
+++ b/src/main/java/io/saltflow/gates/Watch.java
@@ -127,7 +127,7 @@
 
   private static String sentence(
       Condition.Held c, Truth raw, Truth out, Span lasted, Observations seen, Time now) {
-    String since = " for " + Units.time(lasted.ms());
+    String since = " for " + Units.time((double) lasted.ms());
     if (raw == Truth.UNKNOWN) {
       return c.part() + ": no data" + since;
     }
--- a/src/main/java/io/saltflow/kv/Effect.java
+++ b/src/main/java/io/saltflow/kv/Effect.java
@@ -8,6 +8,7 @@
   /** A key has this value; lease 0: it is under none. */
   record Put(String key, Body data, long lease) implements Effect {}
 
+  /** A key is gone. */
   record Delete(String key) implements Effect {}
 
   /** A lease is granted. */
--- a/src/main/java/io/saltflow/statestore/Folder.java
+++ b/src/main/java/io/saltflow/statestore/Folder.java
@@ -95,9 +95,9 @@
           look(disk);
           out.println("the folder can be opened");
           return;
-        } catch (Damage d) {
-          out.println(d.getMessage());
-          Journal.repair(disk, d).forEach(out::println);
+        } catch (Damage damage) {
+          out.println(damage.getMessage());
+          Journal.repair(disk, damage).forEach(out::println);
         }
       }
       throw new IOException(folder + ": could not be repaired");
--- a/src/main/java/io/saltflow/transport/Prober.java
+++ b/src/main/java/io/saltflow/transport/Prober.java
@@ -38,7 +38,7 @@
    * Probes once. Told is the time in milliseconds until the answer's head, or one of {@link
    * ProbeFrame}'s negative ones.
    *
-   * @param path what to get; empty: connecting is all
+   * @param place where; with an empty path connecting is all
    */
   public void probe(ProbeFrame.Place place, Span timeout, LongConsumer then) {
     InetSocketAddress at = address(place);
--- a/src/test/java/io/saltflow/agreement/Group.java
+++ b/src/test/java/io/saltflow/agreement/Group.java
@@ -33,7 +33,7 @@
     final double speed;
     Kept kept;
     Raft raft;
-    TreeMap<String, String> map = new TreeMap<>();
+    Map<String, String> map = new TreeMap<>();
     long appliedIndex;
     long sinceSnapshot;
     long life;
@@ -484,13 +484,13 @@
     }
   }
 
-  private byte[] encode(TreeMap<String, String> map) {
+  private byte[] encode(Map<String, String> map) {
     String text = String.join(",", map.entrySet().stream().map(Object::toString).toList());
     return (text + "#" + (large ? "x".repeat(150_000) : "")).getBytes(StandardCharsets.UTF_8);
   }
 
-  private static TreeMap<String, String> decode(byte[] bytes) {
-    TreeMap<String, String> map = new TreeMap<>();
+  private static Map<String, String> decode(byte[] bytes) {
+    Map<String, String> map = new TreeMap<>();
     String text = new String(bytes, StandardCharsets.UTF_8);
     int end = Math.max(0, text.indexOf('#'));
     for (String pair : text.substring(0, end).split(",")) {
--- a/src/test/java/io/saltflow/amqp/Peer.java
+++ b/src/test/java/io/saltflow/amqp/Peer.java
@@ -3,6 +3,7 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -38,7 +39,7 @@
 
   static byte[] content(int channel, String body) {
     Bytes out = new Bytes();
-    Frame.content(out, channel, NO_PROPERTIES, body.getBytes(), 4096);
+    Frame.content(out, channel, NO_PROPERTIES, body.getBytes(StandardCharsets.UTF_8), 4096);
     return out.copy();
   }
 
--- a/src/test/java/io/saltflow/amqp/SessionTest.java
+++ b/src/test/java/io/saltflow/amqp/SessionTest.java
@@ -7,6 +7,7 @@
 import io.saltflow.coordination.Traces;
 import io.saltflow.protocol.Span;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -122,7 +123,7 @@
   @Test
   void strangersAreToldTheVersionAndWrongPasswordsRefused() {
     Peer other = new Peer();
-    other.feed("GET / HTTP/1.1\r\n\r\n".getBytes());
+    other.feed("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.UTF_8));
     assertEquals(List.of("<- another greeting", "<- closed"), other.lines);
     Peer wrong = new Peer();
     wrong.feed(
--- a/src/test/java/io/saltflow/app/QueueLoad.java
+++ b/src/test/java/io/saltflow/app/QueueLoad.java
@@ -322,7 +322,7 @@
     ch.confirmSelect();
     for (int i = 0; i < waiting; i++) {
       AMQP.BasicProperties p = new AMQP.BasicProperties.Builder().messageId("t-" + i).build();
-      ch.basicPublish("", "work", p, ("page " + i).getBytes());
+      ch.basicPublish("", "work", p, ("page " + i).getBytes(StandardCharsets.UTF_8));
     }
     ch.waitForConfirmsOrDie(600_000);
     Channel holds = c.createChannel();
--- a/src/test/java/io/saltflow/app/QueueSettingsTest.java
+++ b/src/test/java/io/saltflow/app/QueueSettingsTest.java
@@ -13,6 +13,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -102,8 +103,14 @@
   void passwordsAreHashedWithoutBeingTyped() {
     ByteArrayOutputStream said = new ByteArrayOutputStream();
     PrintStream out = new PrintStream(said, true);
-    assertEquals(0, HashPassword.run(new ByteArrayInputStream("secret\n".getBytes()), out, out));
-    assertTrue(BCrypt.verifyer().verify("secret".toCharArray(), said.toString().trim()).verified);
+    assertEquals(
+        0,
+        HashPassword.run(
+            new ByteArrayInputStream("secret\n".getBytes(StandardCharsets.UTF_8)), out, out));
+    assertTrue(
+        BCrypt.verifyer()
+            .verify("secret".toCharArray(), said.toString(StandardCharsets.UTF_8).trim())
+            .verified);
     assertEquals(2, HashPassword.run(new ByteArrayInputStream(new byte[0]), out, out));
   }
 }
--- a/src/test/java/io/saltflow/app/QueueTakeoverTest.java
+++ b/src/test/java/io/saltflow/app/QueueTakeoverTest.java
@@ -18,6 +18,7 @@
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.LoopThread;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -116,14 +117,14 @@
 
   private static void publish(Channel ch, String queue, String id) throws Exception {
     AMQP.BasicProperties p = new AMQP.BasicProperties.Builder().messageId(id).build();
-    ch.basicPublish("", queue, p, id.getBytes());
+    ch.basicPublish("", queue, p, id.getBytes(StandardCharsets.UTF_8));
   }
 
   private static String result(Channel ch, String queue) throws Exception {
     for (int i = 0; i < 300; i++) {
       GetResponse got = ch.basicGet(queue, true);
       if (got != null) {
-        return new String(got.getBody());
+        return new String(got.getBody(), StandardCharsets.UTF_8);
       }
       Thread.sleep(20);
     }
@@ -159,8 +160,8 @@
     }
     publish(ch, "work", "during");
     assertTrue(ch.waitForConfirms(10_000));
-    assertEquals("before", new String(ch.basicGet("work", true).getBody()));
-    assertEquals("during", new String(ch.basicGet("work", true).getBody()));
+    assertEquals("before", new String(ch.basicGet("work", true).getBody(), StandardCharsets.UTF_8));
+    assertEquals("during", new String(ch.basicGet("work", true).getBody(), StandardCharsets.UTF_8));
     assertNull(ch.basicGet("work", true));
     c.abort();
   }
@@ -184,15 +185,15 @@
       publish(ch, "once", "o" + i);
     }
     ch.waitForConfirmsOrDie(10_000);
-    assertEquals("w0", new String(ch.basicGet("work", false).getBody()));
-    assertEquals("o0", new String(ch.basicGet("once", false).getBody()));
+    assertEquals("w0", new String(ch.basicGet("work", false).getBody(), StandardCharsets.UTF_8));
+    assertEquals("o0", new String(ch.basicGet("once", false).getBody(), StandardCharsets.UTF_8));
     nodes.remove(c.getPort()).stop();
     Connection next = connectToLeader();
     assertEquals(second, next.getPort());
     Channel then = next.createChannel();
     assertTrue(result(then, "once.results").contains("\"id\":\"o0\",\"outcome\":\"unknown\""));
     GetResponse again = then.basicGet("work", false);
-    assertEquals("w0", new String(again.getBody()));
+    assertEquals("w0", new String(again.getBody(), StandardCharsets.UTF_8));
     assertTrue(again.getEnvelope().isRedeliver());
     then.basicAck(again.getEnvelope().getDeliveryTag(), false);
     assertEquals(
@@ -200,7 +201,10 @@
     then.confirmSelect();
     publish(then, "once", "o0");
     then.waitForConfirmsOrDie(10_000);
-    assertEquals("o1", new String(then.basicGet("once", true).getBody()), "not o0 again");
+    assertEquals(
+        "o1",
+        new String(then.basicGet("once", true).getBody(), StandardCharsets.UTF_8),
+        "not o0 again");
     next.abort();
   }
 }
--- a/src/test/java/io/saltflow/app/RolloutLoad.java
+++ b/src/test/java/io/saltflow/app/RolloutLoad.java
@@ -25,6 +25,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -318,7 +319,7 @@
           return 0;
         }
         if (code != UserCommands.NO_ANSWER) {
-          throw new IllegalStateException(said.toString());
+          throw new IllegalStateException(said.toString(StandardCharsets.UTF_8));
         }
       }
     }
--- a/src/test/java/io/saltflow/coordination/FencingTest.java
+++ b/src/test/java/io/saltflow/coordination/FencingTest.java
@@ -68,7 +68,7 @@
       f.pass(5);
       f.checkIn("vm-2");
       List<Order> lost = f.leader.onReport(f.report("vm-1", Floor.TERM), true, f.time());
-      inVain += launches(lost);
+      inVain += (int) launches(lost);
       returned = f.leader.toDelete(f.time());
     }
     assertTrue(inVain <= 3, inVain + " launches went in vain");
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -831,7 +831,7 @@
       List<MachineId> hosts = new ArrayList<>();
       for (int i = 0; i < r.count() && given(r.zone()); i++) {
         MachineId id = new MachineId(String.format("vm-%06d", machineNumber++));
-        workers.put(id, new Worker(id, r.zone(), r.spot(), now + 8000 + random.nextInt(16) * 500));
+        workers.put(id, new Worker(id, r.zone(), r.spot(), now + 8000 + random.nextInt(16) * 500L));
         hosts.add(id);
       }
       say(hosts.size() + " of " + r.count() + " machines are rented in " + r.zone());
--- a/src/test/java/io/saltflow/queues/QueueWorld.java
+++ b/src/test/java/io/saltflow/queues/QueueWorld.java
@@ -93,13 +93,11 @@
 
   /** One leader's process. */
   private final class Leader {
-    final Term term;
     final QueueCore core;
     Batch unanswered;
     boolean dead;
 
     Leader(Term term) {
-      this.term = term;
       core =
           new QueueCore(
               policies(),
--- a/src/test/java/io/saltflow/rollouts/Night.java
+++ b/src/test/java/io/saltflow/rollouts/Night.java
@@ -333,7 +333,7 @@
     for (Replica r : replicas) {
       double lost = trouble == Trouble.HALF_OF_PROBES ? 0.5 : LOST_PROBES;
       if (r.fresh && r.readyAt <= now && !cut(r) && random.nextDouble() >= lost) {
-        long ms = 20 + random.nextInt(60);
+        long ms = 20L + random.nextInt(60);
         sightings.probed("/", broken(r) ? ms * 10 + 300 : ms, time());
       }
     }
--- a/src/test/java/io/saltflow/serving/LoopbackTest.java
+++ b/src/test/java/io/saltflow/serving/LoopbackTest.java
@@ -137,32 +137,49 @@
     assertNull(results.poll(300, TimeUnit.MILLISECONDS), "and no more");
   }
 
+  /** The ids of what was published, by queue, and those that a consumer was given once. */
+  private static final class Published {
+    final Set<String> work = new HashSet<>();
+    final Set<String> once = new HashSet<>();
+    final Set<String> jobs = Set.of("j-ok", "j-bad");
+    final Set<String> seenOnce = new HashSet<>();
+  }
+
   @Test
   void eachJobHasOneResultThroughDisconnectsDoubleAcksAndAKill() throws Exception {
-    Set<String> work = new HashSet<>();
-    Set<String> once = new HashSet<>();
-    Set<String> jobs = new HashSet<>();
+    Published published = new Published();
+    publishAll(published);
+    consumeTenAndDisconnect(published);
+    acknowledgeTwice();
+    holdUnsettled(published);
+    kill();
+    start();
+    Map<String, String> found = publishAgainAndCollect(published);
+    assertOutcomes(found);
+  }
+
+  private void publishAll(Published published) throws Exception {
     try (Connection c = connect()) {
       Channel ch = c.createChannel();
       ch.confirmSelect();
       for (int i = 0; i < 60; i++) {
         publish(ch, "work", "w-" + i, "page " + i);
         publish(ch, "once", "o-" + i, "page " + i);
-        work.add("w-" + i);
-        once.add("o-" + i);
+        published.work.add("w-" + i);
+        published.once.add("o-" + i);
         if (i % 7 == 0) {
           publish(ch, "work", "w-" + i, "page " + i);
         }
       }
       publish(ch, "jobs", "j-ok", "{\"cores\": 1, \"expectS\": 0.2}");
       publish(ch, "jobs", "j-bad", "{\"cores\": 1}");
-      jobs.add("j-ok");
-      jobs.add("j-bad");
       confirmed(ch);
     }
-    Set<String> seenOnce = new HashSet<>();
+  }
+
+  /** This consumer takes ten of each, settles half of them, and is gone. */
+  private void consumeTenAndDisconnect(Published published) throws Exception {
     try (Connection c = connect()) {
-      // This consumer takes ten of each, settles half of them, and is gone.
       Channel ch = c.createChannel();
       ch.basicQos(10);
       BlockingQueue<Delivery> w = consume(ch, "work");
@@ -170,15 +187,18 @@
       for (int i = 0; i < 10; i++) {
         Delivery dw = next(w);
         Delivery d1 = next(o);
-        assertTrue(seenOnce.add(d1.id));
+        assertTrue(published.seenOnce.add(d1.id));
         if (i % 2 == 0) {
           ch.basicAck(dw.tag, false);
           ch.basicAck(d1.tag, false);
         }
       }
     }
+  }
+
+  /** A second acknowledgement ends the channel, as the protocol says, and changes nothing. */
+  private void acknowledgeTwice() throws Exception {
     try (Connection c = connect()) {
-      // A second acknowledgement ends the channel, as the protocol says, and changes nothing.
       Channel ch = c.createChannel();
       ch.basicQos(1);
       Delivery d = next(consume(ch, "work"));
@@ -195,20 +215,25 @@
               });
       assertTrue(closed.getMessage().contains("PRECONDITION_FAILED"), closed.getMessage());
     }
+  }
+
+  /** Fifteen are delivered on a connection that lasts until the process is killed. */
+  private void holdUnsettled(Published published) throws Exception {
     Connection cut = connect();
     Channel half = cut.createChannel();
     half.basicQos(15);
     BlockingQueue<Delivery> held = consume(half, "once");
     for (int i = 0; i < 15; i++) {
-      assertTrue(seenOnce.add(next(held).id), "never again");
+      assertTrue(published.seenOnce.add(next(held).id), "never again");
     }
-    kill();
-    start();
+  }
+
+  private Map<String, String> publishAgainAndCollect(Published published) throws Exception {
     Map<String, String> found = new TreeMap<>();
     try (Connection c = connect()) {
       Channel again = c.createChannel();
       again.confirmSelect();
-      for (String id : work) {
+      for (String id : published.work) {
         publish(again, "work", id, "published again after a confirm that was lost, perhaps");
       }
       confirmed(again);
@@ -219,18 +244,23 @@
             public void handleDelivery(
                 String tag, Envelope envelope, AMQP.BasicProperties properties, byte[] body)
                 throws IOException {
-              boolean isOnce = properties.getMessageId().startsWith("o-");
-              assertFalse(isOnce && !seenOnce.add(properties.getMessageId()), "never again");
+              String id = properties.getMessageId();
+              boolean isOnce = id.startsWith("o-");
+              assertFalse(isOnce && !published.seenOnce.add(id), "never again");
               ch.basicAck(envelope.getDeliveryTag(), false);
             }
           };
       ch.basicQos(20);
       ch.basicConsume("work", false, acks);
       ch.basicConsume("once", false, acks);
-      results(c.createChannel(), "work.results", work, found);
-      results(c.createChannel(), "once.results", once, found);
-      results(c.createChannel(), "jobs.results", jobs, found);
+      results(c.createChannel(), "work.results", published.work, found);
+      results(c.createChannel(), "once.results", published.once, found);
+      results(c.createChannel(), "jobs.results", published.jobs, found);
     }
+    return found;
+  }
+
+  private static void assertOutcomes(Map<String, String> found) {
     Map<String, Integer> outcomes = new HashMap<>();
     found.forEach(
         (id, body) ->
--- a/src/test/java/io/saltflow/shares/PlanTest.java
+++ b/src/test/java/io/saltflow/shares/PlanTest.java
@@ -18,6 +18,7 @@
 import org.apache.commons.rng.core.source64.SplitMix64;
 import org.junit.jupiter.api.Test;
 
+/** The least parts are max-min fair, and nobody waits for ever. */
 class PlanTest {
   private static final Rules RULES = new Rules(0.5, Span.seconds(120), 0.25);
 
--- a/src/test/java/io/saltflow/statestore/GroupServerTest.java
+++ b/src/test/java/io/saltflow/statestore/GroupServerTest.java
@@ -20,6 +20,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -84,7 +85,12 @@
             n.root,
             loop,
             new GroupServer.Options(
-                "g", new GroupKey(secret.getBytes()), name, places, LIMITS, 20_000),
+                "g",
+                new GroupKey(secret.getBytes(StandardCharsets.UTF_8)),
+                name,
+                places,
+                LIMITS,
+                20_000),
             FileDisk.of(folder.resolve(name)),
             new long[] {1, name.hashCode()},
             random::nextLong);
