--- a/src/main/java/io/saltflow/coordination/TaskOutcomes.java
+++ b/src/main/java/io/saltflow/coordination/TaskOutcomes.java
@@ -1,7 +1,7 @@
 package io.saltflow.coordination;
 
-import io.saltflow.blame.Evidence;
-import io.saltflow.blame.Evidence.Finding;
+import io.saltflow.faultattribution.Evidence;
+import io.saltflow.faultattribution.Evidence.Finding;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.Report;
--- a/src/main/java/io/saltflow/blame/Evidence.java
+++ b/src/main/java/io/saltflow/faultattribution/Evidence.java
@@ -1,4 +1,4 @@
-package io.saltflow.blame;
+package io.saltflow.faultattribution;
 
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MachineId;
--- a/src/test/java/io/saltflow/LayersTest.java
+++ b/src/test/java/io/saltflow/LayersTest.java
@@ -24,7 +24,7 @@
       Map.ofEntries(
           entry("protocol"),
           entry("standstill", "protocol"),
-          entry("blame", "protocol"),
+          entry("faultattribution", "protocol"),
           entry("hearing", "protocol"),
           entry("polls", "protocol"),
           entry("packing", "protocol"),
@@ -38,7 +38,7 @@
               "coordination",
               "protocol",
               "shares",
-              "blame",
+              "faultattribution",
               "hearing",
               "packing",
               "lanes",
@@ -138,7 +138,7 @@
     for (String core :
         List.of(
             "standstill",
-            "blame",
+            "faultattribution",
             "hearing",
             "polls",
             "packing",
--- a/src/test/java/io/saltflow/blame/EvidenceTest.java
+++ b/src/test/java/io/saltflow/faultattribution/EvidenceTest.java
@@ -1,10 +1,10 @@
-package io.saltflow.blame;
+package io.saltflow.faultattribution;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.saltflow.blame.Evidence.Finding;
+import io.saltflow.faultattribution.Evidence.Finding;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MachineId;
 import java.util.ArrayList;
