--- a/src/main/java/io/saltflow/succession/Signs.java
+++ b/src/main/java/io/saltflow/failuredetector/Signs.java
@@ -1,4 +1,4 @@
-package io.saltflow.succession;
+package io.saltflow.failuredetector;
 
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.Span;
@@ -9,7 +9,7 @@
 import java.util.Set;
 
 /**
- * Whether the leader's process has ended, as a follower can tell before the leader's lease is over.
+ * Detects, on a follower, that the leader's process has ended before the leader's lease is over.
  * Several signs that don't depend on each other must agree: its system has closed the connection to
  * it and refuses new ones, it has said nothing since, and workers that it served turn up elsewhere.
  * Refused connections alone are none: a packet filter between controllers refuses them as well, and
--- a/src/main/java/io/saltflow/succession/package-info.java
+++ b/src/main/java/io/saltflow/failuredetector/package-info.java
@@ -3,4 +3,4 @@
  * connections, silence, and workers that turn to other controllers. Pure: events and times are
  * passed in.
  */
-package io.saltflow.succession;
+package io.saltflow.failuredetector;
--- a/src/test/java/io/saltflow/succession/SignsTest.java
+++ b/src/test/java/io/saltflow/failuredetector/SignsTest.java
@@ -1,4 +1,4 @@
-package io.saltflow.succession;
+package io.saltflow.failuredetector;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
