--- a/src/main/java/io/saltflow/standstill/Wakefulness.java
+++ b/src/main/java/io/saltflow/pauses/Wakefulness.java
@@ -1,4 +1,4 @@
-package io.saltflow.standstill;
+package io.saltflow.pauses;
 
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
--- a/src/main/java/io/saltflow/transport/Loop.java
+++ b/src/main/java/io/saltflow/transport/Loop.java
@@ -1,9 +1,9 @@
 package io.saltflow.transport;
 
+import io.saltflow.pauses.Standstill;
+import io.saltflow.pauses.Wakefulness;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
-import io.saltflow.standstill.Standstill;
-import io.saltflow.standstill.Wakefulness;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
--- a/src/test/java/io/saltflow/LayersTest.java
+++ b/src/test/java/io/saltflow/LayersTest.java
@@ -23,7 +23,7 @@
   private static final Map<String, List<String>> MAY_USE =
       Map.ofEntries(
           entry("protocol"),
-          entry("standstill", "protocol"),
+          entry("pauses", "protocol"),
           entry("faultattribution", "protocol"),
           entry("hearing", "protocol"),
           entry("polls", "protocol"),
@@ -31,7 +31,7 @@
           entry("lanes", "protocol"),
           entry("readiness", "protocol"),
           entry("failuredetector", "protocol"),
-          entry("transport", "protocol", "standstill"),
+          entry("transport", "protocol", "pauses"),
           entry("shares", "protocol"),
           entry("levels", "protocol"),
           entry(
@@ -77,7 +77,7 @@
               "bookkeeping"),
           entry(
               "app",
-              "standstill",
+              "pauses",
               "failuredetector",
               "shares",
               "levels",
@@ -137,7 +137,7 @@
   void theCoreIsPure() throws IOException {
     for (String core :
         List.of(
-            "standstill",
+            "pauses",
             "faultattribution",
             "hearing",
             "polls",
--- a/src/test/java/io/saltflow/standstill/WakefulnessTest.java
+++ b/src/test/java/io/saltflow/pauses/WakefulnessTest.java
@@ -1,4 +1,4 @@
-package io.saltflow.standstill;
+package io.saltflow.pauses;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
--- a/src/test/java/io/saltflow/transport/StandstillTest.java
+++ b/src/test/java/io/saltflow/transport/StandstillTest.java
@@ -3,8 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.saltflow.pauses.Standstill;
 import io.saltflow.protocol.Span;
-import io.saltflow.standstill.Standstill;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
