--- a/src/main/java/io/saltflow/bookkeeping/PlanBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/PlanBooks.java
@@ -1,6 +1,7 @@
 package io.saltflow.bookkeeping;
 
 import io.saltflow.coordination.Decided;
+import io.saltflow.deadlines.Morning;
 import io.saltflow.lanes.Basis;
 import io.saltflow.packing.Kept;
 import io.saltflow.protocol.BadMessage;
@@ -10,7 +11,6 @@
 import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
-import io.saltflow.readiness.Morning;
 import io.saltflow.transport.Routine;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/io/saltflow/bookkeeping/ReadyBooks.java
+++ b/src/main/java/io/saltflow/bookkeeping/ReadyBooks.java
@@ -1,9 +1,9 @@
 package io.saltflow.bookkeeping;
 
+import io.saltflow.deadlines.Morning;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobId;
-import io.saltflow.readiness.Morning;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
--- a/src/main/java/io/saltflow/coordination/Decided.java
+++ b/src/main/java/io/saltflow/coordination/Decided.java
@@ -1,5 +1,6 @@
 package io.saltflow.coordination;
 
+import io.saltflow.deadlines.Morning;
 import io.saltflow.lanes.Basis;
 import io.saltflow.lanes.Moved;
 import io.saltflow.packing.Kept;
@@ -8,7 +9,6 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Term;
 import io.saltflow.protocol.Time;
-import io.saltflow.readiness.Morning;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/src/main/java/io/saltflow/coordination/Mornings.java
+++ b/src/main/java/io/saltflow/coordination/Mornings.java
@@ -1,14 +1,14 @@
 package io.saltflow.coordination;
 
+import io.saltflow.deadlines.Member;
+import io.saltflow.deadlines.Morning;
+import io.saltflow.deadlines.Pushing;
+import io.saltflow.deadlines.Rule;
+import io.saltflow.deadlines.Supply;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
-import io.saltflow.readiness.Member;
-import io.saltflow.readiness.Morning;
-import io.saltflow.readiness.Pushing;
-import io.saltflow.readiness.Rule;
-import io.saltflow.readiness.Supply;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
--- a/src/main/java/io/saltflow/coordination/Policy.java
+++ b/src/main/java/io/saltflow/coordination/Policy.java
@@ -1,8 +1,8 @@
 package io.saltflow.coordination;
 
+import io.saltflow.deadlines.Rule;
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Span;
-import io.saltflow.readiness.Rule;
 import io.saltflow.shares.Rules;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/io/saltflow/readiness/Clocks.java
+++ b/src/main/java/io/saltflow/deadlines/Clocks.java
@@ -1,4 +1,4 @@
-package io.saltflow.readiness;
+package io.saltflow.deadlines;
 
 import java.util.ArrayList;
 import java.util.Collection;
--- a/src/main/java/io/saltflow/readiness/Morning.java
+++ b/src/main/java/io/saltflow/deadlines/Morning.java
@@ -1,4 +1,4 @@
-package io.saltflow.readiness;
+package io.saltflow.deadlines;
 
 import io.saltflow.protocol.JobId;
 import java.time.Instant;
--- a/src/main/java/io/saltflow/readiness/Supply.java
+++ b/src/main/java/io/saltflow/deadlines/Supply.java
@@ -1,4 +1,4 @@
-package io.saltflow.readiness;
+package io.saltflow.deadlines;
 
 /**
  * What works for a queue.
--- a/src/test/java/io/saltflow/coordination/MorningsTest.java
+++ b/src/test/java/io/saltflow/coordination/MorningsTest.java
@@ -3,10 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.saltflow.deadlines.Morning;
+import io.saltflow.deadlines.Rule;
 import io.saltflow.protocol.JobSpec;
 import io.saltflow.protocol.Span;
-import io.saltflow.readiness.Morning;
-import io.saltflow.readiness.Rule;
 import java.time.DayOfWeek;
 import java.time.LocalTime;
 import java.time.ZoneId;
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -1,5 +1,6 @@
 package io.saltflow.coordination;
 
+import io.saltflow.deadlines.Morning;
 import io.saltflow.lanes.Basis;
 import io.saltflow.lanes.Lane;
 import io.saltflow.lanes.Place;
@@ -16,7 +17,6 @@
 import io.saltflow.protocol.TaskId;
 import io.saltflow.protocol.Term;
 import io.saltflow.protocol.Time;
-import io.saltflow.readiness.Morning;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashSet;
--- a/src/test/java/io/saltflow/readiness/ReadinessTest.java
+++ b/src/test/java/io/saltflow/deadlines/ReadinessTest.java
@@ -1,4 +1,4 @@
-package io.saltflow.readiness;
+package io.saltflow.deadlines;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
