--- a/src/main/java/io/saltflow/coordination/Fencing.java
+++ b/src/main/java/io/saltflow/coordination/Fencing.java
@@ -1,7 +1,5 @@
 package io.saltflow.coordination;
 
-import io.saltflow.hearing.Hearing;
-import io.saltflow.hearing.Next;
 import io.saltflow.protocol.Attempt;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MachineId;
@@ -11,6 +9,8 @@
 import io.saltflow.protocol.TaskId;
 import io.saltflow.protocol.Term;
 import io.saltflow.protocol.Time;
+import io.saltflow.reachability.Hearing;
+import io.saltflow.reachability.Next;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
--- a/src/main/java/io/saltflow/coordination/Machine.java
+++ b/src/main/java/io/saltflow/coordination/Machine.java
@@ -1,12 +1,12 @@
 package io.saltflow.coordination;
 
-import io.saltflow.hearing.Hearing;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.MachineId;
 import io.saltflow.protocol.MachineType;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.TaskId;
 import io.saltflow.protocol.Time;
+import io.saltflow.reachability.Hearing;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
--- a/src/main/java/io/saltflow/hearing/Hearing.java
+++ b/src/main/java/io/saltflow/reachability/Hearing.java
@@ -1,10 +1,10 @@
-package io.saltflow.hearing;
+package io.saltflow.reachability;
 
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 
 /**
- * Of one worker, whether the answers to its reports reach it. One answer may always be lost; what
+ * Detects whether the answers to one worker's reports reach it. One answer may always be lost; what
  * counts is several in a row without a sign of one that came. A sign is a token that was taken, an
  * order that was carried out, or the next report, by its number, at the same node in time: a worker
  * without an answer turns to the next node, and its reports there are counted too.
--- a/src/main/java/io/saltflow/hearing/Next.java
+++ b/src/main/java/io/saltflow/reachability/Next.java
@@ -1,4 +1,4 @@
-package io.saltflow.hearing;
+package io.saltflow.reachability;
 
 /**
  * What a worker's next report shows of the last answer to it.
--- a/src/test/java/io/saltflow/hearing/HearingTest.java
+++ b/src/test/java/io/saltflow/reachability/HearingTest.java
@@ -1,4 +1,4 @@
-package io.saltflow.hearing;
+package io.saltflow.reachability;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
