--- a/src/main/java/io/saltflow/services/Service.java
+++ b/src/main/java/io/saltflow/services/Service.java
@@ -143,4 +143,20 @@
   Service scaled(int count, Current next) {
     return new Service(name, team, priority, count, shape, versions, serving, next, history);
   }
+
+  /** With the roll-out's next state; one that is over becomes a sentence of the history. */
+  Service withRollout(Rollout next) {
+    Current moved = current.with(next);
+    return next.phase().over() ? ended(moved, sentence(moved)) : withCurrent(moved);
+  }
+
+  private String sentence(Current c) {
+    String to = "Version " + c.to() + " (" + version(c.to()).said() + ")";
+    return switch (c.rollout().phase()) {
+      case DONE -> to + " took over from version " + c.from() + ".";
+      case ROLLED_BACK ->
+          to + " was taken back, version " + c.from() + " serves: " + c.rollout().reason();
+      default -> to + " and version " + c.from() + " are both in part: " + c.rollout().reason();
+    };
+  }
 }
--- /dev/null
+++ b/src/main/java/io/saltflow/services/ServiceOperations.java
@@ -0,0 +1,235 @@
+package io.saltflow.services;
+
+import io.saltflow.bookkeeping.ServiceBooks;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.Budget;
+import io.saltflow.protocol.Wire;
+import io.saltflow.rollouts.Command;
+import io.saltflow.rollouts.Machine;
+import io.saltflow.rollouts.Plan;
+import io.saltflow.rollouts.Rollout;
+import io.saltflow.transport.Loop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/**
+ * The operators' requests: services are applied and scaled, roll-outs begun and commanded. Each is
+ * answered by an HTTP status and a body, 200 only once the change is recorded.
+ */
+final class ServiceOperations {
+  private static final int MOST_SERVICES = 500;
+  private static final double PLANS_PER_S = 2;
+
+  /** Records a service's next state; told is what became of it. */
+  interface Recorder {
+    void record(LiveService live, Service next, Consumer<ServiceBooks.Result> then);
+  }
+
+  private final Loop loop;
+  private final ServiceNode node;
+  private final Map<String, LiveService> services;
+  private final BooleanSupplier ready;
+  private final Recorder recorder;
+  private final Function<String, Body> show;
+
+  /** New plans are read and checked at a bounded rate: each costs a small machine something. */
+  private final Budget plans;
+
+  /**
+   * @param ready whether the services' records are known
+   * @param show a service by its name, as operators see it
+   */
+  ServiceOperations(
+      Loop loop,
+      ServiceNode node,
+      Map<String, LiveService> services,
+      BooleanSupplier ready,
+      Recorder recorder,
+      Function<String, Body> show) {
+    this.loop = loop;
+    this.node = node;
+    this.services = services;
+    this.ready = ready;
+    this.recorder = recorder;
+    this.show = show;
+    plans = new Budget(PLANS_PER_S, PLANS_PER_S, loop.now());
+  }
+
+  private boolean refused(BiConsumer<Integer, Body> answer, LiveService live) {
+    if (!ready.getAsBoolean() || (live != null && live.writing)) {
+      answer.accept(503, error("not now"));
+      return true;
+    }
+    return false;
+  }
+
+  private static Body error(String why) {
+    return Body.of().with(Wire.ERROR, why);
+  }
+
+  private void answer(ServiceBooks.Result result, String name, BiConsumer<Integer, Body> answer) {
+    switch (result) {
+      case RECORDED -> answer.accept(200, show.apply(name));
+      case NOT_NOW -> answer.accept(503, error("not recorded"));
+      case TOO_LARGE -> answer.accept(422, error("the record would be too large"));
+    }
+  }
+
+  /** Sets a service up, or changes how many replicas it has. */
+  void apply(Body request, BiConsumer<Integer, Body> answer) {
+    try {
+      String name = request.text("name");
+      LiveService there = services.get(name);
+      if (refused(answer, there)) {
+        return;
+      }
+      int replicas = ServiceRequest.replicas(request);
+      if (there != null) {
+        scale(there, request, replicas, answer);
+        return;
+      }
+      LiveService live =
+          new LiveService(ServiceRequest.service(request, node.wallMs().getAsLong()));
+      String never = node.neverRuns().apply(live.specOf(live.service().version(1)));
+      if (never != null || services.size() >= MOST_SERVICES) {
+        answer.accept(422, error(never == null ? "too many services" : never));
+        return;
+      }
+      services.put(name, live);
+      recorder.record(
+          live,
+          live.service(),
+          result -> {
+            if (result != ServiceBooks.Result.RECORDED) {
+              services.remove(name);
+            }
+            answer(result, name, answer);
+          });
+    } catch (BadMessage e) {
+      answer.accept(400, error(e.getMessage()));
+    }
+  }
+
+  private void scale(LiveService live, Body request, int replicas, BiConsumer<Integer, Body> answer)
+      throws BadMessage {
+    Service s = live.service();
+    String image = request.textOr(Wire.IMAGE, s.version(s.serving()).image());
+    if (!image.equals(s.version(s.serving()).image())) {
+      answer.accept(422, error(Wire.IMAGE + ": another version is brought by a roll-out"));
+      return;
+    }
+    if (replicas > live.specOf(s.version(s.serving())).tasks()) {
+      answer.accept(422, error("replicas: more than four times as many at once"));
+      return;
+    }
+    Service.Current current =
+        s.rolling()
+            ? s.current()
+                .with(new Machine(s.current().plan()).scaled(s.current().rollout(), replicas))
+            : s.current();
+    recorder.record(live, s.scaled(replicas, current), result -> answer(result, s.name(), answer));
+  }
+
+  /** Begins a roll-out to an image, which is a new version unless it is known. */
+  void begin(String name, Body request, BiConsumer<Integer, Body> answer) {
+    LiveService live = services.get(name);
+    if (refused(answer, live)) {
+      return;
+    }
+    if (live == null) {
+      answer.accept(404, error("no service '" + name + "'"));
+      return;
+    }
+    Service s = live.service();
+    try {
+      String image = request.text(Wire.IMAGE);
+      Map<String, String> parameters = ServiceCodec.parameters(request);
+      if (s.rolling()) {
+        boolean same = s.version(s.current().to()).runs(image, parameters);
+        // A repetition whose answer was lost finds its roll-out under way.
+        answer.accept(same ? 200 : 409, same ? show.apply(name) : error("a roll-out is under way"));
+        return;
+      }
+      if (!plans.take(1, loop.now())) {
+        answer.accept(503, error("many roll-outs are being started"));
+        return;
+      }
+      String planText = request.textOr("plan", "{}");
+      Plan plan = Plans.checked(planText, s.replicas());
+      List<String> faults = Plans.unfit(plan, s, node.teamLimits().apply(s.team()));
+      if (!faults.isEmpty()) {
+        answer.accept(422, error("plan: " + faults.get(0)));
+        return;
+      }
+      begin(live, image, parameters, ServiceRequest.by(request), planText, plan, answer);
+    } catch (BadMessage e) {
+      answer.accept(400, error(e.getMessage()));
+    }
+  }
+
+  private void begin(
+      LiveService live,
+      String image,
+      Map<String, String> parameters,
+      String by,
+      String planText,
+      Plan plan,
+      BiConsumer<Integer, Body> answer) {
+    Service s = live.service();
+    int port = s.shape().portBeside(s.version(s.serving()).port());
+    if (s.version(s.serving()).runs(image, parameters)) {
+      answer.accept(422, error(Wire.IMAGE + ": it serves already"));
+      return;
+    }
+    List<Service.Version> all = new ArrayList<>(s.versions());
+    Service.Version to = null;
+    for (Service.Version v : s.versions()) {
+      if (v.runs(image, parameters)) {
+        to = v.again(port);
+        all.set(all.indexOf(v), to);
+      }
+    }
+    long wall = node.wallMs().getAsLong();
+    if (to == null) {
+      int number = s.versions().stream().mapToInt(Service.Version::number).max().orElse(0) + 1;
+      to = new Service.Version(number, image, parameters, port, by, wall, 1);
+      all.add(to);
+    }
+    List<String> zones = plan.zoneByZone() ? node.zones().get() : List.of();
+    Service.Current current =
+        new Service.Current(
+            s.serving(),
+            to.number(),
+            wall,
+            planText,
+            plan,
+            Rollout.begin(s.replicas(), zones, wall));
+    recorder.record(live, s.beginning(all, current), result -> answer(result, s.name(), answer));
+  }
+
+  /** Tells a roll-out something. */
+  void command(String name, Command command, BiConsumer<Integer, Body> answer) {
+    LiveService live = services.get(name);
+    if (refused(answer, live)) {
+      return;
+    }
+    if (live == null || live.service().current() == null) {
+      answer.accept(404, error("no roll-out of '" + name + "'"));
+      return;
+    }
+    Service s = live.service();
+    Rollout r = s.current().rollout();
+    Rollout next = new Machine(s.current().plan()).told(r, command, node.wallMs().getAsLong());
+    if (next.equals(r)) {
+      answer.accept(200, show.apply(name));
+    } else {
+      recorder.record(live, s.withRollout(next), result -> answer(result, name, answer));
+    }
+  }
+}
