--- a/src/main/java/io/saltflow/amqp/AmqpChannel.java
+++ b/src/main/java/io/saltflow/amqp/AmqpChannel.java
@@ -32,7 +32,7 @@
 
   private final int id;
   private final Session session;
-  private final Desk desk;
+  private final BrokerSession broker;
   private final int mostBody;
   private final Set<String> tags = new HashSet<>();
   private final NavigableMap<Long, Object> unsettled = new TreeMap<>();
@@ -46,10 +46,10 @@
   private String lastQueue = "";
   private Incoming incoming;
 
-  AmqpChannel(int id, Session session, Desk desk, int mostBody) {
+  AmqpChannel(int id, Session session, BrokerSession broker, int mostBody) {
     this.id = id;
     this.session = session;
-    this.desk = desk;
+    this.broker = broker;
     this.mostBody = mostBody;
   }
 
@@ -61,7 +61,7 @@
   boolean take(Method m) throws AmqpError {
     if (m.kind() == Kind.CHANNEL_CLOSE) {
       if (!closing) {
-        desk.closed(id);
+        broker.closed(id);
       }
       send(Kind.CHANNEL_CLOSE_OK);
       return false;
@@ -148,7 +148,7 @@
       Code code = exclusive ? Code.RESOURCE_LOCKED : Code.PRECONDITION_FAILED;
       throw new AmqpError(code, "'" + queue + "' is shared and stays");
     }
-    Desk.Status status = desk.status(queue);
+    BrokerSession.Status status = broker.status(queue);
     lastQueue = queue;
     if (!noWait) {
       send(Kind.QUEUE_DECLARE_OK, queue, (long) status.messages(), (long) status.consumers());
@@ -158,7 +158,7 @@
   /** The queue's name, or the last one declared; it must be there. */
   private String named(String queue) throws AmqpError {
     String name = queue.isEmpty() ? lastQueue : queue;
-    if (desk.status(name) == null) {
+    if (broker.status(name) == null) {
       throw new AmqpError(Code.NOT_FOUND, "no queue '" + name + "'");
     }
     return name;
@@ -180,13 +180,13 @@
         if (m.number(0) != 0) {
           throw new AmqpError(Code.NOT_IMPLEMENTED, "prefetch is counted in messages");
         }
-        desk.prefetch(id, (int) m.number(1), m.flag(2));
+        broker.prefetch(id, (int) m.number(1), m.flag(2));
         send(Kind.BASIC_QOS_OK);
       }
       case BASIC_CONSUME -> consume(m);
       case BASIC_CANCEL -> {
         if (tags.remove(m.text(0))) {
-          desk.cancel(id, m.text(0));
+          broker.cancel(id, m.text(0));
         }
         if (!m.flag(1)) {
           send(Kind.BASIC_CANCEL_OK, m.text(0));
@@ -200,13 +200,13 @@
         }
         String queue = named(m.text(1));
         getting = true;
-        desk.get(id, queue, m.flag(2));
+        broker.get(id, queue, m.flag(2));
       }
-      case BASIC_ACK -> settle(m.number(0), m.flag(1), Desk.Settlement.ACK);
+      case BASIC_ACK -> settle(m.number(0), m.flag(1), BrokerSession.Settlement.ACK);
       case BASIC_NACK -> settle(m.number(0), m.flag(1), refusal(m.flag(2)));
       case BASIC_REJECT -> settle(m.number(0), false, refusal(m.flag(1)));
       case BASIC_RECOVER, BASIC_RECOVER_ASYNC -> {
-        settle(0, true, Desk.Settlement.REQUEUE);
+        settle(0, true, BrokerSession.Settlement.REQUEUE);
         if (m.kind() == Kind.BASIC_RECOVER) {
           send(Kind.BASIC_RECOVER_OK);
         }
@@ -215,8 +215,8 @@
     }
   }
 
-  private static Desk.Settlement refusal(boolean requeue) {
-    return requeue ? Desk.Settlement.REQUEUE : Desk.Settlement.REJECT;
+  private static BrokerSession.Settlement refusal(boolean requeue) {
+    return requeue ? BrokerSession.Settlement.REQUEUE : BrokerSession.Settlement.REJECT;
   }
 
   private void consume(Method m) throws AmqpError {
@@ -235,7 +235,7 @@
       throw new AmqpError(Code.RESOURCE_LOCKED, "too many consumers on one channel");
     }
     // Deliveries wait for a record, so none comes before this answer.
-    desk.consume(id, tag, queue, noAck);
+    broker.consume(id, tag, queue, noAck);
     tags.add(tag);
     if (!noWait) {
       send(Kind.BASIC_CONSUME_OK, tag);
@@ -303,8 +303,9 @@
     Incoming whole = incoming;
     incoming = null;
     long number = confirming ? confirms.next() : --lastPublish;
-    if (desk.status(whole.key) != null) {
-      desk.publish(id, number, whole.key, new Desk.Content(whole.properties, whole.body));
+    if (broker.status(whole.key) != null) {
+      broker.publish(
+          id, number, whole.key, new BrokerSession.Content(whole.properties, whole.body));
     } else if (whole.mandatory) {
       send(Kind.BASIC_RETURN, 312L, Code.NO_ROUTE.name(), whole.exchange, whole.key);
       session.sendContent(id, whole.properties.bytes(), whole.body);
@@ -337,7 +338,7 @@
     }
   }
 
-  private void settle(long tag, boolean multiple, Desk.Settlement how) throws AmqpError {
+  private void settle(long tag, boolean multiple, BrokerSession.Settlement how) throws AmqpError {
     List<Object> settled = new ArrayList<>();
     if (multiple) {
       NavigableMap<Long, Object> upTo = tag == 0 ? unsettled : unsettled.headMap(tag, true);
@@ -354,7 +355,7 @@
       }
       settled.add(one);
     }
-    settled.forEach(handle -> desk.settle(id, handle, how));
+    settled.forEach(handle -> broker.settle(id, handle, how));
   }
 
   /** False when the consumer is not there any more: nothing was sent. */
@@ -403,7 +404,7 @@
     }
     closing = true;
     incoming = null;
-    desk.closed(id);
+    broker.closed(id);
     send(
         Kind.CHANNEL_CLOSE,
         (long) why.code().number(),
--- a/src/main/java/io/saltflow/amqp/Desk.java
+++ b/src/main/java/io/saltflow/amqp/BrokerSession.java
@@ -1,10 +1,11 @@
 package io.saltflow.amqp;
 
 /**
- * What stands behind one connection: the queues, as its session asks for them. Answers that have to
- * wait for a record come back to the session later, by the numbers that are given here.
+ * The broker behind one connection: its queues, as the connection's session asks for them. Answers
+ * that have to wait for a record come back to the session later, by the numbers that are given
+ * here.
  */
-public interface Desk {
+public interface BrokerSession {
   /** A message as it was published. */
   record Content(Properties properties, byte[] body) {}
 
--- a/src/main/java/io/saltflow/amqp/Session.java
+++ b/src/main/java/io/saltflow/amqp/Session.java
@@ -9,7 +9,7 @@
 
 /**
  * One AMQP 0-9-1 connection as its server sees it: bytes and times in, bytes out, and calls to the
- * {@link Desk}. It knows no socket and no clock.
+ * {@link BrokerSession}. It knows no socket and no clock.
  */
 public final class Session {
   private static final Span HANDSHAKE_WITHIN = Span.seconds(10);
@@ -48,13 +48,13 @@
   }
 
   private final Limits limits;
-  private final Gate gate;
+  private final Authenticator authenticator;
   private final Out out;
   private final Time began;
   private final FrameReader reader;
   private final Map<Integer, AmqpChannel> channels = new HashMap<>();
   private State state = State.GREETING;
-  private Desk desk;
+  private BrokerSession broker;
   private String user = "";
   private boolean tellsCancel;
   private boolean tellsBlocked;
@@ -68,9 +68,9 @@
   private Time now;
   private Bytes pending = new Bytes();
 
-  public Session(Limits limits, Gate gate, Out out, Time now) {
+  public Session(Limits limits, Authenticator authenticator, Out out, Time now) {
     this.limits = limits;
-    this.gate = gate;
+    this.authenticator = authenticator;
     this.out = out;
     this.began = now;
     this.now = now;
@@ -197,7 +197,7 @@
       if (open != null) {
         throw new AmqpError(Code.CHANNEL_ERROR, "channel " + channel + " is open");
       }
-      channels.put(channel, new AmqpChannel(channel, this, desk, limits.mostBody));
+      channels.put(channel, new AmqpChannel(channel, this, broker, limits.mostBody));
       send(channel, Method.of(Kind.CHANNEL_OPEN_OK, ""));
       return;
     }
@@ -244,7 +244,7 @@
       case STARTING -> login(m);
       case TUNING -> tuned(m);
       default -> {
-        desk = gate.open(user, m.text(0), this);
+        broker = authenticator.open(user, m.text(0), this);
         state = State.OPEN;
         send(0, Method.of(Kind.CONNECTION_OPEN_OK, ""));
       }
@@ -256,7 +256,7 @@
       tellsCancel = Boolean.TRUE.equals(can.get("consumer_cancel_notify"));
       tellsBlocked = Boolean.TRUE.equals(can.get("connection.blocked"));
     }
-    user = gate.login(m.text(1), m.text(2));
+    user = authenticator.login(m.text(1), m.text(2));
     state = State.TUNING;
     send(
         0,
@@ -309,9 +309,9 @@
   public void gone() {
     state = State.CLOSED;
     channels.clear();
-    if (desk != null) {
-      Desk d = desk;
-      desk = null;
+    if (broker != null) {
+      BrokerSession d = broker;
+      broker = null;
       d.gone();
     }
   }
--- a/src/main/java/io/saltflow/serving/AmqpFront.java
+++ b/src/main/java/io/saltflow/serving/AmqpFront.java
@@ -1,9 +1,9 @@
 package io.saltflow.serving;
 
 import io.saltflow.amqp.AmqpError;
+import io.saltflow.amqp.Authenticator;
+import io.saltflow.amqp.BrokerSession;
 import io.saltflow.amqp.Code;
-import io.saltflow.amqp.Desk;
-import io.saltflow.amqp.Gate;
 import io.saltflow.amqp.Session;
 import io.saltflow.coordination.Leader;
 import io.saltflow.protocol.Span;
@@ -44,7 +44,7 @@
   private final AmqpSettings settings;
   private final QueueNode node;
   private final Supplier<String> leaderName;
-  private final Doorkeeper doorkeeper;
+  private final PasswordAuthenticator authenticator;
   private final StreamServer server;
   private final Map<Long, Connection> serving = new LinkedHashMap<>();
   private final Set<Connection> connections = new LinkedHashSet<>();
@@ -67,7 +67,7 @@
     this.settings = settings;
     this.node = node;
     this.leaderName = leaderName;
-    doorkeeper = new Doorkeeper(settings, loop.now());
+    authenticator = new PasswordAuthenticator(settings, loop.now());
     server =
         new StreamServer(
             this, loop, settings.listen(), mostConnections, MOST_WAITING, Connection::new);
@@ -184,7 +184,7 @@
   private Connection answered(Ticket ticket) {
     Connection c = find(ticket.session());
     if (c != null) {
-      c.desk.answered(ticket);
+      c.broker.answered(ticket);
     }
     return c;
   }
@@ -221,10 +221,10 @@
   }
 
   /** One client's socket and session. */
-  private final class Connection implements StreamServer.Peer, Session.Out, Gate {
+  private final class Connection implements StreamServer.Peer, Session.Out, Authenticator {
     private final StreamServer.Stream stream;
     private final Session session;
-    private AmqpDesk desk;
+    private QueueBrokerSession broker;
     private boolean paused;
 
     Connection(StreamServer.Stream stream) {
@@ -256,9 +256,9 @@
 
     void flush() {
       session.flush();
-      if (!paused && desk != null && stream.waitingBytes() > PAUSE_AT) {
+      if (!paused && broker != null && stream.waitingBytes() > PAUSE_AT) {
         paused = true;
-        desk.paused(true);
+        broker.paused(true);
       }
     }
 
@@ -266,7 +266,7 @@
     public void onDrained() {
       if (paused) {
         paused = false;
-        desk.paused(false);
+        broker.paused(false);
       }
     }
 
@@ -281,13 +281,13 @@
 
     @Override
     public String login(String mechanism, String response) throws AmqpError {
-      return doorkeeper.login(mechanism, response, loop.now());
+      return authenticator.login(mechanism, response, loop.now());
     }
 
     @Override
-    public Desk open(String user, String vhost, Session opened) throws AmqpError {
+    public BrokerSession open(String user, String vhost, Session opened) throws AmqpError {
       InetAddress from = stream.remote();
-      doorkeeper.enter(user, vhost, from);
+      authenticator.enter(user, vhost, from);
       if (duty == null || duty.core() == null) {
         if (duty != null && duty.broken()) {
           throw new AmqpError(Code.INTERNAL_ERROR, "the queues' record can't be read");
@@ -296,8 +296,8 @@
       }
       QueueDuty serves = duty;
       long id = ++lastSession;
-      desk =
-          new AmqpDesk(
+      broker =
+          new QueueBrokerSession(
               id,
               vhost,
               serves.core(),
@@ -307,7 +307,7 @@
               node.wallMs(),
               serves::pump);
       serving.put(id, this);
-      return desk;
+      return broker;
     }
   }
 }
--- a/src/main/java/io/saltflow/serving/Doorkeeper.java
+++ b/src/main/java/io/saltflow/serving/PasswordAuthenticator.java
@@ -19,8 +19,11 @@
 import java.util.List;
 import java.util.Map;
 
-/** Who may come in, from where: SASL PLAIN (RFC 4616) against salted hashes, and networks. */
-final class Doorkeeper {
+/**
+ * Authenticates users by SASL PLAIN (RFC 4616) against salted hashes, and admits them to virtual
+ * hosts by network.
+ */
+final class PasswordAuthenticator {
   private static final String WRONG = "login was refused";
   private static final int MOST_REMEMBERED = 256;
 
@@ -43,7 +46,7 @@
         }
       };
 
-  Doorkeeper(AmqpSettings settings, Time now) {
+  PasswordAuthenticator(AmqpSettings settings, Time now) {
     settings.users().forEach(u -> users.put(u.name(), u));
     for (AmqpSettings.VirtualHost h : settings.hosts()) {
       List<IPAddress> list = new ArrayList<>();
--- a/src/main/java/io/saltflow/serving/AmqpDesk.java
+++ b/src/main/java/io/saltflow/serving/QueueBrokerSession.java
@@ -1,8 +1,8 @@
 package io.saltflow.serving;
 
 import io.saltflow.amqp.AmqpError;
+import io.saltflow.amqp.BrokerSession;
 import io.saltflow.amqp.Code;
-import io.saltflow.amqp.Desk;
 import io.saltflow.amqp.Properties;
 import io.saltflow.amqp.Session;
 import io.saltflow.protocol.Time;
@@ -16,8 +16,8 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
-/** One connection's questions, put to the queues of its virtual host. */
-final class AmqpDesk implements Desk {
+/** One connection's session with the queues of its virtual host. */
+final class QueueBrokerSession implements BrokerSession {
   private static final int UNLIMITED = Integer.MAX_VALUE;
 
   private final long id;
@@ -32,7 +32,7 @@
   private final Map<Ticket, Integer> unconfirmed = new HashMap<>();
   private int unconfirmedBytes;
 
-  AmqpDesk(
+  QueueBrokerSession(
       long id,
       String host,
       QueueCore core,
--- a/src/test/java/io/saltflow/amqp/Peer.java
+++ b/src/test/java/io/saltflow/amqp/Peer.java
@@ -10,7 +10,7 @@
 import java.util.TreeMap;
 
 /** A client and the queues behind a session, in memory; both tell what they see, a line each. */
-final class Peer implements Session.Out, Gate, Desk {
+final class Peer implements Session.Out, Authenticator, BrokerSession {
   static final Session.Limits LIMITS = new Session.Limits(10, 8192, Span.seconds(20), 10_000);
   private static final byte[] NO_PROPERTIES = {0, 0};
 
@@ -143,7 +143,7 @@
   }
 
   @Override
-  public Desk open(String user, String vhost, Session opened) {
+  public BrokerSession open(String user, String vhost, Session opened) {
     return this;
   }
 
--- a/src/test/java/io/saltflow/serving/DoorkeeperTest.java
+++ b/src/test/java/io/saltflow/serving/PasswordAuthenticatorTest.java
@@ -18,10 +18,10 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Passwords and networks. */
-class DoorkeeperTest {
+class PasswordAuthenticatorTest {
   private static final Time NOW = new Time(0);
-  private final Doorkeeper door =
-      new Doorkeeper(
+  private final PasswordAuthenticator door =
+      new PasswordAuthenticator(
           new AmqpSettings(
               null,
               Map.of(),
