One word, one meaning: RolloutStateMachine, ProbeTarget, RequestTarget

Change: rollouts.Machine is RolloutStateMachine, probes.Target ProbeTarget, transport.Target RequestTarget; coordination.Machine, a rented machine, keeps its name.

--- a/src/main/java/io/saltflow/probes/Ask.java
+++ b/src/main/java/io/saltflow/probes/Ask.java
@@ -8,9 +8,9 @@
  *
  * @param prober which controller makes them; empty: the leader itself
  */
-public record Ask(long batch, String prober, List<Target> targets) {
+public record Ask(long batch, String prober, List<ProbeTarget> targets) {
   /** Where, in order. */
   public List<ProbeFrame.Place> places() {
-    return targets.stream().map(Target::place).toList();
+    return targets.stream().map(ProbeTarget::place).toList();
   }
 }
--- a/src/main/java/io/saltflow/probes/Probing.java
+++ b/src/main/java/io/saltflow/probes/Probing.java
@@ -51,18 +51,18 @@
   private record Batch(Ask ask, boolean second, Time until) {}
 
   /** To be asked again, by another than this one. */
-  private record Second(Target target, String first) {}
+  private record Second(ProbeTarget target, String first) {}
 
   /** A service's replicas in turn. */
   private static final class Rota {
-    private final Map<Target, Time> asked = new HashMap<>();
-    private final ArrayDeque<Target> order = new ArrayDeque<>();
+    private final Map<ProbeTarget, Time> asked = new HashMap<>();
+    private final ArrayDeque<ProbeTarget> order = new ArrayDeque<>();
 
-    void set(Collection<Target> targets) {
-      Set<Target> now = new HashSet<>(targets);
+    void set(Collection<ProbeTarget> targets) {
+      Set<ProbeTarget> now = new HashSet<>(targets);
       asked.keySet().retainAll(now);
       order.removeIf(t -> !now.contains(t));
-      for (Target t : targets) {
+      for (ProbeTarget t : targets) {
         if (asked.putIfAbsent(t, Time.LONG_AGO) == null) {
           order.addFirst(t);
         }
@@ -70,8 +70,8 @@
     }
 
     /** The next that is due, or null. */
-    Target due(Span every, Time now) {
-      Target next = order.peek();
+    ProbeTarget due(Span every, Time now) {
+      ProbeTarget next = order.peek();
       if (next == null || now.since(asked.get(next)).compareTo(every) < 0) {
         return null;
       }
@@ -88,7 +88,7 @@
   }
 
   /** The service's replicas that can be asked now; none: it is not probed. */
-  public void targets(String service, Collection<Target> targets) {
+  public void targets(String service, Collection<ProbeTarget> targets) {
     if (targets.isEmpty()) {
       services.remove(service);
     } else {
@@ -105,13 +105,13 @@
     expire(now);
     List<String> probers = new ArrayList<>(siblings);
     probers.add("");
-    Map<String, List<Target>> again = seconds(probers, now);
-    Map<String, List<Target>> fresh = new LinkedHashMap<>();
+    Map<String, List<ProbeTarget>> again = seconds(probers, now);
+    Map<String, List<ProbeTarget>> fresh = new LinkedHashMap<>();
     List<Rota> rotas = new ArrayList<>(services.values());
     int idle = 0;
     int most = ProbeFrame.MOST * probers.size();
     for (int taken = 0; idle < rotas.size() && taken < most && budget.has(1, now); turn++) {
-      Target target = rotas.get(Math.floorMod(turn, rotas.size())).due(limits.every, now);
+      ProbeTarget target = rotas.get(Math.floorMod(turn, rotas.size())).due(limits.every, now);
       idle = target == null ? idle + 1 : 0;
       if (target != null) {
         budget.take(1, now);
@@ -125,12 +125,12 @@
     return out;
   }
 
-  private Map<String, List<Target>> seconds(List<String> probers, Time now) {
-    Map<String, List<Target>> out = new LinkedHashMap<>();
+  private Map<String, List<ProbeTarget>> seconds(List<String> probers, Time now) {
+    Map<String, List<ProbeTarget>> out = new LinkedHashMap<>();
     for (int n = seconds.size(); n > 0 && budget.take(1, now); n--) {
       Second s = seconds.poll();
       for (String prober : probers) {
-        List<Target> mine = out.computeIfAbsent(prober, p -> new ArrayList<>());
+        List<ProbeTarget> mine = out.computeIfAbsent(prober, p -> new ArrayList<>());
         if (!prober.equals(s.first) && mine.size() < ProbeFrame.MOST) {
           mine.add(s.target);
           break;
@@ -140,7 +140,8 @@
     return out;
   }
 
-  private void send(String prober, List<Target> targets, boolean second, Time now, List<Ask> out) {
+  private void send(
+      String prober, List<ProbeTarget> targets, boolean second, Time now, List<Ask> out) {
     if (!targets.isEmpty() && batches.size() < MOST_BATCHES) {
       Ask ask = new Ask(++lastBatch, prober, List.copyOf(targets));
       batches.put(ask.batch(), new Batch(ask, second, now.plus(limits.timeout).plus(PROBER)));
@@ -172,7 +173,7 @@
     }
     batches.remove(batch);
     for (int i = 0; i < times.size(); i++) {
-      Target target = b.ask.targets().get(i);
+      ProbeTarget target = b.ask.targets().get(i);
       Rota rota = services.get(target.service());
       long ms = times.get(i);
       if (ms == ProbeFrame.NOT_MADE) {
--- a/src/main/java/io/saltflow/rollouts/Machine.java
+++ b/src/main/java/io/saltflow/rollouts/RolloutStateMachine.java
@@ -10,10 +10,10 @@
  * <p>Two bounds hold whatever happens: never more than {@code replicas + surge} are wanted, and no
  * move of its own takes what is ready under {@code replicas - mostUnavailable}.
  */
-public final class Machine {
+public final class RolloutStateMachine {
   private final Plan plan;
 
-  public Machine(Plan plan) {
+  public RolloutStateMachine(Plan plan) {
     this.plan = plan;
   }
 
--- a/src/main/java/io/saltflow/services/LiveService.java
+++ b/src/main/java/io/saltflow/services/LiveService.java
@@ -6,16 +6,16 @@
 import io.saltflow.gates.Sightings;
 import io.saltflow.gates.Truth;
 import io.saltflow.gates.Watch;
-import io.saltflow.probes.Target;
+import io.saltflow.probes.ProbeTarget;
 import io.saltflow.protocol.JobId;
 import io.saltflow.protocol.JobSpec;
 import io.saltflow.protocol.ProbeFrame;
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import io.saltflow.protocol.Wire;
-import io.saltflow.rollouts.Machine;
 import io.saltflow.rollouts.Plan;
 import io.saltflow.rollouts.Rollout;
+import io.saltflow.rollouts.RolloutStateMachine;
 import io.saltflow.rollouts.Seen;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -146,7 +146,7 @@
   }
 
   /** The replicas of the new version that can be probed, by the paths that the plan asks for. */
-  List<Target> targets(Leader leader) {
+  List<ProbeTarget> targets(Leader leader) {
     if (!service.rolling()) {
       return List.of();
     }
@@ -156,7 +156,7 @@
     if (job == null || v.port() == 0 || paths.isEmpty()) {
       return List.of();
     }
-    List<Target> out = new ArrayList<>();
+    List<ProbeTarget> out = new ArrayList<>();
     for (Job.At at : job.running()) {
       int colon = at.address().lastIndexOf(':');
       if (colon > 0) {
@@ -164,7 +164,8 @@
         for (String path : paths) {
           String get = path.equals(Plan.CONNECT) ? "" : path;
           out.add(
-              new Target(service.name(), new ProbeFrame.Place(host, v.port() + at.index(), get)));
+              new ProbeTarget(
+                  service.name(), new ProbeFrame.Place(host, v.port() + at.index(), get)));
         }
       }
     }
@@ -211,7 +212,7 @@
             stop == null ? null : stop.look(sightings, now),
             oldGone(leader, c, old),
             wallMs);
-    return new Machine(c.plan()).next(c.rollout(), seen);
+    return new RolloutStateMachine(c.plan()).next(c.rollout(), seen);
   }
 
   /** Each step is judged by itself: what lasted during one does not pass the next. */
--- a/src/main/java/io/saltflow/services/ProbeDuty.java
+++ b/src/main/java/io/saltflow/services/ProbeDuty.java
@@ -2,8 +2,8 @@
 
 import io.saltflow.probes.Ask;
 import io.saltflow.probes.Finding;
+import io.saltflow.probes.ProbeTarget;
 import io.saltflow.probes.Probing;
-import io.saltflow.probes.Target;
 import io.saltflow.protocol.ProbeFrame;
 import io.saltflow.protocol.Span;
 import io.saltflow.transport.Loop;
@@ -38,7 +38,7 @@
   }
 
   /** Whom to ask for a service; nobody: it is not probed. */
-  void targets(String service, Collection<Target> targets) {
+  void targets(String service, Collection<ProbeTarget> targets) {
     probing.targets(service, targets);
   }
 
--- a/src/main/java/io/saltflow/services/ServiceOperations.java
+++ b/src/main/java/io/saltflow/services/ServiceOperations.java
@@ -6,9 +6,9 @@
 import io.saltflow.protocol.Budget;
 import io.saltflow.protocol.Wire;
 import io.saltflow.rollouts.Command;
-import io.saltflow.rollouts.Machine;
 import io.saltflow.rollouts.Plan;
 import io.saltflow.rollouts.Rollout;
+import io.saltflow.rollouts.RolloutStateMachine;
 import io.saltflow.transport.Loop;
 import java.util.ArrayList;
 import java.util.List;
@@ -131,7 +131,9 @@
     Service.Current current =
         s.rolling()
             ? s.current()
-                .with(new Machine(s.current().plan()).scaled(s.current().rollout(), replicas))
+                .with(
+                    new RolloutStateMachine(s.current().plan())
+                        .scaled(s.current().rollout(), replicas))
             : s.current();
     recorder.record(live, s.scaled(replicas, current), result -> answer(result, s.name(), answer));
   }
@@ -225,7 +227,8 @@
     }
     Service s = live.service();
     Rollout r = s.current().rollout();
-    Rollout next = new Machine(s.current().plan()).told(r, command, node.wallMs().getAsLong());
+    Rollout next =
+        new RolloutStateMachine(s.current().plan()).told(r, command, node.wallMs().getAsLong());
     if (next.equals(r)) {
       answer.accept(200, show.apply(name));
     } else {
--- a/src/main/java/io/saltflow/standin/CloudFront.java
+++ b/src/main/java/io/saltflow/standin/CloudFront.java
@@ -10,8 +10,8 @@
 import io.saltflow.protocol.Wire;
 import io.saltflow.transport.HttpReply;
 import io.saltflow.transport.Loop;
+import io.saltflow.transport.RequestTarget;
 import io.saltflow.transport.Routine;
-import io.saltflow.transport.Target;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -47,7 +47,7 @@
       return;
     }
     try {
-      answer.accept(reply(method, Target.of(target), body, now));
+      answer.accept(reply(method, RequestTarget.of(target), body, now));
     } catch (BadMessage | NumberFormatException e) {
       answer.accept(malformed(e.getMessage()));
     }
@@ -61,7 +61,7 @@
     return HttpReply.of(400, MsgPack.encode(Body.of().with(Wire.ERROR, why)));
   }
 
-  private HttpReply reply(String method, Target t, byte[] body, Time now) throws BadMessage {
+  private HttpReply reply(String method, RequestTarget t, byte[] body, Time now) throws BadMessage {
     if (t.is(method, "GET", Wire.PATH_TYPES)) {
       return ok(CloudCodec.encodeTypes(store.types()));
     }
--- a/src/main/java/io/saltflow/statestore/StateFront.java
+++ b/src/main/java/io/saltflow/statestore/StateFront.java
@@ -11,8 +11,8 @@
 import io.saltflow.protocol.Wire;
 import io.saltflow.transport.HttpReply;
 import io.saltflow.transport.Loop;
+import io.saltflow.transport.RequestTarget;
 import io.saltflow.transport.Routine;
-import io.saltflow.transport.Target;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -63,7 +63,7 @@
   public void handle(String method, String target, byte[] body, Consumer<HttpReply> answer) {
     Consumer<Reply> told = r -> answer.accept(http(r));
     try {
-      ask(method, Target.of(target), body, answer, told);
+      ask(method, RequestTarget.of(target), body, answer, told);
     } catch (BadMessage | NumberFormatException e) {
       told.accept(Reply.malformed(e.getMessage()));
     }
@@ -81,7 +81,7 @@
   }
 
   private void ask(
-      String method, Target t, byte[] body, Consumer<HttpReply> answer, Consumer<Reply> told)
+      String method, RequestTarget t, byte[] body, Consumer<HttpReply> answer, Consumer<Reply> told)
       throws BadMessage {
     Time now = loop.now();
     core.expire(now);
@@ -120,7 +120,7 @@
     }
   }
 
-  private void watch(Target t, Time now, Consumer<HttpReply> answer, Consumer<Reply> told) {
+  private void watch(RequestTarget t, Time now, Consumer<HttpReply> answer, Consumer<Reply> told) {
     long after = Long.parseLong(t.query(Wire.AFTER, "0"));
     long hold = Long.parseLong(t.query(Wire.HOLD_MS, "0"));
     if (hold < 0 || hold > MOST_HOLD_MS) {
--- a/src/main/java/io/saltflow/transport/Target.java
+++ b/src/main/java/io/saltflow/transport/RequestTarget.java
@@ -4,9 +4,9 @@
 import java.util.Map;
 
 /** A request's path and what it asks for after the question mark. */
-public record Target(String path, Map<String, String> queries) {
+public record RequestTarget(String path, Map<String, String> queries) {
   /** Reads it; what has no value is left out. */
-  public static Target of(String target) {
+  public static RequestTarget of(String target) {
     int mark = target.indexOf('?');
     Map<String, String> queries = new HashMap<>();
     if (mark >= 0) {
@@ -17,7 +17,7 @@
         }
       }
     }
-    return new Target(mark < 0 ? target : target.substring(0, mark), queries);
+    return new RequestTarget(mark < 0 ? target : target.substring(0, mark), queries);
   }
 
   /** Whether it is that request. */
--- a/src/test/java/io/saltflow/probes/ProbingTest.java
+++ b/src/test/java/io/saltflow/probes/ProbingTest.java
@@ -26,10 +26,10 @@
     return new Time(nowMs);
   }
 
-  private static List<Target> replicas(String service, int count) {
-    List<Target> out = new ArrayList<>();
+  private static List<ProbeTarget> replicas(String service, int count) {
+    List<ProbeTarget> out = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      out.add(new Target(service, new ProbeFrame.Place("10.0.0.1", 9000 + i, "/")));
+      out.add(new ProbeTarget(service, new ProbeFrame.Place("10.0.0.1", 9000 + i, "/")));
     }
     return out;
   }
@@ -44,7 +44,7 @@
     for (int s = 0; s < 50; s++) {
       probing.targets("s" + s, replicas("s" + s, 40));
     }
-    Map<Target, Integer> asked = new HashMap<>();
+    Map<ProbeTarget, Integer> asked = new HashMap<>();
     for (int quarter = 0; quarter < 4 * 600; quarter++) {
       for (Ask ask : probing.due(List.of("b", "c"), now())) {
         ask.targets().forEach(t -> asked.merge(t, 1, Integer::sum));
--- a/src/test/java/io/saltflow/rollouts/ExplorationTest.java
+++ b/src/test/java/io/saltflow/rollouts/ExplorationTest.java
@@ -68,7 +68,7 @@
   private final Map<State, List<State>> edges = new HashMap<>();
   private final List<String> faults = new ArrayList<>();
   private Plan plan;
-  private Machine machine;
+  private RolloutStateMachine machine;
   private boolean zoneByZone;
 
   /** What a planted mistake makes of a decision. */
@@ -78,7 +78,7 @@
     edges.clear();
     faults.clear();
     plan = plan(surge, mostUnavailable);
-    machine = new Machine(plan);
+    machine = new RolloutStateMachine(plan);
     State first =
         new State(
             Rollout.begin(REPLICAS, zoneByZone ? List.of("a", "b") : List.of(), 0),
--- a/src/test/java/io/saltflow/rollouts/Night.java
+++ b/src/test/java/io/saltflow/rollouts/Night.java
@@ -138,7 +138,7 @@
 
   void run(Way way) throws GateError {
     Plan plan = plan();
-    Machine machine = new Machine(plan);
+    RolloutStateMachine machine = new RolloutStateMachine(plan);
     Watch gate = new Watch(plan.gate(), Span.seconds(60));
     Watch stop = new Watch(plan.stop(), Span.seconds(3600));
     int stepOf = 0;
--- a/src/test/java/io/saltflow/rollouts/MachineTest.java
+++ b/src/test/java/io/saltflow/rollouts/RolloutStateMachineTest.java
@@ -16,13 +16,13 @@
 import org.junit.jupiter.api.Test;
 
 /** Roll-outs move by move, for people to read. */
-class MachineTest {
+class RolloutStateMachineTest {
   private static final Watch.Verdict PASS = new Watch.Verdict(Truth.TRUE, List.of());
   private static final Watch.Verdict FAIL =
       new Watch.Verdict(Truth.FALSE, List.of("ready >= 95%: false for 9s, it is 50%"));
 
   private final List<String> lines = new ArrayList<>();
-  private Machine machine = new Machine(plan());
+  private RolloutStateMachine machine = new RolloutStateMachine(plan());
   private Rollout rollout = Rollout.begin(4, 0);
   private long wallMs;
   private boolean timed;
@@ -147,7 +147,7 @@
 
   private void rate() {
     timed = true;
-    machine = new Machine(with(new Plan.Pace(2, 6), false));
+    machine = new RolloutStateMachine(with(new Plan.Pace(2, 6), false));
     rollout = Rollout.begin(6, wallMs);
     for (int s = 0; s < 60; s++) {
       if (s == 20) {
@@ -158,7 +158,7 @@
   }
 
   private void zones() {
-    machine = new Machine(with(Plan.Pace.atOnce(5), true));
+    machine = new RolloutStateMachine(with(Plan.Pace.atOnce(5), true));
     rollout = Rollout.begin(5, List.of("a", "b"), wallMs);
     for (int s = 0; s < 20; s++) {
       // Nothing of what was started is ready before the sixth second.
--- a/src/test/java/io/saltflow/rollouts/WindowsTest.java
+++ b/src/test/java/io/saltflow/rollouts/WindowsTest.java
@@ -86,7 +86,7 @@
             Gate.parse("ready >= 95%"),
             null,
             w);
-    Machine machine = new Machine(plan);
+    RolloutStateMachine machine = new RolloutStateMachine(plan);
     long before = Instant.parse("2026-12-01T19:00:00Z").toEpochMilli();
     long inside = Instant.parse("2026-12-01T20:59:59Z").toEpochMilli();
     long after = Instant.parse("2026-12-01T21:00:01Z").toEpochMilli();
