--- a/src/test/java/io/saltflow/rollouts/RolloutStateMachineTest.java
+++ b/src/test/java/io/saltflow/rollouts/RolloutStateMachineTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.saltflow.coordination.Traces;
-import io.saltflow.gates.Gate;
 import io.saltflow.gates.GateError;
 import io.saltflow.gates.Truth;
 import io.saltflow.gates.Watch;
@@ -29,25 +28,12 @@
   private String oldGone;
 
   private static Plan plan() {
-    try {
-      return new Plan(
-          List.of(
-              new Plan.Step(1, false, true),
-              new Plan.Step(50, true, false),
-              new Plan.Step(100, true, false)),
-          1,
-          0,
-          Plan.Pace.atOnce(2),
-          false,
-          Span.seconds(5),
-          Span.seconds(60),
-          Span.seconds(60),
-          Gate.parse("ready >= 95%"),
-          null,
-          Windows.ALWAYS);
-    } catch (GateError e) {
-      throw new IllegalStateException(e);
-    }
+    return SamplePlans.of(
+        List.of(
+            new Plan.Step(1, false, true),
+            new Plan.Step(50, true, false),
+            new Plan.Step(100, true, false)),
+        Windows.ALWAYS);
   }
 
   private boolean step(int readyOld, int readyNew, Watch.Verdict gate) {
--- a/src/test/java/io/saltflow/rollouts/WindowsTest.java
+++ b/src/test/java/io/saltflow/rollouts/WindowsTest.java
@@ -4,11 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.saltflow.gates.Gate;
-import io.saltflow.gates.GateError;
 import io.saltflow.gates.Truth;
 import io.saltflow.gates.Watch;
-import io.saltflow.protocol.Span;
 import io.saltflow.rollouts.Rollout.Phase;
 import java.time.DayOfWeek;
 import java.time.Instant;
@@ -71,21 +68,10 @@
 
   /** A step waits for its window, ends outside of it, and a clock that steps changes nothing. */
   @Test
-  void stepsBeginInWindowsOnlyAndAreNotBrokenOff() throws GateError {
+  void stepsBeginInWindowsOnlyAndAreNotBrokenOff() {
     Windows w = windows("UTC", "20:00", "21:00", EnumSet.allOf(DayOfWeek.class));
     Plan plan =
-        new Plan(
-            List.of(new Plan.Step(1, false, false), new Plan.Step(2, false, false)),
-            1,
-            0,
-            Plan.Pace.atOnce(2),
-            false,
-            Span.seconds(5),
-            Span.seconds(60),
-            Span.seconds(60),
-            Gate.parse("ready >= 95%"),
-            null,
-            w);
+        SamplePlans.of(List.of(new Plan.Step(1, false, false), new Plan.Step(2, false, false)), w);
     RolloutStateMachine machine = new RolloutStateMachine(plan);
     long before = Instant.parse("2026-12-01T19:00:00Z").toEpochMilli();
     long inside = Instant.parse("2026-12-01T20:59:59Z").toEpochMilli();
--- a/src/test/java/io/saltflow/transport/CrowdedTest.java
+++ b/src/test/java/io/saltflow/transport/CrowdedTest.java
@@ -37,6 +37,11 @@
     }
   }
 
+  /** A server on a free port with room for ten connections. */
+  private HttpServer server(Loop loop, HttpServer.Handler handler) throws IOException {
+    return new HttpServer(root, loop, Addresses.parse("127.0.0.1:0"), 10, handler);
+  }
+
   private void runUntil(Loop loop, BooleanSupplier reached) throws IOException {
     for (int i = 0; i < 500 && !reached.getAsBoolean(); i++) {
       loop.after(Span.millis(5), root, loop::pause);
@@ -73,12 +78,7 @@
   void answersCloseTheirConnectionsWhenThereAreMany() throws IOException {
     Loop loop = new Loop();
     HttpServer server =
-        new HttpServer(
-            root,
-            loop,
-            Addresses.parse("127.0.0.1:0"),
-            10,
-            (method, target, body, answer) -> answer.accept(HttpReply.empty(200)));
+        server(loop, (method, target, body, answer) -> answer.accept(HttpReply.empty(200)));
     int kept = 0;
     for (int i = 0; i < 40; i++) {
       String head = ask(loop, server);
@@ -97,13 +97,7 @@
   void requestsWaitForAnOpenConnectionWhenNoOtherCanBeHad() throws IOException {
     Loop loop = new Loop();
     List<Consumer<HttpReply>> held = new ArrayList<>();
-    HttpServer server =
-        new HttpServer(
-            root,
-            loop,
-            Addresses.parse("127.0.0.1:0"),
-            10,
-            (method, target, body, answer) -> held.add(answer));
+    HttpServer server = server(loop, (method, target, body, answer) -> held.add(answer));
     List<Integer> statuses = new ArrayList<>();
     HttpClient client =
         new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + server.port()), 4, 16);
