--- a/src/main/java/io/saltflow/bookkeeping/Admissions.java
+++ b/src/main/java/io/saltflow/bookkeeping/Admissions.java
@@ -182,7 +182,7 @@
         absent(txn, w.id);
       }
     }
-    String key = Bundles.key(name + "-" + (++sequence));
+    String key = Bundles.key(name + "-" + ++sequence);
     txn.guard(key, Stamp.ABSENT).put(key, Bundles.encode(records));
     new Attempt(some, txn, key).send();
   }
--- a/src/test/java/io/saltflow/amqp/Peer.java
+++ b/src/test/java/io/saltflow/amqp/Peer.java
@@ -3,13 +3,14 @@
 import io.saltflow.protocol.Span;
 import io.saltflow.protocol.Time;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
 /** A client and the queues behind a session, in memory; both tell what they see, a line each. */
-final class Peer implements Session.Out, Gate, Desk {
+final class Peer implements Session.Out, Authenticator, BrokerSession {
   static final Session.Limits LIMITS = new Session.Limits(10, 8192, Span.seconds(20), 10_000);
   private static final byte[] NO_PROPERTIES = {0, 0};
 
@@ -38,7 +39,7 @@
 
   static byte[] content(int channel, String body) {
     Bytes out = new Bytes();
-    Frame.content(out, channel, NO_PROPERTIES, body.getBytes(), 4096);
+    Frame.content(out, channel, NO_PROPERTIES, body.getBytes(StandardCharsets.UTF_8), 4096);
     return out.copy();
   }
 
@@ -142,7 +143,7 @@
   }
 
   @Override
-  public Desk open(String user, String vhost, Session opened) {
+  public BrokerSession open(String user, String vhost, Session opened) {
     return this;
   }
 
--- a/src/test/java/io/saltflow/bookkeeping/StateLimitsTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/StateLimitsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.saltflow.deadlines.Morning;
 import io.saltflow.lanes.Basis;
 import io.saltflow.packing.Kept;
 import io.saltflow.packing.Move;
@@ -16,7 +17,6 @@
 import io.saltflow.protocol.Stamp;
 import io.saltflow.protocol.TaskId;
 import io.saltflow.protocol.Time;
-import io.saltflow.readiness.Morning;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
