--- a/src/main/java/io/saltflow/app/UserApi.java
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -160,14 +160,27 @@
         || (team.gpusLimit() > 0 && most.gpus() > team.gpusLimit())) {
       return Wire.CORES + ", " + Wire.GPUS + ": more than the team's limit";
     }
-    for (MachineType t : types.get()) {
-      if (spec.allowsType(t.name())
-          && spec.size().fitsIn(t.size())
-          && (spec.zone() == null || t.zones().contains(spec.zone()))) {
-        return null;
-      }
+    return fitsNowhere(spec);
+  }
+
+  /** Which of its fields leaves no machine that it could ever run on, or null. */
+  private String fitsNowhere(JobSpec spec) {
+    List<MachineType> allowed =
+        types.get().stream().filter(t -> spec.allowsType(t.name())).toList();
+    if (allowed.isEmpty()) {
+      return Wire.TYPES + ": no such machine type";
+    }
+    List<MachineType> there =
+        allowed.stream()
+            .filter(t -> spec.zone() == null || t.zones().contains(spec.zone()))
+            .toList();
+    if (there.isEmpty()) {
+      return Wire.ZONE + ": no allowed machine type is in that zone";
     }
-    return Wire.CORES + ", " + Wire.TYPES + ", " + Wire.ZONE + ": a task fits no allowed machine";
+    return there.stream().anyMatch(t -> spec.size().fitsIn(t.size()))
+        ? null
+        : String.join(", ", Wire.CORES, Wire.GPUS, Wire.MEMORY_GB)
+            + ": a task fits no allowed machine type";
   }
 
   void poll(String id, Consumer<HttpReply> answer) {
--- /dev/null
+++ b/src/test/java/io/saltflow/bookkeeping/TypesRecordTest.java
@@ -0,0 +1,64 @@
+package io.saltflow.bookkeeping;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.saltflow.coordination.Authority;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.MachineType;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Size;
+import io.saltflow.protocol.Span;
+import io.saltflow.transport.HttpCaller;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** When a leader writes the machine types down. */
+class TypesRecordTest {
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  private int written;
+  private int status = 503;
+
+  private static List<MachineType> types(double price, String... zones) {
+    return List.of(
+        new MachineType(
+            "box", new Size(8, 0, 32), 1, price, price / 2, Span.seconds(15), List.of(zones)));
+  }
+
+  @Test
+  void untilTheyAreCertainlyWrittenAndWhenTheyChange() throws IOException {
+    Loop loop = new Loop();
+    HttpCaller answers =
+        (method, target, body, timeout, then) -> {
+          written++;
+          byte[] told = MsgPack.encode(Body.of().with("epoch", 7L));
+          then.accept(new HttpClient.Answer(status, told, loop.now(), 0));
+        };
+    Root root = new Root();
+    StateClient state = new StateClient(root, loop, answers, answers, 100, 100);
+    Authority authority = new Authority(Span.seconds(5), Span.seconds(10));
+    LeaderBooks.Limits limits = new LeaderBooks.Limits(8, 8, 100);
+    LeaderBooks books = new LeaderBooks(root, state, null, authority, limits, loop::now);
+
+    books.recordTypes(types(1, "a"));
+    assertEquals(1, written, "refused");
+    status = 0;
+    books.recordTypes(types(1, "a"));
+    assertEquals(2, written, "no answer");
+    status = 200;
+    books.recordTypes(types(1, "a"));
+    assertEquals(3, written);
+    books.recordTypes(types(1.2, "a"));
+    assertEquals(3, written, "prices move all the time");
+    books.recordTypes(types(1.2, "a", "b"));
+    assertEquals(4, written, "what fits has changed");
+  }
+}
