--- a/src/test/java/io/saltflow/app/AnswersWorld.java
+++ b/src/test/java/io/saltflow/app/AnswersWorld.java
@@ -66,9 +66,6 @@
    * @param users each does one thing after the other, all of them at the same time
    * @param before jobs that were accepted before it begins, each with a record of its own
    * @param ending those of them whose tasks are all done, as the leader knows
-   * @param lost so many answers of the state service never come
-   * @param late so many requests get no answer and are executed later
-   * @param early so often a moment passes while something else might happen first
    * @param writesPerS what each node may write
    */
   record Play(
@@ -76,11 +73,19 @@
       List<List<Action>> users,
       int before,
       Set<Integer> ending,
-      int lost,
-      int late,
-      int early,
+      Troubles troubles,
       double writesPerS) {}
 
+  /**
+   * What may go wrong, in so many places at most.
+   *
+   * @param lost requests that are executed and whose answers never come
+   * @param late requests that get no answer and are executed later
+   * @param refused requests that are refused to that node alone
+   * @param early moments that pass while something else might happen first
+   */
+  record Troubles(int lost, int late, int refused, int early) {}
+
   private static final Span TICK = Span.millis(100);
   private static final int MOST_TICKS = 400;
   private static final int MOST_TRIES = 6;
@@ -199,8 +204,13 @@
   private final AnswerHistory history;
   private LeaderBooks books;
   private Leader leader;
+
+  /** Requests of the leader that are not answered yet. */
+  private int ofLeader;
+
   private int lost;
   private int late;
+  private int refused;
   private int early;
   private int ticks;
 
@@ -288,7 +298,8 @@
             LOOP.dayMs());
     Node own = nodes.get(0);
     // Its writes have a share of their own: users' requests use up the nodes'.
-    StateClient writes = new StateClient(root, LOOP, this::send, this::send, 1e6, 1e6, limits());
+    StateClient writes =
+        new StateClient(root, LOOP, this::sendOfLeader, this::sendOfLeader, 1e6, 1e6, limits());
     books = new LeaderBooks(root, writes, own.jobs, authority, LOOP::now);
     books.serve(leader);
   }
@@ -325,6 +336,20 @@
         });
   }
 
+  private void sendOfLeader(
+      String method, String target, byte[] body, Span timeout, Consumer<HttpClient.Answer> then) {
+    ofLeader++;
+    send(
+        method,
+        target,
+        body,
+        timeout,
+        answer -> {
+          ofLeader--;
+          then.accept(answer);
+        });
+  }
+
   private void execute(Message m) {
     front.handle(m.method, m.target, m.body, reply -> m.reply = reply);
     history.moved();
@@ -393,14 +418,14 @@
     if (!leader.toFinish().isEmpty() && !books.busy()) {
       out.add(books::finish);
     }
-    if (early < play.early && !out.isEmpty() && users.stream().anyMatch(u -> u.waits)) {
+    if (early < play.troubles.early && !out.isEmpty() && users.stream().anyMatch(u -> u.waits)) {
       out.add(
           () -> {
             early++;
             tick();
           });
     }
-    if (messages.isEmpty() && !bundled().isEmpty()) {
+    if (ofLeader == 0 && !bundled().isEmpty()) {
       out.add(this::unpack);
     }
     return out;
@@ -410,7 +435,7 @@
     if (m.reply != null || m.held || m.givenUp) {
       return;
     }
-    if (lost < play.lost) {
+    if (lost < play.troubles.lost) {
       out.add(
           () -> {
             lost++;
@@ -418,7 +443,14 @@
             m.lost = true;
           });
     }
-    if (late < play.late) {
+    if (refused < play.troubles.refused) {
+      out.add(
+          () -> {
+            refused++;
+            m.reply = HttpReply.empty(503);
+          });
+    }
+    if (late < play.troubles.late) {
       out.add(
           () -> {
             late++;
