--- a/src/main/java/io/saltflow/app/Node.java
+++ b/src/main/java/io/saltflow/app/Node.java
@@ -167,33 +167,9 @@
     mesh = new Mesh(this, loop, config.meshOn(), config.siblings(), this::onFrame);
     mesh.watch(new Links());
     CascadeWatch watch = new CascadeWatch(config.cancel());
-    cascades =
-        new CascadeDuty(
-            this,
-            loop,
-            jobs,
-            watch,
-            new CascadeDuty.Attendance(this::served, this::attended),
-            config.host());
-    users =
-        new UserApi(
-            jobs,
-            state,
-            config.teams(),
-            types::values,
-            this::countsOf,
-            () -> System.currentTimeMillis() + clockCorrection,
-            loop::now,
-            watch);
-    workers =
-        new WorkerApi(
-            config.host(),
-            authority,
-            this::leaderForWorkers,
-            () -> duty == null ? null : duty.leader(),
-            () -> leadership.stepDown("a worker knows a higher token", Span.seconds(1)),
-            signs::suspects,
-            this::onStray);
+    cascades = cascadeDuty(watch);
+    users = userApi(watch);
+    workers = workerApi();
     // Of the sockets that the platform gives, AMQP clients may have a quarter.
     int clients =
         queues == null ? 0 : Math.min(queues.bounds().connections(), config.sockets() / 4);
@@ -226,6 +202,39 @@
             : new AmqpFront(this, loop, queues, clients, queueNode(wps), leadership::leader);
   }
 
+  private CascadeDuty cascadeDuty(CascadeWatch watch) {
+    return new CascadeDuty(
+        this,
+        loop,
+        jobs,
+        watch,
+        new CascadeDuty.Attendance(this::served, this::attended),
+        config.host());
+  }
+
+  private UserApi userApi(CascadeWatch watch) {
+    return new UserApi(
+        jobs,
+        state,
+        config.teams(),
+        types::values,
+        this::countsOf,
+        () -> System.currentTimeMillis() + clockCorrection,
+        loop::now,
+        watch);
+  }
+
+  private WorkerApi workerApi() {
+    return new WorkerApi(
+        config.host(),
+        authority,
+        this::leaderForWorkers,
+        () -> duty == null ? null : duty.leader(),
+        () -> leadership.stepDown("a worker knows a higher token", Span.seconds(1)),
+        signs::suspects,
+        this::onStray);
+  }
+
   /**
    * Of so many sockets. Those that wait to be taken are in use as well: when they were not counted,
    * the workers that came all at once after a restart left the leader none for its own requests.
--- a/src/main/java/io/saltflow/app/Rehearsal.java
+++ b/src/main/java/io/saltflow/app/Rehearsal.java
@@ -101,7 +101,8 @@
         Span.seconds(30),
         Span.seconds(number % 2 * 10),
         Span.seconds(2),
-        null);
+        null,
+        List.of());
   }
 
   private static void rehearseCore(Config config, OperatorSettings operator) throws BadMessage {
--- a/src/main/java/io/saltflow/bookkeeping/DependentAdmission.java
+++ b/src/main/java/io/saltflow/bookkeeping/DependentAdmission.java
@@ -35,8 +35,10 @@
     /** To be recorded as cancelled. */
     record AcceptCancelled() implements Decision {}
 
+    /** A dependency was never accepted, so the job can never run. */
     record Refuse(JobId neverAccepted) implements Decision {}
 
+    /** The state of a dependency is not known now. */
     record Undecided() implements Decision {}
   }
 
--- a/src/main/java/io/saltflow/protocol/JobSpec.java
+++ b/src/main/java/io/saltflow/protocol/JobSpec.java
@@ -29,48 +29,6 @@
     Span deadline,
     List<JobId> awaits) {
 
-  /** A job that depends on no other. */
-  public JobSpec(
-      JobId id,
-      String jobClass,
-      String team,
-      boolean daemon,
-      Priority priority,
-      int tasks,
-      Size size,
-      List<String> types,
-      String zone,
-      boolean oneZone,
-      boolean spread,
-      boolean spotAllowed,
-      String image,
-      double imageGb,
-      Span estimate,
-      Span checkpoint,
-      Span save,
-      Span deadline) {
-    this(
-        id,
-        jobClass,
-        team,
-        daemon,
-        priority,
-        tasks,
-        size,
-        types,
-        zone,
-        oneZone,
-        spread,
-        spotAllowed,
-        image,
-        imageGb,
-        estimate,
-        checkpoint,
-        save,
-        deadline,
-        List.of());
-  }
-
   /** The same job with other dependencies. */
   public JobSpec awaiting(List<JobId> others) {
     return new JobSpec(
--- a/src/main/java/io/saltflow/services/LiveService.java
+++ b/src/main/java/io/saltflow/services/LiveService.java
@@ -119,7 +119,8 @@
         Span.seconds(0),
         Span.seconds(0),
         Span.seconds(0),
-        null);
+        null,
+        List.of());
   }
 
   Job.Replicas replicas(Leader leader, int version, Time now) {
--- a/src/test/java/io/saltflow/app/AnswersWorld.java
+++ b/src/test/java/io/saltflow/app/AnswersWorld.java
@@ -52,6 +52,7 @@
   /** What a user does: one request to one node. */
   record Action(Kind kind, int job, int node) {}
 
+  /** The kind of request. */
   enum Kind {
     SUBMIT,
     /** The same id with a description that a node would refuse. */
--- a/src/test/java/io/saltflow/coordination/Jobs.java
+++ b/src/test/java/io/saltflow/coordination/Jobs.java
@@ -5,6 +5,7 @@
 import io.saltflow.protocol.Priority;
 import io.saltflow.protocol.Size;
 import io.saltflow.protocol.Span;
+import java.util.List;
 
 /** Builds jobs for tests; what a test does not say is plain. */
 final class Jobs {
@@ -125,6 +126,7 @@
         Span.seconds(estimateS),
         Span.seconds(checkpointS),
         Span.seconds(checkpointS > 0 ? 2 : 0),
-        deadline);
+        deadline,
+        List.of());
   }
 }
--- a/src/test/java/io/saltflow/coordination/ReplicasTest.java
+++ b/src/test/java/io/saltflow/coordination/ReplicasTest.java
@@ -50,7 +50,8 @@
         s.estimate(),
         s.checkpoint(),
         s.save(),
-        s.deadline());
+        s.deadline(),
+        s.awaits());
   }
 
   private int onMachine() {
--- a/src/test/java/io/saltflow/coordination/World.java
+++ b/src/test/java/io/saltflow/coordination/World.java
@@ -85,6 +85,7 @@
     }
   }
 
+  /** One attempt of a task as its machine holds it. */
   static final class OnMachine {
     final Attempt attempt;
     Report.TaskState state = Report.TaskState.FETCHING;
--- a/src/test/java/io/saltflow/standin/WorkerModelTest.java
+++ b/src/test/java/io/saltflow/standin/WorkerModelTest.java
@@ -60,7 +60,8 @@
             Span.seconds(5),
             Span.seconds(checkpointS),
             Span.seconds(1),
-            null));
+            null,
+            List.of()));
     return new TaskId(id, 0);
   }
 
