Tests of answers: a node whose jobs depend on nothing withholds no answer

Cause: the tests' nodes had a CascadeWatch that nobody tells that a leader is there, so each question about a live job got 503 and was asked again without end. Run: AnswersTest, AnswersLoadTest.

--- a/src/test/java/io/saltflow/app/AnswersLoadTest.java
+++ b/src/test/java/io/saltflow/app/AnswersLoadTest.java
@@ -10,7 +10,6 @@
 import io.saltflow.kv.KeyStore;
 import io.saltflow.kv.Limits;
 import io.saltflow.lanes.Lanes;
-import io.saltflow.polls.CascadeWatch;
 import io.saltflow.protocol.BadMessage;
 import io.saltflow.protocol.Body;
 import io.saltflow.protocol.JobId;
@@ -123,7 +122,7 @@
               id -> null,
               loop::dayMs,
               loop::now,
-              new CascadeWatch(config().cancel())));
+              AnswersWorld.NOTHING_CASCADES));
     }
   }
 
--- a/src/test/java/io/saltflow/app/AnswersWorld.java
+++ b/src/test/java/io/saltflow/app/AnswersWorld.java
@@ -154,6 +154,9 @@
     }
   }
 
+  /** No job depends on another here, so there is nothing that may be behind. */
+  static final CascadeWatch NOTHING_CASCADES = new CascadeWatch(new Span(Long.MAX_VALUE / 2));
+
   private final class Node {
     final StateClient state;
     final JobStore jobs;
@@ -172,7 +175,7 @@
               id -> null,
               LOOP::dayMs,
               LOOP::now,
-              new CascadeWatch(CONFIG.cancel()));
+              NOTHING_CASCADES);
     }
   }
 
