--- /dev/null
+++ b/src/test/java/io/saltflow/bookkeeping/CountedState.java
@@ -0,0 +1,154 @@
+package io.saltflow.bookkeeping;
+
+import io.saltflow.coordination.Authority;
+import io.saltflow.kv.Limits;
+import io.saltflow.lanes.Lanes;
+import io.saltflow.protocol.BadMessage;
+import io.saltflow.protocol.Body;
+import io.saltflow.protocol.JsonSize;
+import io.saltflow.protocol.MsgPack;
+import io.saltflow.protocol.Span;
+import io.saltflow.protocol.Stamp;
+import io.saltflow.protocol.Term;
+import io.saltflow.protocol.Wire;
+import io.saltflow.standin.StateStore;
+import io.saltflow.statestore.StateFront;
+import io.saltflow.transport.Addresses;
+import io.saltflow.transport.HttpClient;
+import io.saltflow.transport.HttpReply;
+import io.saltflow.transport.HttpServer;
+import io.saltflow.transport.Loop;
+import io.saltflow.transport.Routine;
+import java.io.IOException;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * A leader's books before a state service in memory, which counts requests and changes. The clock
+ * moves by {@link #pass}, and only when nothing is under way.
+ */
+final class CountedState implements AutoCloseable {
+  private static final double VALUE_KB = 64;
+  private static final int TXN_OPS = 32;
+  private static final double RATE = 1e6;
+  private static final int QUIET_TURNS = 3;
+  private static final int LISTED = 1000;
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  final Loop loop;
+  final JobStore jobs;
+  final LeaderBooks books;
+  final Authority authority = new Authority(Span.seconds(5), Span.seconds(10));
+  private final Root root = new Root();
+  private final StateStore store;
+  private final StateFront front;
+  private long aheadMs;
+  private long requests;
+  private long changes;
+  private long bytes;
+
+  /**
+   * @param changesPerS what the service is said to take, by which pages pause between their writes
+   */
+  CountedState(double changesPerS) throws IOException {
+    loop = new Loop(() -> System.nanoTime() + aheadMs * 1_000_000, System::currentTimeMillis);
+    store = new StateStore(new Limits(RATE, RATE, VALUE_KB, TXN_OPS), steps -> {}, loop.now());
+    front = new StateFront(root, loop, store.core(), () -> store.flush(loop.now()));
+    HttpServer server =
+        new HttpServer(root, loop, Addresses.parse("127.0.0.1:0"), 64, this::handle);
+    HttpClient http =
+        new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + server.port()), 8, 4096);
+    StateLimits limits = new StateLimits(TXN_OPS, VALUE_KB, changesPerS);
+    StateClient state = new StateClient(root, loop, http, http, RATE, RATE, limits);
+    jobs = new JobStore(root, loop, state, "node", Lanes.NONE);
+    books = new LeaderBooks(root, state, jobs, authority, loop::now);
+    elect();
+  }
+
+  private void elect() {
+    commit(new Txn().put(Keys.LEADER, Body.of().with("host", "node")));
+    authority.won(new Term(1), new Stamp(store.epoch()), loop.now());
+  }
+
+  private void handle(String method, String target, byte[] body, Consumer<HttpReply> answer) {
+    requests++;
+    bytes += body.length;
+    if (target.equals(Wire.PATH_TXN)) {
+      try {
+        changes += StateStore.writeCount(MsgPack.decode(body));
+      } catch (BadMessage e) {
+        throw new IllegalStateException(e);
+      }
+    }
+    front.handle(method, target, body, answer);
+  }
+
+  long requests() {
+    return requests;
+  }
+
+  /** Puts and deletes. */
+  long changes() {
+    return changes;
+  }
+
+  /** Bytes of the requests' bodies. */
+  long bytes() {
+    return bytes;
+  }
+
+  /** Writes beside the books. */
+  void commit(Txn txn) {
+    try {
+      if (store.commit(MsgPack.decode(MsgPack.encode(txn.body()))).status() != 200) {
+        throw new IllegalStateException("refused");
+      }
+    } catch (BadMessage e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Time passes once all that was asked is answered. */
+  void pass(Span span) throws IOException {
+    settle();
+    aheadMs += span.ms();
+    settle();
+  }
+
+  void settle() throws IOException {
+    long before = -1;
+    for (int quiet = 0; quiet < QUIET_TURNS; ) {
+      quiet = before == requests ? quiet + 1 : 0;
+      before = requests;
+      loop.after(Span.millis(1), root, loop::pause);
+      loop.run();
+    }
+  }
+
+  /** Bytes of the values under a prefix, in the form that limits count. */
+  long valueBytes(String prefix) throws BadMessage {
+    long sum = 0;
+    String after = "";
+    while (true) {
+      Body page = MsgPack.decode(MsgPack.encode(store.list(prefix, after, LISTED).body()));
+      List<Body> pairs = page.maps(Wire.ITEMS);
+      for (Body pair : pairs) {
+        sum += JsonSize.of(pair.map(Wire.VALUE));
+        after = pair.text(Wire.KEY);
+      }
+      if (pairs.isEmpty() || !page.flagOr(Wire.MORE, false)) {
+        return sum;
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    root.cancel();
+  }
+}
--- /dev/null
+++ b/src/test/java/io/saltflow/transport/HttpFrames.java
@@ -0,0 +1,64 @@
+package io.saltflow.transport;
+
+import io.saltflow.protocol.Span;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** How many bytes messages take on a connection, head included, as the product writes them. */
+public final class HttpFrames {
+  private static final String HEAD_END = "\r\n\r\n";
+  private static final int MAX_TURNS = 2000;
+
+  private HttpFrames() {}
+
+  private static final class Root extends Routine {
+    Root() {
+      super(null);
+    }
+  }
+
+  /** Bytes of an answer by {@link HttpServer}. */
+  public static int answerBytes(int status, byte[] body) {
+    return HttpReply.of(status, body).bytes(false).remaining();
+  }
+
+  /** Bytes of a request by {@link HttpClient}, read from a socket. */
+  public static int requestBytes(String method, String target, byte[] body) throws IOException {
+    Root root = new Root();
+    Loop loop = new Loop();
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      HttpClient client =
+          new HttpClient(root, loop, Addresses.parse("127.0.0.1:" + server.getLocalPort()), 1, 1);
+      client.call(method, target, body, Span.seconds(30), answer -> {});
+      turn(loop, root);
+      try (Socket socket = server.accept()) {
+        return head(loop, root, socket.getInputStream(), body.length) + body.length;
+      }
+    } finally {
+      root.cancel();
+    }
+  }
+
+  /** Reads until as many bytes as the body has came after the head; bytes of the head. */
+  private static int head(Loop loop, Root root, InputStream in, int bodyBytes) throws IOException {
+    StringBuilder read = new StringBuilder();
+    for (int i = 0; i < MAX_TURNS; i++) {
+      turn(loop, root);
+      read.append(new String(in.readNBytes(in.available()), StandardCharsets.ISO_8859_1));
+      int end = read.indexOf(HEAD_END);
+      if (end >= 0 && read.length() == end + HEAD_END.length() + bodyBytes) {
+        return end + HEAD_END.length();
+      }
+    }
+    throw new IOException("the request did not come");
+  }
+
+  private static void turn(Loop loop, Root root) throws IOException {
+    loop.after(Span.millis(1), root, loop::pause);
+    loop.run();
+  }
+}
