--- a/src/main/java/io/saltflow/bookkeeping/Admissions.java
+++ b/src/main/java/io/saltflow/bookkeeping/Admissions.java
@@ -213,7 +213,7 @@
       sent++;
       unanswered++;
       state.commit(StateClient.Rank.USER, txn, TRY, this::answered);
-      long patienceMs = (long) Math.max(HEDGE_AFTER.ms(), HEDGE_TIMES * usualMs);
+      long patienceMs = (long) Math.max((double) HEDGE_AFTER.ms(), HEDGE_TIMES * usualMs);
       loop.after(Span.millis(patienceMs), Admissions.this, this::hedge);
     }
 
--- a/src/main/java/io/saltflow/coordination/Job.java
+++ b/src/main/java/io/saltflow/coordination/Job.java
@@ -244,8 +244,9 @@
 
   /** Whether a user set a deadline for it or for a job that needs it. */
   boolean hasDeadline() {
-    return dueAt != null && spec.deadline() != null
-        || inherited != null && inherited.latestEnd != null;
+    boolean ownDeadline = dueAt != null && spec.deadline() != null;
+    boolean inheritedDeadline = inherited != null && inherited.latestEnd != null;
+    return ownDeadline || inheritedDeadline;
   }
 
   /** By when it has to be complete as a step of a pipeline; null: it is none, or none is due. */
--- a/src/main/java/io/saltflow/pipelines/Ranks.java
+++ b/src/main/java/io/saltflow/pipelines/Ranks.java
@@ -30,6 +30,8 @@
   }
 
   /**
+   * What a job's dependents ask of it.
+   *
    * @param priority the highest of its own and of those that need it
    * @param latestEndMs the earliest of its own deadline and of what those that need it leave
    */
--- a/src/main/java/io/saltflow/polls/CascadeWatch.java
+++ b/src/main/java/io/saltflow/polls/CascadeWatch.java
@@ -51,6 +51,8 @@
   }
 
   /**
+   * Takes note of what is heard now; called often.
+   *
    * @param served whether the state service answers here
    * @param attended whether it does, and a leader is heard that records what follows from
    *     cancellations
--- a/src/test/java/io/saltflow/app/AnswersLoadTest.java
+++ b/src/test/java/io/saltflow/app/AnswersLoadTest.java
@@ -25,6 +25,7 @@
 import io.saltflow.transport.Loop;
 import io.saltflow.transport.Routine;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -42,7 +43,6 @@
  * late.
  */
 class AnswersLoadTest {
-  private static final byte[] NOTHING = new byte[0];
   private static final int NODES = 3;
   private static final Span POLL_EVERY = Span.seconds(5);
   private static final Span RETRY = Span.seconds(1);
@@ -189,7 +189,12 @@
             accepted(n);
           } else {
             assertEquals(503, reply.status());
-            refused(new String(reply.body(), 7, Math.min(20, reply.body().length - 7)));
+            refused(
+                new String(
+                    reply.body(),
+                    7,
+                    Math.min(20, reply.body().length - 7),
+                    StandardCharsets.UTF_8));
             after(RETRY.ms(), again);
           }
         });
--- a/src/test/java/io/saltflow/bookkeeping/DependentAdmissionTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/DependentAdmissionTest.java
@@ -49,10 +49,6 @@
     return new JobId(String.format("req-%06d", n));
   }
 
-  private static boolean isEnd(Stage stage) {
-    return stage == Stage.DONE || stage == Stage.CANCELLED;
-  }
-
   /**
    * One submission, repeated at other nodes until it is answered.
    *
--- a/src/test/java/io/saltflow/bookkeeping/RecordSizesTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/RecordSizesTest.java
@@ -186,7 +186,7 @@
           state.books.ledger();
           state.pass(TICK);
         }
-        fit.add(n, state.valueBytes(Keys.FLEET));
+        fit.add(n, (double) state.valueBytes(Keys.FLEET));
       }
     }
     fit.check(35, 0.01, 1, 1, 1);
@@ -208,13 +208,13 @@
           }
         }
         state.settle();
-        live.add(n, state.valueBytes(Keys.LIVE));
+        live.add(n, (double) state.valueBytes(Keys.LIVE));
         for (int i = 0; i < TICKS_A_SECOND; i++) {
           state.books.mark();
           state.pass(TICK);
         }
-        progress.add(n, state.valueBytes(Keys.PROGRESS));
-        reads.add(n, takeoverReads(state));
+        progress.add(n, (double) state.valueBytes(Keys.PROGRESS));
+        reads.add(n, (double) takeoverReads(state));
       }
     }
     live.check(329, 0.1, 0, 1, 1);
@@ -369,7 +369,7 @@
             state.books.mark();
             state.pass(TICK);
             if (i == n) {
-              fit.add(n, state.bytes() - before);
+              fit.add(n, (double) (state.bytes() - before));
             }
           }
         }
--- a/src/test/java/io/saltflow/bookkeeping/StateLimitsTest.java
+++ b/src/test/java/io/saltflow/bookkeeping/StateLimitsTest.java
@@ -119,7 +119,7 @@
     limits.tooManyChanges(new Time(10_100));
     assertEquals(20, limits.changesPerS(), 0.2);
     for (int s = 12; s < 40; s += 2) {
-      limits.tooManyChanges(new Time(s * 1000));
+      limits.tooManyChanges(new Time(s * 1000L));
     }
     double low = limits.changesPerS();
     assertTrue(low >= 25 * 0.25 && low < 12, "" + low);
