Submissions that are too large: whether the job is known is looked up once

Admissions looks the id up for all who submit before it says that a description is too large; UserApi looked it up a second time. The answers are the same.

--- a/src/main/java/io/saltflow/app/UserApi.java
+++ b/src/main/java/io/saltflow/app/UserApi.java
@@ -121,8 +121,8 @@
             String reason = Wire.AWAITS + ": " + never.dependency() + " was never accepted";
             bounded.accept(Replies.error(422, reason));
           } else if (outcome instanceof JobStore.Outcome.TooLarge) {
-            HttpReply tooLarge = Replies.error(400, "the description is too large to be recorded");
-            unlessKnown(id, tooLarge, bounded);
+            // Only of a job that is not known: the acceptance has looked it up.
+            bounded.accept(Replies.error(400, "the description is too large to be recorded"));
           } else {
             bounded.accept(reply(id, outcome, Replies.comeBack("not recorded", 1)));
           }
