review/standins-2: settings name the expectations of each class, as a deployment does

Cause: the settings of the stand-in sites had no objectives for the classes that the cases use. Change: Kit writes them from the sites' aims.

--- a/review/standins-2/standins/Kit.java
+++ b/review/standins-2/standins/Kit.java
@@ -72,6 +72,9 @@
           "skew_ms = 5.0\n"
               + team("lookup-desk", 120, 240)
               + team("records-eng", 80, 240)
+              + objective("deadline", "stale-purge", "", 0.85)
+              + objective("deadline", "stale-purge", "times = 1.5\n", 0.9)
+              + objective("deadline", "warrant-search", "", 0.82)
               + site.limits(41, 50, 8, 5)
               + "[settings.resources]\ncpu = 0.11\nmemory_mb = 205.0\nsockets = 1200\n";
       return site;
@@ -91,6 +94,12 @@
       site.settings =
           "skew_ms = 250.0\n"
               + team("reader-ops", 0, 0)
+              + objective("finished", "page-render", "within_s = 200.0\n", 0.92)
+              + objective("finished", "page-render", "within_s = 300.0\n", 0.92)
+              + objective("wait", "hotfix-reslice", "within_s = 15.0\n", 0.82)
+              + objective("wait", "hotfix-reslice", "within_s = 25.0\n", 0.9)
+              + objective("finished", "hotfix-reslice", "within_s = 50.0\n", 0.9)
+              + objective("finished", "thumb-regen", "within_s = 250.0\n", 0.88)
               + site.limits(46, 30, 4, 4)
               + "[settings.resources]\ncpu = 0.44\nmemory_mb = 320.0\nsockets = 3000\n";
       return site;
@@ -101,6 +110,11 @@
           + "\ngpus = 0.0\ngpus_max = 0.0\n";
     }
 
+    private static String objective(String kind, String lane, String within, double share) {
+      return "[[settings.objectives]]\nkind = \"" + kind + "\"\nclass = \"" + lane + "\"\n" + within
+          + "share = " + share + "\n";
+    }
+
     private String limits(double cancelS, double gangWaitS, double gangPeerS, double cloudRps) {
       return "[settings.workers]\nreport_s = " + reportS + "\nlease_s = " + leaseS
           + "\ngang_wait_s = " + gangWaitS + "\ngang_peer_s = " + gangPeerS + "\ncancel_s = "
