--- a/review/standins-2/standins/Amqp.java
+++ b/review/standins-2/standins/Amqp.java
@@ -145,7 +145,7 @@
     expect(85, 11);
   }
 
-  /** Publishes a message and returns whether it was confirmed. */
+  /** Publishes a message, without an id if it is null, and returns whether it was confirmed. */
   public boolean publish(String queue, String messageId, String body) throws IOException {
     method(
         1, 60, 40,
@@ -161,9 +161,11 @@
     data.writeShort(60);
     data.writeShort(0);
     data.writeLong(bytes.length);
-    data.writeShort(1 << 12 | 1 << 7);
+    data.writeShort(messageId == null ? 1 << 12 : 1 << 12 | 1 << 7);
     data.writeByte(2);
-    shortText(data, messageId);
+    if (messageId != null) {
+      shortText(data, messageId);
+    }
     frame(2, 1, header.toByteArray());
     frame(3, 1, bytes);
     Frame answer = read();
--- a/review/standins-2/standins/Queues.java
+++ b/review/standins-2/standins/Queues.java
@@ -8,7 +8,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** Controllers that serve a work queue whose messages become jobs on rented machines. */
@@ -105,6 +107,18 @@
     return out;
   }
 
+  /** Returns the images of all tasks that began to run. */
+  Set<String> imagesRun() {
+    Set<String> images = new TreeSet<>();
+    synchronized (Worker.STARTS) {
+      for (Worker.Start start : Worker.STARTS) {
+        MessageBody job = descriptions.get(start.shard().split("/")[0]);
+        images.add((String) job.get("bundle"));
+      }
+    }
+    return images;
+  }
+
   static int starts() {
     synchronized (Worker.STARTS) {
       return Worker.STARTS.size();
