--- a/review/standins-2/standins/Queues.java
+++ b/review/standins-2/standins/Queues.java
@@ -119,12 +119,6 @@
     return images;
   }
 
-  static int starts() {
-    synchronized (Worker.STARTS) {
-      return Worker.STARTS.size();
-    }
-  }
-
   static long ends(String cause) {
     synchronized (Worker.ENDS) {
       return Worker.ENDS.stream().filter(end -> end[1].equals(cause)).count();
