Queues: no message shares a job with a message of another identity

Cause: the leader named a message without an id "TERM-NUMBER" in the same space of texts as publishers' ids, and the job's id is a digest of queue and text. The second admission found the first one's job.

Change: MessageIdentity. Ids that a leader assigns begin with NUL, which the AMQP server refuses in message ids and consumer tags now; results name such messages by an id that nobody chooses by chance. The formula for the job is unchanged, so messages of the former version keep their jobs; an id of the former version's form that is chosen now gets a prefix in the record, and two messages that the former version recorded with one job are separated, in the record, before the second one is admitted. Related ids: message ids that are no UTF-8 were decoded to one text; empty ids were one id; a generated consumer tag could be one that the client has, which closed its connection; the tag of gets could be chosen by a client.

--- a/src/main/java/io/saltflow/amqp/AmqpChannel.java
+++ b/src/main/java/io/saltflow/amqp/AmqpChannel.java
@@ -158,7 +158,9 @@
   private void consume(Method method) throws AmqpException {
     String queue = declarations.resolveQueue(method.text(1));
     String tag =
-        method.text(2).isEmpty() ? "ctag-" + number + "." + ++generatedTags : method.text(2);
+        method.text(2).isEmpty()
+            ? unusedTag()
+            : FieldTables.requireIdentifier(method.text(2), "a consumer tag");
     boolean noAck = method.flag(4);
     boolean exclusive = method.flag(5);
     boolean noWait = method.flag(6);
@@ -179,6 +181,15 @@
     }
   }
 
+  /** Returns a tag that no consumer of this channel has, whoever chose it. */
+  private String unusedTag() {
+    String tag;
+    do {
+      tag = "ctag-" + number + "." + ++generatedTags;
+    } while (tags.contains(tag));
+    return tag;
+  }
+
   private void publish(Method method) throws AmqpException {
     boolean mandatory = method.flag(3);
     boolean immediate = method.flag(4);
--- a/src/main/java/io/saltflow/amqp/FieldTables.java
+++ b/src/main/java/io/saltflow/amqp/FieldTables.java
@@ -2,6 +2,7 @@
 
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -23,6 +24,33 @@
     return text(in, in.get() & 0xff);
   }
 
+  /**
+   * Returns a short string that identifies something. Text that is not UTF-8 is rejected, because
+   * different ids would be decoded to the same text; so is NUL, which AMQP forbids in short strings
+   * and with which the broker's own ids begin.
+   */
+  static String identifier(ByteBuffer in, String name) throws AmqpException {
+    int length = in.get() & 0xff;
+    if (length > in.remaining()) {
+      throw new BufferUnderflowException();
+    }
+    ByteBuffer bytes = in.slice(in.position(), length);
+    in.position(in.position() + length);
+    try {
+      return requireIdentifier(StandardCharsets.UTF_8.newDecoder().decode(bytes).toString(), name);
+    } catch (CharacterCodingException exception) {
+      throw new AmqpException(ReplyCode.PRECONDITION_FAILED, name + " is not UTF-8");
+    }
+  }
+
+  /** Returns the text, or throws PRECONDITION_FAILED if it contains NUL. */
+  static String requireIdentifier(String text, String name) throws AmqpException {
+    if (text.indexOf('\0') >= 0) {
+      throw new AmqpException(ReplyCode.PRECONDITION_FAILED, name + " contains NUL");
+    }
+    return text;
+  }
+
   static String longString(ByteBuffer in) throws AmqpException {
     return text(in, length(in));
   }
--- a/src/main/java/io/saltflow/amqp/MessageProperties.java
+++ b/src/main/java/io/saltflow/amqp/MessageProperties.java
@@ -7,7 +7,7 @@
 
 /**
  * A message's properties. The encoded bytes are forwarded unchanged. {@code messageId} and {@code
- * expiration} are decoded from them, and are null if absent.
+ * expiration} are decoded from them, and are null if absent. An empty message id counts as absent.
  */
 public record MessageProperties(byte[] bytes, String messageId, String expiration) {
   private static final int CONTENT_TYPE = 15;
@@ -39,6 +39,7 @@
           case HEADERS -> FieldTables.table(in);
           case DELIVERY_MODE, PRIORITY -> in.get();
           case TIMESTAMP -> in.getLong();
+          case MESSAGE_ID -> texts.put(bit, FieldTables.identifier(in, "message-id"));
           default -> texts.put(bit, FieldTables.shortString(in));
         }
       }
@@ -48,7 +49,9 @@
     if (in.hasRemaining()) {
       throw new AmqpException(ReplyCode.SYNTAX_ERROR, "bytes after the properties");
     }
-    return new MessageProperties(bytes, texts.get(MESSAGE_ID), texts.get(EXPIRATION));
+    String messageId = texts.get(MESSAGE_ID);
+    return new MessageProperties(
+        bytes, messageId == null || messageId.isEmpty() ? null : messageId, texts.get(EXPIRATION));
   }
 
   /**
--- a/src/main/java/io/saltflow/queues/Deliveries.java
+++ b/src/main/java/io/saltflow/queues/Deliveries.java
@@ -336,7 +336,7 @@
             message.holder.noAck,
             message.holder.id.get(),
             message.queue.waiting.size(),
-            message.id,
+            message.reportedId(),
             message.properties,
             message.body));
   }
--- a/src/main/java/io/saltflow/queues/Entry.java
+++ b/src/main/java/io/saltflow/queues/Entry.java
@@ -9,6 +9,7 @@
    * The full state of a message. It is written when the message is published or moved to another
    * queue, or when an earlier batch is cleaned.
    *
+   * @param id the text of the message's {@link MessageIdentity}
    * @param named whether the publisher chose the id, which then identifies a repeated publish
    * @param expiresWallMs the expiry time, or {@link Message#NEVER}
    * @param out whether a consumer may hold the message
@@ -24,7 +25,26 @@
       boolean out,
       byte[] properties,
       byte[] body)
-      implements Entry {}
+      implements Entry {
+    MessageIdentity identity() {
+      return new MessageIdentity(id, named);
+    }
+
+    /** Returns a copy with another identity and without attempts. */
+    Kept withIdentity(MessageIdentity identity) {
+      return new Kept(
+          no,
+          queue,
+          identity.text(),
+          identity.named(),
+          arrivedWallMs,
+          expiresWallMs,
+          0,
+          out,
+          properties,
+          body);
+    }
+  }
 
   /** An attempt has started. From then on a consumer may hold the message. */
   record Started(MessageNo no, int attempt) implements Entry {}
--- a/src/main/java/io/saltflow/queues/Message.java
+++ b/src/main/java/io/saltflow/queues/Message.java
@@ -28,8 +28,7 @@
 
   final MessageNo no;
   final QueueState queue;
-  final String id;
-  final boolean named;
+  final MessageIdentity identity;
   final long arrivedWallMs;
   final long expiresWallMs;
   final byte[] properties;
@@ -65,13 +64,12 @@
   Message(Entry.Kept kept, QueueState queue) {
     this.no = kept.no();
     this.queue = queue;
-    this.id = kept.id();
-    this.named = kept.named();
+    this.identity = kept.identity();
     this.arrivedWallMs = kept.arrivedWallMs();
     this.expiresWallMs = kept.expiresWallMs();
     this.properties = kept.properties();
     this.body = kept.body();
-    this.digest = named ? MessageDigest128.of(kept.queue(), id) : null;
+    this.digest = identity.repeatDigest(kept.queue());
     this.attempts = kept.attempts();
     this.maybeDelivered = kept.out();
   }
@@ -80,8 +78,8 @@
     return new Entry.Kept(
         no,
         queue.policy.id(),
-        id,
-        named,
+        identity.text(),
+        identity.named(),
         arrivedWallMs,
         expiresWallMs,
         attempts,
@@ -98,6 +96,11 @@
     return digest;
   }
 
+  /** Returns the id by which results and deliveries name the message. */
+  String reportedId() {
+    return queue.policy.internal() ? identity.text() : identity.reportedId(queue.policy.id());
+  }
+
   int memoryBytes() {
     return body.length + properties.length + OVERHEAD_BYTES;
   }
--- a/src/main/java/io/saltflow/queues/MessageCompletion.java
+++ b/src/main/java/io/saltflow/queues/MessageCompletion.java
@@ -46,9 +46,9 @@
           createFollowUp(message, policy.deadLetters(), message.properties, message.body));
     }
     if (policy.results() != null) {
-      byte[] body = resultEncoder.body(message.id, reported, message.attempts, reason);
-      followUps.add(
-          createFollowUp(message, policy.results(), resultEncoder.properties(message.id), body));
+      String id = message.reportedId();
+      byte[] body = resultEncoder.body(id, reported, message.attempts, reason);
+      followUps.add(createFollowUp(message, policy.results(), resultEncoder.properties(id), body));
     }
     followUps.forEach(followUp -> unit.add(followUp.toEntry()));
     MessageDigest128 digest = message.digest();
@@ -67,7 +67,7 @@
         new Entry.Kept(
             messages.nextNo(),
             to,
-            message.id,
+            message.reportedId(),
             false,
             context.wallMs,
             Message.NEVER,
--- a/src/main/java/io/saltflow/queues/MessageJobs.java
+++ b/src/main/java/io/saltflow/queues/MessageJobs.java
@@ -2,8 +2,12 @@
 
 import io.saltflow.model.JobId;
 import io.saltflow.model.JobSpec;
+import io.saltflow.model.Term;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Runs messages as jobs on machines, and completes the messages when their jobs end. */
 final class MessageJobs {
@@ -11,16 +15,19 @@
   private final Messages messages;
   private final MessageCompletion completion;
   private final MessageJobFactory jobFactory;
+  private final Term term;
 
   MessageJobs(
       QueueContext context,
       Messages messages,
       MessageCompletion completion,
-      MessageJobFactory jobFactory) {
+      MessageJobFactory jobFactory,
+      Term term) {
     this.context = context;
     this.messages = messages;
     this.completion = completion;
     this.jobFactory = jobFactory;
+    this.term = term;
   }
 
   /** Returns whether a job can be created from the message. If not, the message fails. */
@@ -38,13 +45,51 @@
     }
   }
 
-  /** Returns a job id derived from the message's id, so that a repeated admission is idempotent. */
+  /**
+   * Returns a job id derived from the message's identity, so that a repeated admission is
+   * idempotent.
+   */
   private static JobId jobIdOf(Message message) {
     QueueId queue = message.queue.policy.id();
-    MessageDigest128 digest = MessageDigest128.of("job", queue.vhost(), queue.name(), message.id);
+    MessageDigest128 digest =
+        MessageDigest128.of("job", queue.vhost(), queue.name(), message.identity.text());
     return JobId.of(digest.high(), digest.low());
   }
 
+  /**
+   * Requests the admission of the jobs of messages that earlier leaders recorded, in the order of
+   * their numbers.
+   *
+   * <p>An earlier version may have recorded two messages with the same job. That job is the first
+   * one's, which was admitted before the other. The other message is recorded with an identity of
+   * its own before its job is admitted.
+   */
+  void resume(List<Message> recorded) {
+    Set<JobId> jobs = new HashSet<>();
+    for (Message message : recorded) {
+      if (jobs.add(jobIdOf(message))) {
+        requestAdmission(message);
+      } else {
+        separate(message);
+      }
+    }
+  }
+
+  private void separate(Message message) {
+    Entry.Kept entry = message.toEntry().withIdentity(message.identity.separated(term, message.no));
+    Message separated = new Message(entry, message.queue);
+    long batch = message.batch;
+    messages.remove(message);
+    messages.add(separated);
+    messages.setBatch(separated, batch);
+    context.record(
+        entry,
+        () -> {
+          messages.setBatch(separated, context.recorder.batchNumber());
+          requestAdmission(separated);
+        });
+  }
+
   /** Requests the admission of the message's job. The admission has no effect if the job exists. */
   void requestAdmission(Message message) {
     JobSpec spec = createJob(message);
--- a/src/main/java/io/saltflow/queues/PublishHandler.java
+++ b/src/main/java/io/saltflow/queues/PublishHandler.java
@@ -73,12 +73,12 @@
 
   private Entry.Kept entry(PublishRequest request, QueuePolicy policy) {
     MessageNo no = messages.nextNo();
-    boolean named = request.id() != null;
+    MessageIdentity identity = identity(request.id(), no, policy);
     return new Entry.Kept(
         no,
         request.queue(),
-        named ? request.id() : term + "-" + no.number(),
-        named,
+        identity.text(),
+        identity.named(),
         context.wallMs,
         expiry(policy, request.ttlMs()),
         0,
@@ -87,6 +87,15 @@
         request.body());
   }
 
+  private MessageIdentity identity(String chosenId, MessageNo no, QueuePolicy policy) {
+    if (chosenId == null) {
+      return MessageIdentity.assigned(term, no);
+    }
+    return policy.runsAsJobs()
+        ? MessageIdentity.chosenForJob(chosenId)
+        : MessageIdentity.chosen(chosenId);
+  }
+
   /**
    * Returns whether a message with this digest was accepted before. In that case the earlier
    * message's record confirms this publish, which is rejected while nothing can be recorded.
--- a/src/main/java/io/saltflow/queues/QueueCore.java
+++ b/src/main/java/io/saltflow/queues/QueueCore.java
@@ -68,7 +68,7 @@
     MessageCompletion completion =
         new MessageCompletion(context, messages, queues, resultEncoder, this::makeAvailable);
     deliveries = new Deliveries(context, messages, queues, completion, quota, limits.clockSkew());
-    messageJobs = new MessageJobs(context, messages, completion, jobs);
+    messageJobs = new MessageJobs(context, messages, completion, jobs, term);
     publishHandler =
         new PublishHandler(
             context, messages, queues, messageJobs, this::makeAvailable, limits, term);
@@ -125,10 +125,12 @@
   public void begin(MonotonicTime time, long wallMs) {
     context.setTime(time, wallMs);
     messages.sortCompletedIds();
+    messageJobs.resume(messages.all().stream().filter(m -> m.queue.policy.runsAsJobs()).toList());
     for (Message message : messages.all()) {
       if (message.queue.policy.runsAsJobs()) {
-        messageJobs.requestAdmission(message);
-      } else if (message.maybeDelivered) {
+        continue;
+      }
+      if (message.maybeDelivered) {
         deliveries.consumerLost(message, "its consumer was lost with the leader that served it");
       } else {
         deliveries.enqueue(message);
--- a/src/test/java/io/saltflow/amqp/AmqpSessionTest.java
+++ b/src/test/java/io/saltflow/amqp/AmqpSessionTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.saltflow.GoldenTraces;
@@ -249,4 +250,49 @@
     peer.session.flush();
     assertEquals(List.of(), peer.lines, "the new channel is not closed for the former one");
   }
+
+  private static byte[] latin1(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+
+  /** Guards against different ids that are decoded to one text, and against the broker's own. */
+  @Test
+  void messageIdThatIsNotUtf8OrContainsNulIsRejected() {
+    byte[] confirms = Peer.method(1, MethodKind.CONFIRM_SELECT, false);
+    assertRejected("CHANNEL_CLOSE [406", Peer.publishWithId(1, "q", latin1("page-\u00e9")));
+    assertRejected(
+        "CHANNEL_CLOSE [406", confirms, Peer.publishWithId(1, "q", latin1("page-\u00e8")));
+    assertRejected("CHANNEL_CLOSE [406", Peer.publishWithId(1, "q", latin1("\0unnamed-2-1")));
+    Peer peer = new Peer().open();
+    peer.feed(Peer.publishWithId(1, "q", "page-\u00e9".getBytes(StandardCharsets.UTF_8)));
+    assertEquals("page-\u00e9", peer.lastMessageId);
+  }
+
+  /** Guards against messages without an id that are taken for repeats of each other. */
+  @Test
+  void emptyMessageIdCountsAsAbsent() {
+    Peer peer = new Peer().open();
+    peer.feed(Peer.publishWithId(1, "q", latin1("some")), Peer.publishWithId(1, "q", latin1("")));
+    assertNull(peer.lastMessageId);
+  }
+
+  private static byte[] consume(String tag) {
+    return Peer.method(
+        1, MethodKind.BASIC_CONSUME, 0L, "q", tag, false, false, false, false, Map.of());
+  }
+
+  /** Guards against a generated tag that a client has chosen, which closed its connection. */
+  @Test
+  void generatedConsumerTagIsNoneThatTheClientChose() {
+    String answer = answerTo(consume("ctag-1.1"), consume(""), consume(""));
+    assertTrue(answer.contains("BASIC_CONSUME_OK [ctag-1.2]"), answer);
+    assertTrue(answer.contains("BASIC_CONSUME_OK [ctag-1.3]"), answer);
+    assertFalse(answer.contains("CLOSE"), answer);
+  }
+
+  /** Guards against a consumer that is taken for the pseudo-consumer of gets. */
+  @Test
+  void consumerTagWithNulIsRejected() {
+    assertRejected("CHANNEL_CLOSE [406", consume("\0get"));
+  }
 }
--- a/src/test/java/io/saltflow/amqp/Peer.java
+++ b/src/test/java/io/saltflow/amqp/Peer.java
@@ -28,6 +28,9 @@
   /** The channel of the last call to the broker. */
   long calledOn = 1;
 
+  /** The message id of the last publish. */
+  String lastMessageId;
+
   Peer() {
     session = new AmqpSession(LIMITS, this, this, now);
   }
@@ -45,8 +48,12 @@
   }
 
   static byte[] content(int channel, String body) {
+    return content(channel, NO_PROPERTIES, body);
+  }
+
+  private static byte[] content(int channel, byte[] properties, String body) {
     ByteWriter out = new ByteWriter();
-    Frame.content(out, channel, NO_PROPERTIES, body.getBytes(StandardCharsets.UTF_8), 4096);
+    Frame.content(out, channel, properties, body.getBytes(StandardCharsets.UTF_8), 4096);
     return out.toByteArray();
   }
 
@@ -56,6 +63,17 @@
         content(channel, body));
   }
 
+  /** Publishes a message whose only property is the message id of these bytes. */
+  static byte[] publishWithId(int channel, String queue, byte[] messageId) {
+    ByteWriter properties = new ByteWriter();
+    properties.u16(1 << 7);
+    properties.u8(messageId.length);
+    properties.write(messageId);
+    return join(
+        method(channel, MethodKind.BASIC_PUBLISH, 0L, "", queue, false, false),
+        content(channel, properties.toByteArray(), "a body"));
+  }
+
   static byte[] join(byte[]... parts) {
     ByteWriter out = new ByteWriter();
     for (byte[] part : parts) {
@@ -165,6 +183,7 @@
   public void publish(long channel, long number, String queue, Content content) {
     calledOn = channel;
     recordCall("publish " + number + " to " + queue + ": " + content.body().length + " bytes");
+    lastMessageId = content.properties().messageId();
   }
 
   @Override
--- a/src/test/java/io/saltflow/broker/LoopbackTest.java
+++ b/src/test/java/io/saltflow/broker/LoopbackTest.java
@@ -21,11 +21,14 @@
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -276,6 +279,37 @@
     assertTrue(found.get("j-bad").contains("expectS: is missing"), found.get("j-bad"));
   }
 
+  /** Guards against an unnamed message and a named one that share a job and its result. */
+  @Test
+  void unnamedMessageSharesNoResultWithIdsOfOtherPublishersAfterRestart() throws Exception {
+    kill();
+    start();
+    Set<String> chosen = new TreeSet<>();
+    List<String> found = new ArrayList<>();
+    try (Connection connection = connect()) {
+      Channel publisher = connection.createChannel();
+      publisher.confirmSelect();
+      publish(publisher, "jobs", null, "{\"cores\": 1, \"expectS\": 0.2}");
+      for (int term = 1; term <= 3; term++) {
+        for (int number = 1; number <= 2; number++) {
+          chosen.add(term + "-" + number);
+          publish(publisher, "jobs", term + "-" + number, "{\"cores\": 1, \"expectS\": 0.2}");
+        }
+      }
+      awaitConfirms(publisher);
+      Channel channel = connection.createChannel();
+      BlockingQueue<Delivery> results = consume(channel, "jobs.results");
+      while (found.size() <= chosen.size()) {
+        Delivery result = next(results);
+        assertTrue(result.body.contains("\"done\""), result.body);
+        found.add(result.id);
+        channel.basicAck(result.tag, false);
+      }
+    }
+    assertEquals(found.size(), Set.copyOf(found).size(), "an id with two results: " + found);
+    assertTrue(found.containsAll(chosen), found.toString());
+  }
+
   @Test
   void unsupportedRequestsAreRejectedWithReplyCodes() throws Exception {
     ConnectionFactory factory = new ConnectionFactory();
--- a/src/test/java/io/saltflow/queues/DeliveryHistoryTest.java
+++ b/src/test/java/io/saltflow/queues/DeliveryHistoryTest.java
@@ -26,7 +26,7 @@
     for (long seed = 0; seed < SCHEDULES; seed++) {
       QueueSimulation world = new QueueSimulation(seed, QueueSimulation.Bug.NONE);
       world.run(STEPS);
-      assertEquals(List.of(), world.history.violations(), "seed " + seed);
+      assertEquals(List.of(), world.violations(), "seed " + seed);
       events += world.history.events();
       assertTrue(
           world.usedChunks() < world.messageCount() * MAX_CHUNKS_PER_MESSAGE,
@@ -44,7 +44,7 @@
     for (long seed = 0; seed < 500; seed++) {
       QueueSimulation world = new QueueSimulation(seed, bug);
       world.run(STEPS);
-      if (!world.history.violations().isEmpty()) {
+      if (!world.violations().isEmpty()) {
         return;
       }
     }
--- a/src/test/java/io/saltflow/queues/QueueSimulation.java
+++ b/src/test/java/io/saltflow/queues/QueueSimulation.java
@@ -1,5 +1,6 @@
 package io.saltflow.queues;
 
+import io.saltflow.model.JobId;
 import io.saltflow.model.MonotonicTime;
 import io.saltflow.model.Priority;
 import io.saltflow.model.Resources;
@@ -32,7 +33,8 @@
     WRITE_NOT_FENCED,
     COMPLETED_ID_NOT_RECORDED,
     LOG_TRUNCATED_TOO_FAR,
-    SENT_DELIVERY_REVERTED
+    SENT_DELIVERY_REVERTED,
+    JOB_SHARED_BY_MESSAGES
   }
 
   static final byte[] EMPTY = new byte[0];
@@ -42,11 +44,17 @@
   static final QueueId EXPIRING = new QueueId("/", "brief");
   static final QueueId RESULTS = new QueueId("/", "results");
   static final QueueId DEAD_LETTERS = new QueueId("/", "dead");
+
+  /** The queue whose messages become jobs. */
+  static final QueueId JOBS = new QueueId("/", "jobs");
+
+  static final QueueId JOB_RESULTS = new QueueId("/", "jobs.results");
   static final int ATTEMPTS = 3;
 
   private static final int REMEMBERED_IDS = 50;
   private static final String CONSUMER_TAG = "consumer";
   private static final int CHUNK = 200;
+  private static final int SHARED_JOBS = 4;
 
   /** Small batches are filled by new entries; in large ones the log is cleaned as well. */
   private static final List<Integer> BATCH_BYTES = List.of(300, 1000, 4000);
@@ -73,8 +81,29 @@
         false);
   }
 
+  static QueuePolicy jobPolicy() {
+    return new QueuePolicy(
+        JOBS,
+        true,
+        "c",
+        "",
+        Priority.NORMAL,
+        Resources.ZERO,
+        ATTEMPTS,
+        TimeSpan.millis(0),
+        true,
+        TimeSpan.millis(400),
+        null,
+        JOB_RESULTS,
+        1000,
+        null,
+        false);
+  }
+
   static List<QueuePolicy> policies() {
     return List.of(
+        jobPolicy(),
+        QueuePolicy.internal(JOB_RESULTS, TimeSpan.millis(400), 1000),
         policy(WORK, true, null, null),
         policy(AT_MOST_ONCE, false, null, null),
         policy(DEAD_LETTERING, true, DEAD_LETTERS, null),
@@ -109,7 +138,7 @@
               policies(),
               new QueueCore.Limits(1 << 20, 1 << 16, REMEMBERED_IDS, TimeSpan.seconds(1000), SKEW),
               (queue, arrived) -> true,
-              (queue, id, body) -> null,
+              (queue, id, body) -> JobMessages.spec(jobId(id), body),
               RESULT_ENCODER,
               term);
       record.forEach((number, bytes) -> core.replay(number, chunks(bytes), decoded(bytes)));
@@ -120,9 +149,16 @@
   /** A connection with one consumer, and the leader that it connected to. */
   private record Worker(long session, ConsumerId id, Leader leader) {}
 
+  private JobId jobId(JobId id) {
+    return bug == Bug.JOB_SHARED_BY_MESSAGES
+        ? JobId.of(0, Math.floorMod(id.hashCode(), SHARED_JOBS))
+        : id;
+  }
+
   private record HeldDelivery(Worker worker, DeliveryId id, QueueId queue, String message) {}
 
   final DeliveryHistory history = new DeliveryHistory();
+  private final JobMessages jobMessages;
   private final SplittableRandom random;
   private final Bug bug;
   private final int batchBytes;
@@ -148,6 +184,13 @@
     this.bug = bug;
     batchBytes = pick(BATCH_BYTES);
     newMessages = random.nextDouble();
+    jobMessages = new JobMessages(random.split());
+    if (withProbability(0.5)) {
+      term = 1;
+      List<Entry> former = jobMessages.recordsOfEarlierVersion(wallMs());
+      record.put(1L, EntryCodec.encode(former));
+      addRecorded(former);
+    }
     failOver();
   }
 
@@ -193,7 +236,7 @@
     }
     for (int i = 0; i < steps; i++) {
       now = now.plus(TimeSpan.millis(random.nextInt(30)));
-      if (toPublish.size() < REMEMBERED_IDS && withProbability(newMessages)) {
+      if (messageCount() < REMEMBERED_IDS && withProbability(newMessages)) {
         addMessage();
       }
       step();
@@ -218,9 +261,21 @@
       }
     }
     history.checkCompleted();
+    jobMessages.checkCompleted();
+  }
+
+  /** Returns what clients observed that the queues must never do. */
+  List<String> violations() {
+    List<String> all = new ArrayList<>(history.violations());
+    all.addAll(jobMessages.violations());
+    return all;
   }
 
   private void addMessage() {
+    if (withProbability(0.25)) {
+      jobMessages.addMessage(term);
+      return;
+    }
     QueueId queue = pick(INPUTS);
     toPublish.put(queue.name() + "-" + toPublish.size(), queue);
   }
@@ -246,6 +301,11 @@
   }
 
   private void republish() {
+    for (String body : jobMessages.toPublish()) {
+      PendingPublish pendingPublish = new PendingPublish(0, 0, ++published);
+      pendingPublishes.put(pendingPublish, body);
+      newest().core.publish(pendingPublish, jobMessages.publish(body), now, wallMs());
+    }
     for (Map.Entry<String, QueueId> entry : toPublish.entrySet()) {
       if (confirmed.contains(entry.getKey()) && !withProbability(0.02)) {
         continue;
@@ -268,7 +328,7 @@
   }
 
   private void connect(Leader leader) {
-    QueueId queue = withProbability(0.3) ? RESULTS : pick(INPUTS);
+    QueueId queue = withProbability(0.3) ? pick(List.of(RESULTS, JOB_RESULTS)) : pick(INPUTS);
     if (!workers.isEmpty() && withProbability(0.3)) {
       consumeAgain(pick(workers), queue);
     } else {
@@ -290,7 +350,7 @@
 
   private void consumeAll() {
     for (QueueId queue : newest().core.queueIds()) {
-      if (newest().core.status(queue).consumers() == 0) {
+      if (!queue.equals(JOBS) && newest().core.status(queue).consumers() == 0) {
         consume(newest(), queue, 50);
       }
     }
@@ -310,7 +370,7 @@
 
   private void settle(HeldDelivery delivery, QueueCore.Settlement requested) {
     // Consumers of results always acknowledge them.
-    boolean result = delivery.queue.equals(RESULTS);
+    boolean result = delivery.queue.equals(RESULTS) || delivery.queue.equals(JOB_RESULTS);
     QueueCore.Settlement settlement = result ? QueueCore.Settlement.ACK : requested;
     boolean settled = delivery.worker.leader.core.settle(delivery.id, settlement, now, wallMs());
     if (settled && !result && settlement == QueueCore.Settlement.ACK) {
@@ -339,6 +399,7 @@
       leader.core.setAccepting(true);
     }
     leader.core.tick(now, wallMs());
+    jobMessages.poll(leader.core, faults == 0 ? 0.5 : 0.02, now, wallMs());
     for (int i = 0; i < 3 && !leader.dead; i++) {
       applyEffects(leader);
       write(leader, faults);
@@ -350,10 +411,14 @@
     for (Effect effect : leader.core.effects()) {
       if (effect instanceof Effect.Confirm confirm) {
         String id = pendingPublishes.get(confirm.publish());
-        history.confirmed(id, recordedIds.contains(id));
-        confirmed.add(id);
+        if (!jobMessages.confirmed(id, recordedIds.contains(id))) {
+          history.confirmed(id, recordedIds.contains(id));
+          confirmed.add(id);
+        }
       } else if (effect instanceof Effect.Deliver deliver) {
         deliver(leader, deliver);
+      } else if (effect instanceof Effect.Admit admit) {
+        jobMessages.admit(admit.spec());
       } else if (effect instanceof Effect.Overdue overdue) {
         workers.removeIf(w -> w.id.equals(overdue.consumer()));
       }
@@ -372,7 +437,12 @@
       return;
     }
     held.add(new HeldDelivery(target, deliver.id(), deliver.queue(), deliver.messageId()));
-    if (deliver.queue().equals(RESULTS)) {
+    if (deliver.queue().equals(JOB_RESULTS)) {
+      jobMessages.result(
+          deliver.messageId(),
+          deliver.id().message(),
+          new String(deliver.body(), StandardCharsets.UTF_8));
+    } else if (deliver.queue().equals(RESULTS)) {
       history.result(
           deliver.messageId(),
           new String(deliver.body(), StandardCharsets.UTF_8),
@@ -434,15 +504,20 @@
     record.put(batch.number(), stored(batch));
     long tail = bug == Bug.LOG_TRUNCATED_TOO_FAR ? batch.tail() + 2 : batch.tail();
     record.headMap(Math.min(tail, batch.number())).clear();
-    for (Entry entry : batch.entries()) {
+    addRecorded(batch.entries());
+  }
+
+  private void addRecorded(List<Entry> entries) {
+    for (Entry entry : entries) {
       if (entry instanceof Entry.Kept kept) {
-        recordedIds.add(kept.id());
+        boolean job = kept.queue().equals(JOBS);
+        recordedIds.add(job ? new String(kept.body(), StandardCharsets.UTF_8) : kept.id());
       }
     }
   }
 
   int messageCount() {
-    return toPublish.size();
+    return toPublish.size() + jobMessages.size();
   }
 
   long usedChunks() {
