QueueFailoverTest: wait for the answers themselves, not for waitForConfirms

The client library takes a number out of its set before it notes, under the lock, that the answer was a nack, so waitForConfirms may return true for a nack and false for the confirm after it (read from its byte code). Change: a confirm listener hands over each answer; each publish must get exactly the answer that was asked for before.

--- a/src/test/java/io/saltflow/controller/QueueFailoverTest.java
+++ b/src/test/java/io/saltflow/controller/QueueFailoverTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -46,8 +47,13 @@
 
   @TempDir Path directory;
   private final AtomicReference<Boolean> storeDown = new AtomicReference<>(false);
+
   private final List<LoopThread> loopThreads = new ArrayList<>();
   private final Map<Integer, LoopThread> threadsByPort = new TreeMap<>();
+
+  /** The answers to publishes: whether each was confirmed. */
+  private final BlockingQueue<Boolean> confirms = new LinkedBlockingQueue<>();
+
   private String environmentAddress;
   private AmqpSettings amqpSettings;
 
@@ -143,17 +149,26 @@
     return null;
   }
 
+  /**
+   * Publishes a message and returns whether it is confirmed. Waits for the answer itself: the
+   * client's {@code waitForConfirms} may return before it has noted that the answer is a nack.
+   */
+  private boolean isConfirmed(Channel channel, String id) throws Exception {
+    publish(channel, "work", id);
+    Boolean confirmed = confirms.poll(10, TimeUnit.SECONDS);
+    assertNotNull(confirmed, "no answer to the publish of " + id);
+    return confirmed;
+  }
+
   /**
    * Publishes until the message is confirmed or the timeout expires. The queues refuse messages for
    * up to 50 ms after publishers were unblocked, so the number of refusals depends on the client's
    * speed.
    */
-  private static boolean confirmedWithin(long timeoutMs, Channel channel, String id)
-      throws Exception {
+  private boolean confirmedWithin(long timeoutMs, Channel channel, String id) throws Exception {
     long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     do {
-      publish(channel, "work", id);
-      if (channel.waitForConfirms(10_000)) {
+      if (isConfirmed(channel, id)) {
         return true;
       }
     } while (System.nanoTime() - deadline < 0);
@@ -172,21 +187,20 @@
     channel.confirmSelect();
     BlockingQueue<String> notifications = new LinkedBlockingQueue<>();
     connection.addBlockedListener(notifications::add, () -> notifications.add("unblocked"));
-    publish(channel, "work", "before");
-    assertTrue(channel.waitForConfirms(10_000));
+    channel.addConfirmListener(
+        (number, multiple) -> confirms.add(true), (number, multiple) -> confirms.add(false));
+    assertTrue(isConfirmed(channel, "before"));
     storeDown.set(true);
     assertEquals("nothing can be recorded now", notifications.poll(20, TimeUnit.SECONDS));
     for (int i = 0; i < 3; i++) {
-      publish(channel, "work", "during");
-      assertFalse(channel.waitForConfirms(10_000), "message is refused immediately");
+      assertFalse(isConfirmed(channel, "during"), "message is refused immediately");
     }
     storeDown.set(false);
     assertEquals("unblocked", notifications.poll(20, TimeUnit.SECONDS));
     assertTrue(
         confirmedWithin(RESUME_TIMEOUT_MS, channel, "during"),
         "messages are accepted after the outage");
-    publish(channel, "work", "during");
-    assertTrue(channel.waitForConfirms(10_000));
+    assertTrue(isConfirmed(channel, "during"));
     assertEquals(
         "before", new String(channel.basicGet("work", true).getBody(), StandardCharsets.UTF_8));
     assertEquals(
