State service: a standstill of its process is an outage, after which leases have their full time

Cause: the first turn of the loop ended the leases before it read the renewals that waited; nobody was told of the standstill. Change: ActiveClock measures the time in which a process ran; KeyValueServer renews all leases after a gap, alone and in a group. The order of the loop is as before.

--- a/src/main/java/io/saltflow/kv/KeyValueCore.java
+++ b/src/main/java/io/saltflow/kv/KeyValueCore.java
@@ -49,6 +49,11 @@
     pipeline.onRestored();
   }
 
+  /** Renews all leases after the process stood still, which is an outage to its clients. */
+  public void onProcessPaused(MonotonicTime now) {
+    store.renewAllLeases(now);
+  }
+
   /** Begins or ends an outage, during which no request is served. Its end renews all leases. */
   public void setDown(boolean isDown, MonotonicTime now) {
     if (down && !isDown) {
--- a/src/main/java/io/saltflow/kvserver/KeyValueServer.java
+++ b/src/main/java/io/saltflow/kvserver/KeyValueServer.java
@@ -16,12 +16,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The HTTP interface of the key-value store. Passes requests to the core and holds watches until
  * there are changes or they time out. Runs on the event loop's thread.
  */
 public final class KeyValueServer extends Routine {
+  private static final Logger LOG = LoggerFactory.getLogger(KeyValueServer.class);
   private static final TimeSpan LEASE_CHECK_INTERVAL = TimeSpan.millis(50);
   private static final long MAX_WATCH_TIMEOUT_MS = 60_000;
   private static final int MAX_WATCHES = 1000;
@@ -34,6 +37,7 @@
   private final KeyValueCore core;
   private final Runnable writeNext;
   private final List<Watch> watches = new ArrayList<>();
+  private TimeSpan pausedTime;
 
   /**
    * Creates the interface.
@@ -45,16 +49,32 @@
     this.loop = loop;
     this.core = core;
     this.writeNext = writeNext;
+    pausedTime = loop.pausedTime();
     loop.scheduleRepeating(
         LEASE_CHECK_INTERVAL,
         this,
         () -> {
-          core.expireLeases(loop.now());
+          expireLeases(loop.now());
           writeNext.run();
           notifyWatches();
         });
   }
 
+  /**
+   * Revokes the expired leases. If the process stood still since the last call, it renews all of
+   * them instead: requests that arrived meanwhile have not been read yet.
+   */
+  private void expireLeases(MonotonicTime now) {
+    TimeSpan paused = loop.pausedTime();
+    if (paused.equals(pausedTime)) {
+      core.expireLeases(now);
+      return;
+    }
+    LOG.warn("process stood still for {}, all leases are renewed", paused.minus(pausedTime));
+    pausedTime = paused;
+    core.onProcessPaused(loop.now());
+  }
+
   /** Returns whether a request target belongs to this interface. */
   public static boolean serves(String target) {
     return target.startsWith(Wire.PATH_KV)
@@ -98,7 +118,7 @@
       Consumer<Reply> replyTo)
       throws InvalidMessageException {
     MonotonicTime now = loop.now();
-    core.expireLeases(now);
+    expireLeases(now);
     boolean isTransaction = request.is(method, "POST", Wire.PATH_TRANSACTION);
     MessageBody transaction = isTransaction ? MessagePackCodec.decode(body) : null;
     Reply rejection =
--- a/src/main/java/io/saltflow/transport/EventLoop.java
+++ b/src/main/java/io/saltflow/transport/EventLoop.java
@@ -2,6 +2,7 @@
 
 import io.saltflow.model.MonotonicTime;
 import io.saltflow.model.TimeSpan;
+import io.saltflow.processpause.ActiveClock;
 import io.saltflow.processpause.PauseDetector;
 import io.saltflow.processpause.ProcessPause;
 import java.io.IOException;
@@ -71,6 +72,7 @@
   private final Selector selector;
   private final LongSupplier nanos;
   private final LongSupplier wallClock;
+  private final ActiveClock activeClock;
   private PauseDetector pauseDetector;
   private Consumer<ProcessPause> onPause = processPause -> {};
   private MonotonicTime backlogUntil = MonotonicTime.LONG_AGO;
@@ -101,6 +103,7 @@
     this.nanos = nanos;
     this.wallClock = wallClock;
     selector = Selector.open();
+    activeClock = new ActiveClock(now());
   }
 
   /** Returns the current reading of the monotonic clock. */
@@ -108,6 +111,21 @@
     return new MonotonicTime(nanos.getAsLong() / 1_000_000);
   }
 
+  /**
+   * Returns the time in which this process ran, by the monotonic clock less the time in which it
+   * stood still. Whatever waits for others to act is timed by this clock: what they did meanwhile
+   * has not been read yet. Not comparable with {@link #now}.
+   */
+  public MonotonicTime activeNow() {
+    return activeClock.sample(now());
+  }
+
+  /** Returns the total time in which this process stood still, up to now. */
+  public TimeSpan pausedTime() {
+    activeNow();
+    return activeClock.pausedTime();
+  }
+
   /** Returns the wall clock in milliseconds. No safety property may depend on it. */
   public long wallClockMs() {
     return wallClock.getAsLong();
@@ -134,6 +152,7 @@
 
   /** Samples the clocks and returns whether a pause of this process was detected. */
   private boolean pauseDetected() {
+    activeNow();
     if (pauseDetector == null) {
       return false;
     }
@@ -221,6 +240,8 @@
       if (waited) {
         long waitStart = nanos.getAsLong();
         busyNs += waitStart - since;
+        activeNow();
+        activeClock.planWait(TimeSpan.millis(wait));
         selector.select(wait);
         since = nanos.getAsLong();
       } else {
