Roll-outs: nothing passes a gate on time in which the leader stood still

Cause: after the standstill the gate was evaluated on the replicas' states from before it, and its time counted as time held. Change: after a pause a leader's services observe anew, as a new leader's do, and wait until each replica's machine was heard; probes that were under way count as not made.

--- a/src/main/java/io/saltflow/cluster/ServiceReplicas.java
+++ b/src/main/java/io/saltflow/cluster/ServiceReplicas.java
@@ -175,12 +175,40 @@
     return out;
   }
 
+  /**
+   * Returns whether the machine of each replica has sent a heartbeat since the given time, or is
+   * known to be unresponsive.
+   */
+  public boolean isHeardSince(MonotonicTime since) {
+    for (TaskPlacement placement : placements) {
+      Machine machine = placement.machine;
+      if (machine.isUp()
+          && !machine.isUnresponsive()
+          && machine.heartbeats().lastHeartbeatAt().before(since)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /**
    * Counts the replicas by state.
    *
    * @param minReady the time for which a replica must have been ready to count as available
    */
   public ReplicaCounts counts(TimeSpan minReady, MonotonicTime now) {
+    return counts(minReady, MonotonicTime.LONG_AGO, now);
+  }
+
+  /**
+   * Counts the replicas by state.
+   *
+   * @param minReady the time for which a replica must have been ready to count as available
+   * @param observedSince the time before which readiness does not count
+   */
+  public ReplicaCounts counts(TimeSpan minReady, MonotonicTime observedSince, MonotonicTime now) {
+    MonotonicTime latestReady = new MonotonicTime(now.ms() - minReady.ms());
+    boolean observedLongEnough = !latestReady.before(observedSince);
     int ready = 0;
     int available = 0;
     int unreachable = 0;
@@ -189,12 +217,13 @@
         unreachable++;
       } else if (isServing(placement)) {
         ready++;
-        available += isAvailable(placement, minReady, now) ? 1 : 0;
+        available += observedLongEnough && isAvailable(placement, latestReady) ? 1 : 0;
       }
     }
     int excess = 0;
     for (TaskPlacement placement : excess()) {
-      excess += isServing(placement) && isAvailable(placement, minReady, now) ? 1 : 0;
+      boolean counted = observedLongEnough && isServing(placement);
+      excess += counted && isAvailable(placement, latestReady) ? 1 : 0;
     }
     return new ReplicaCounts(ready, available, unreachable, placements.size(), excess);
   }
@@ -206,9 +235,7 @@
         && placement.runningSince() != null;
   }
 
-  private static boolean isAvailable(
-      TaskPlacement placement, TimeSpan minReady, MonotonicTime now) {
-    return !placement.machine.departing()
-        && now.since(placement.runningSince()).compareTo(minReady) >= 0;
+  private static boolean isAvailable(TaskPlacement placement, MonotonicTime latestReady) {
+    return !placement.machine.departing() && !placement.runningSince().after(latestReady);
   }
 }
--- a/src/main/java/io/saltflow/healthgates/GateEvaluator.java
+++ b/src/main/java/io/saltflow/healthgates/GateEvaluator.java
@@ -53,6 +53,14 @@
         truth, truth == TernaryTruth.TRUE ? observedValues(observations, now) : reasons);
   }
 
+  /**
+   * Restarts the durations of all held conditions, for example because nothing was observed until
+   * now. Whether a condition has relapsed is kept.
+   */
+  public void restartDurations(MonotonicTime now) {
+    heldStates.values().forEach(state -> state.since = now);
+  }
+
   private List<String> observedValues(Observations observations, MonotonicTime now) {
     List<String> out = new ArrayList<>();
     for (Quantity quantity : gate.quantities()) {
--- a/src/main/java/io/saltflow/healthgates/ReplicaObservations.java
+++ b/src/main/java/io/saltflow/healthgates/ReplicaObservations.java
@@ -57,6 +57,15 @@
     }
   }
 
+  /**
+   * Handles an interruption of the observations. The ready replicas and the age of the step are
+   * unknown until they are set again; events before the interruption still count.
+   */
+  public void interrupted() {
+    readyUpdatedAt = MonotonicTime.LONG_AGO;
+    stepCompletedAt = null;
+  }
+
   /** Records that a replica's task exited. */
   public void recordExit(String cause, boolean failure, MonotonicTime now) {
     addBounded(exits, new Exit(now, cause, failure));
--- a/src/main/java/io/saltflow/services/LiveService.java
+++ b/src/main/java/io/saltflow/services/LiveService.java
@@ -46,6 +46,10 @@
   private GateEvaluator gate;
   private GateEvaluator stop;
   private int evaluatedStep = -1;
+
+  /** End of the last pause of this process, in which no replica was observed. */
+  private MonotonicTime observedSince = MonotonicTime.LONG_AGO;
+
   private GateEvaluator.Verdict lastVerdict;
 
   /** Budget for voluntary disruptions, shared by all versions of the service. */
@@ -136,7 +140,33 @@
     Job job = leader.jobs().find(jobIdOf(service.version(version)));
     TimeSpan settle =
         service.current() == null ? TimeSpan.millis(0) : service.current().plan().settle();
-    return job == null ? NO_REPLICAS : job.replicas().counts(settle, now);
+    return job == null ? NO_REPLICAS : job.replicas().counts(settle, observedSince, now);
+  }
+
+  /**
+   * Handles the end of a pause of this process. Like a new leader, it has observed nothing until
+   * now, except that failures and relapses seen before still count.
+   */
+  void onProcessPaused(MonotonicTime now) {
+    observedSince = now;
+    observations.interrupted();
+    if (gate != null) {
+      gate.restartDurations(now);
+    }
+    if (stop != null) {
+      stop.restartDurations(now);
+    }
+  }
+
+  /** Returns whether the replicas' machines were heard after the last pause of this process. */
+  boolean isObserved(LeaderCore leader) {
+    for (Service.Version version : service.versions()) {
+      Job job = leader.jobs().find(jobIdOf(version));
+      if (job != null && !job.replicas().isHeardSince(observedSince)) {
+        return false;
+      }
+    }
+    return true;
   }
 
   DisruptionBudget disruptions() {
--- a/src/main/java/io/saltflow/services/ProbeLoop.java
+++ b/src/main/java/io/saltflow/services/ProbeLoop.java
@@ -71,7 +71,11 @@
     scheduler.onResponse(prober, batch, times, others).forEach(onResult);
   }
 
-  /** Sends all probes at once and passes the latencies on when the last result is known. */
+  /**
+   * Sends all probes at once and passes the latencies on when the last result is known. If this
+   * process stood still meanwhile, the results say nothing about the replicas, and the probes count
+   * as not made.
+   */
   static void probeAll(
       EventLoop loop,
       Routine owner,
@@ -81,6 +85,7 @@
       Consumer<List<Long>> then) {
     Long[] times = new Long[places.size()];
     int[] remaining = {places.size()};
+    TimeSpan pausedBefore = loop.pausedTime();
     for (int i = 0; i < times.length; i++) {
       int index = i;
       prober.probe(
@@ -89,6 +94,9 @@
           ms -> {
             times[index] = ms;
             if (--remaining[0] == 0 && !owner.cancelled()) {
+              if (!loop.pausedTime().equals(pausedBefore)) {
+                Arrays.fill(times, ProbeFrame.NOT_PROBED);
+              }
               then.accept(Arrays.asList(times));
             }
           });
--- a/src/main/java/io/saltflow/services/ServiceController.java
+++ b/src/main/java/io/saltflow/services/ServiceController.java
@@ -4,6 +4,7 @@
 import io.saltflow.healthgates.GateEvaluator;
 import io.saltflow.leader.LeaderCore;
 import io.saltflow.model.JobId;
+import io.saltflow.model.MonotonicTime;
 import io.saltflow.model.TimeSpan;
 import io.saltflow.probes.ReplicaHealth;
 import io.saltflow.protocol.InvalidMessageException;
@@ -49,6 +50,7 @@
   private final ArrayDeque<String> advanceQueue = new ArrayDeque<>();
 
   private int advancesInFlight;
+  private TimeSpan pausedTime;
 
   private boolean ready;
 
@@ -58,6 +60,7 @@
     this.loop = loop;
     this.node = node;
     this.leader = leader;
+    pausedTime = loop.pausedTime();
     traces = new RolloutTraces(node.tracer(), node.wallMs());
     operations =
         new ServiceOperations(
@@ -132,6 +135,7 @@
   // ---- Decisions
 
   private void evaluate(LiveService live) {
+    noticePause();
     live.updateDisruptionBudget(leader, loop.now());
     probeLoop.setTargets(live.service().name(), live.probeTargets(leader));
     if (live.writeInFlight) {
@@ -204,10 +208,25 @@
     probeLoop.onResponse(answers.from(), answers.batch(), answers.latenciesMs());
   }
 
+  /** Discards what all services believed before a pause of this process. */
+  private void noticePause() {
+    TimeSpan paused = loop.pausedTime();
+    if (!paused.equals(pausedTime)) {
+      pausedTime = paused;
+      services.values().forEach(live -> live.onProcessPaused(loop.now()));
+    }
+  }
+
   /** Returns the next state by the current observations, and traces what changed. */
   private Rollout next(LiveService live) {
+    // Read before pauses are noticed: a later pause must not count as time observed.
+    MonotonicTime now = loop.now();
+    noticePause();
+    if (!live.isObserved(leader)) {
+      return live.service().current().rollout();
+    }
     GateEvaluator.Verdict before = live.verdict();
-    Rollout next = live.nextRollout(leader, loop.now(), node.wallMs().getAsLong());
+    Rollout next = live.nextRollout(leader, now, node.wallMs().getAsLong());
     traces.verdictChanged(live, before);
     traces.replicasStarted(live);
     return next;
