AMQP: time in which the leader stood still counts against no client

Cause: delivery time-outs, pauses and heartbeats were timed by the monotonic clock, and due timers go before what waits in sockets. Change: queues and connections are timed by the active clock.

--- a/src/main/java/io/saltflow/broker/AmqpServer.java
+++ b/src/main/java/io/saltflow/broker/AmqpServer.java
@@ -133,7 +133,7 @@
     for (Connection connection : new ArrayList<>(connections)) {
       connection.session.setBlocked(reason);
       connection.session.flush();
-      if (!connection.session.tick(loop.now())) {
+      if (!connection.session.tick(loop.activeNow())) {
         connection.stream.cancel();
       }
     }
@@ -236,9 +236,9 @@
                 : target.session.deliver(channel, id.consumer().tag(), delivery));
     QueueCore core = controller.core();
     if (!sent) {
-      core.deliveryNotSent(id, loop.now(), node.wallMs().getAsLong());
+      core.deliveryNotSent(id, loop.activeNow(), node.wallMs().getAsLong());
     } else if (deliver.noAck()) {
-      core.settle(id, QueueCore.Settlement.ACK, loop.now(), node.wallMs().getAsLong());
+      core.settle(id, QueueCore.Settlement.ACK, loop.activeNow(), node.wallMs().getAsLong());
     }
   }
 
@@ -258,13 +258,13 @@
                   bounds.channels(), bounds.frameMax(), bounds.heartbeat(), bounds.mostBody()),
               this,
               this,
-              loop.now());
+              loop.activeNow());
       connections.add(this);
     }
 
     @Override
     public void onBytes(ByteBuffer in) {
-      session.feed(in, loop.now());
+      session.feed(in, loop.activeNow());
     }
 
     @Override
@@ -326,7 +326,7 @@
               current.core(),
               settings.bounds(),
               opened,
-              new QueueBrokerSession.Clocks(loop::now, node.wallMs()),
+              new QueueBrokerSession.Clocks(loop::activeNow, node.wallMs()),
               current::pump);
       serving.put(id, this);
       return broker;
--- a/src/main/java/io/saltflow/broker/QueueController.java
+++ b/src/main/java/io/saltflow/broker/QueueController.java
@@ -149,7 +149,7 @@
   }
 
   private void startServing() {
-    core.begin(loop.now(), wallMs.getAsLong());
+    core.begin(loop.activeNow(), wallMs.getAsLong());
     ready = true;
     LOG.info("queues started: {} messages recovered", core.size());
     loop.scheduleRepeating(TICK_INTERVAL, this, this::tick);
@@ -164,7 +164,7 @@
       rejecting = reject;
       core.setAccepting(!reject);
     }
-    core.tick(loop.now(), wallMs.getAsLong());
+    core.tick(loop.activeNow(), wallMs.getAsLong());
     pump();
   }
 
@@ -263,7 +263,7 @@
   }
 
   private void completeJob(MessageNo no, boolean done, String refused, int errors) {
-    core.jobEnded(no, done, refused, errors, loop.now(), wallMs.getAsLong());
+    core.jobEnded(no, done, refused, errors, loop.activeNow(), wallMs.getAsLong());
     admitted.remove(no);
     pump();
   }
@@ -281,7 +281,7 @@
     for (Map.Entry<MessageNo, JobId> entry : Map.copyOf(admitted).entrySet()) {
       Job job = leader.jobs().find(entry.getValue());
       if (job != null) {
-        core.jobFailures(entry.getKey(), job.failureCount(), loop.now(), wallMs.getAsLong());
+        core.jobFailures(entry.getKey(), job.failureCount(), loop.activeNow(), wallMs.getAsLong());
       } else if (pendingRequests.size() < MAX_CONCURRENT_JOB_REQUESTS
           && pendingRequests.add(entry.getKey())) {
         jobs.find(
--- a/src/main/java/io/saltflow/records/QueueRepository.java
+++ b/src/main/java/io/saltflow/records/QueueRepository.java
@@ -262,7 +262,7 @@
     keysWritten += targets.size();
     batchesWritten++;
     writing = false;
-    core.recorded(targets.size(), loop.now(), wallMs.getAsLong());
+    core.recorded(targets.size(), loop.activeNow(), wallMs.getAsLong());
     onRecorded.run();
   }
 }
--- a/src/test/java/io/saltflow/controller/QueueFailoverTest.java
+++ b/src/test/java/io/saltflow/controller/QueueFailoverTest.java
@@ -19,6 +19,7 @@
 import io.saltflow.config.QueueSettings;
 import io.saltflow.kv.KeyValueLimits;
 import io.saltflow.model.TimeSpan;
+import io.saltflow.queues.QueuePolicy;
 import io.saltflow.transport.Addresses;
 import io.saltflow.transport.EventLoop;
 import io.saltflow.transport.LoopThread;
@@ -31,8 +32,11 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -48,12 +52,16 @@
   @TempDir Path directory;
   private final AtomicReference<Boolean> storeDown = new AtomicReference<>(false);
 
+  /** Time by which the controllers' clocks are ahead of the system clocks, in milliseconds. */
+  private final AtomicLong clockOffsetMs = new AtomicLong();
+
   private final List<LoopThread> loopThreads = new ArrayList<>();
   private final Map<Integer, LoopThread> threadsByPort = new TreeMap<>();
 
   /** The answers to publishes: whether each was confirmed. */
   private final BlockingQueue<Boolean> confirms = new LinkedBlockingQueue<>();
 
+  private final Map<Integer, EventLoop> loopsByPort = new TreeMap<>();
   private String environmentAddress;
   private AmqpSettings amqpSettings;
 
@@ -95,7 +103,10 @@
                     "[endpoints]",
                     "[[siblings]]\nhost_name = \"x\"\nzone = \"a\"\naddr = \"127.0.0.1:9\"\n"
                         + "[endpoints]"));
-    EventLoop loop = new EventLoop();
+    EventLoop loop =
+        new EventLoop(
+            () -> System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(clockOffsetMs.get()),
+            () -> System.currentTimeMillis() + clockOffsetMs.get());
     ControllerNode node =
         new ControllerNode(
             loop,
@@ -107,6 +118,7 @@
     int port = node.amqpPort();
     LoopThread thread = LoopThread.start(loop, node);
     loopThreads.add(thread);
+    loopsByPort.put(port, loop);
     threadsByPort.put(port, thread);
     return port;
   }
@@ -253,4 +265,81 @@
         "o0 is not delivered again");
     nextConnection.abort();
   }
+
+  private static QueuePolicy withDeliveryTimeout(QueuePolicy queue, TimeSpan timeout) {
+    return new QueuePolicy(
+        queue.id(),
+        queue.runsAsJobs(),
+        queue.jobClass(),
+        queue.team(),
+        queue.priority(),
+        queue.size(),
+        queue.maxAttempts(),
+        queue.retryDelay(),
+        queue.redeliverable(),
+        timeout,
+        queue.deadLetters(),
+        queue.results(),
+        queue.maxMessages(),
+        queue.timeToLive(),
+        queue.internal());
+  }
+
+  /** Stops a node's process until the action is done, and for some time by its clocks. */
+  private void pauseDuring(EventLoop loop, TimeSpan pause, Callable<?> action) throws Exception {
+    CountDownLatch paused = new CountDownLatch(1);
+    CountDownLatch resumed = new CountDownLatch(1);
+    loop.post(
+        () -> {
+          paused.countDown();
+          try {
+            resumed.await();
+          } catch (InterruptedException exception) {
+            throw new IllegalStateException(exception);
+          }
+          clockOffsetMs.addAndGet(pause.ms());
+        });
+    paused.await();
+    action.call();
+    resumed.countDown();
+  }
+
+  /** Guards against deliveries that time out while the process cannot read acknowledgements. */
+  @Test
+  void acknowledgementThatArrivesDuringPauseCounts() throws Exception {
+    amqpSettings =
+        new AmqpSettings(
+            amqpSettings.listen(),
+            amqpSettings.addresses(),
+            amqpSettings.bounds(),
+            amqpSettings.users(),
+            amqpSettings.hosts(),
+            amqpSettings.queues().stream()
+                .map(queue -> withDeliveryTimeout(queue, TimeSpan.seconds(10)))
+                .toList(),
+            amqpSettings.templates());
+    startNode("only", 60);
+    Connection connection = connectToLeader();
+    Channel channel = connection.createChannel();
+    channel.confirmSelect();
+    EventLoop loop = loopsByPort.get(connection.getPort());
+    for (int pauseS : new int[] {3, 12, 30}) {
+      String id = "paused-" + pauseS;
+      publish(channel, "once", id);
+      channel.waitForConfirmsOrDie(10_000);
+      GetResponse delivery = channel.basicGet("once", false);
+      clockOffsetMs.addAndGet(400);
+      pauseDuring(
+          loop,
+          TimeSpan.seconds(pauseS),
+          () -> {
+            channel.basicAck(delivery.getEnvelope().getDeliveryTag(), false);
+            return null;
+          });
+      assertEquals(
+          "{\"id\":\"" + id + "\",\"outcome\":\"done\",\"attempts\":1}",
+          result(channel, "once.results"));
+    }
+    connection.abort();
+  }
 }
