Queues: attempts of a message's job are counted over all leaders

Cause: only the failures seen in the present term were compared with the limit, and they were recorded only once it was reached. Change: earlier leaders' failures count, each growth is recorded before the task is tried again, a new leader that finds the limit reached withdraws the job at once, and results name the failures of all leaders. The recorded forms are the same.

--- a/src/main/java/io/saltflow/broker/QueueController.java
+++ b/src/main/java/io/saltflow/broker/QueueController.java
@@ -40,6 +40,10 @@
   private static final TimeSpan RETRY_DELAY = TimeSpan.millis(300);
   private static final TimeSpan TICK_INTERVAL = TimeSpan.millis(50);
   private static final TimeSpan JOB_POLL_INTERVAL = TimeSpan.seconds(1);
+
+  /** Below the delay before a failed task is retried, so that its failure is recorded first. */
+  private static final TimeSpan JOB_FAILURE_INTERVAL = TimeSpan.millis(200);
+
   private static final TimeSpan SUMMARY_INTERVAL = TimeSpan.seconds(30);
 
   /**
@@ -59,6 +63,10 @@
   private final QueueRepository repository;
   private final ArrayDeque<Effect.Admit> pendingAdmissions = new ArrayDeque<>();
   private final Map<MessageNo, JobId> admitted = new HashMap<>();
+
+  /** The failures of each job that were reported to the core, without those that had none. */
+  private final Map<MessageNo, Integer> reportedFailures = new HashMap<>();
+
   private final Set<MessageNo> pendingRequests = new HashSet<>();
   private boolean ready;
   private boolean logUnreadable;
@@ -154,6 +162,7 @@
     LOG.info("queues started: {} messages recovered", core.size());
     loop.scheduleRepeating(TICK_INTERVAL, this, this::tick);
     loop.scheduleRepeating(JOB_POLL_INTERVAL, this, this::pollJobs);
+    loop.scheduleRepeating(JOB_FAILURE_INTERVAL, this, this::reportNewFailures);
     loop.scheduleRepeating(SUMMARY_INTERVAL, this, this::logSummary);
     pump();
   }
@@ -228,7 +237,7 @@
       Effect.Admit admit = pendingAdmissions.poll();
       String rejection = node.neverRuns().apply(admit.spec());
       if (rejection != null) {
-        completeJob(admit.message(), false, rejection, 0);
+        completeJob(admit.message(), false, rejection);
         continue;
       }
       pendingRequests.add(admit.message());
@@ -246,13 +255,13 @@
               return;
             }
             if (outcome instanceof JobOutcome.TooLarge) {
-              completeJob(admit.message(), false, "its job's description is too large", 0);
+              completeJob(admit.message(), false, "its job's description is too large");
             } else if (outcome instanceof JobOutcome.NeverAccepted refused) {
               String reason =
                   "its job awaits " + refused.dependency() + ", which was never accepted";
-              completeJob(admit.message(), false, reason, 0);
+              completeJob(admit.message(), false, reason);
             } else if (outcome instanceof JobOutcome.CreatedCancelled) {
-              completeJob(admit.message(), false, null, 0);
+              completeJob(admit.message(), false, null);
             } else if (outcome instanceof JobOutcome.Found found) {
               onJobFound(admit.message(), found.status());
             }
@@ -262,15 +271,15 @@
     }
   }
 
-  private void completeJob(MessageNo no, boolean done, String refused, int errors) {
-    core.jobEnded(no, done, refused, errors, loop.activeNow(), wallMs.getAsLong());
+  private void completeJob(MessageNo no, boolean done, String refused) {
+    core.jobEnded(no, done, refused, loop.activeNow(), wallMs.getAsLong());
     admitted.remove(no);
     pump();
   }
 
   private void onJobFound(MessageNo no, JobStatus job) {
     if (job.phase() != JobPhase.LIVE) {
-      completeJob(no, job.phase() == JobPhase.DONE, null, 0);
+      completeJob(no, job.phase() == JobPhase.DONE, null);
     }
   }
 
@@ -278,6 +287,7 @@
   private void pollJobs() {
     Map<MessageNo, JobId> live = core.jobs();
     admitted.keySet().retainAll(live.keySet());
+    reportedFailures.keySet().retainAll(live.keySet());
     for (Map.Entry<MessageNo, JobId> entry : Map.copyOf(admitted).entrySet()) {
       Job job = leader.jobs().find(entry.getValue());
       if (job != null) {
@@ -297,6 +307,23 @@
     pump();
   }
 
+  /** Reports the jobs that have failed since the last report. */
+  private void reportNewFailures() {
+    boolean reported = false;
+    for (Map.Entry<MessageNo, JobId> entry : admitted.entrySet()) {
+      Job job = leader.jobs().find(entry.getValue());
+      int failures = job == null ? 0 : job.failureCount();
+      if (failures > reportedFailures.getOrDefault(entry.getKey(), 0)) {
+        reportedFailures.put(entry.getKey(), failures);
+        core.jobFailures(entry.getKey(), failures, loop.activeNow(), wallMs.getAsLong());
+        reported = true;
+      }
+    }
+    if (reported) {
+      pump();
+    }
+  }
+
   private void logSummary() {
     if (core.size() > 0) {
       LOG.info(
--- a/src/main/java/io/saltflow/queues/Message.java
+++ b/src/main/java/io/saltflow/queues/Message.java
@@ -58,6 +58,9 @@
   /** Number of the batch that holds the latest full entry, or 0 before it is recorded. */
   long batch;
 
+  /** Failures of the job that earlier leaders recorded. */
+  int failuresInEarlierTerms;
+
   /** Whether the job has used all its attempts and is being cancelled. */
   boolean attemptsExhausted;
 
--- a/src/main/java/io/saltflow/queues/MessageJobs.java
+++ b/src/main/java/io/saltflow/queues/MessageJobs.java
@@ -95,8 +95,12 @@
     JobSpec spec = createJob(message);
     if (spec != null) {
       message.state = Message.State.RUNNING_AS_JOB;
+      message.failuresInEarlierTerms = message.attempts;
       message.attemptsExhausted = message.attempts >= message.queue.policy.maxAttempts();
       context.emit(new Effect.Admit(message.no, spec, message.arrivedWallMs));
+      if (message.attemptsExhausted) {
+        context.emit(new Effect.Withdraw(message.job));
+      }
     }
   }
 
@@ -115,31 +119,42 @@
     return message != null && message.state == Message.State.RUNNING_AS_JOB ? message : null;
   }
 
-  /** Cancels the job if its number of failures has reached the limit. */
-  void jobFailures(MessageNo no, int errors) {
+  /**
+   * Records the job's failures, and cancels it if their number over all leaders has reached the
+   * limit.
+   */
+  void jobFailures(MessageNo no, int failuresInTerm) {
     Message message = running(no);
-    if (message == null || errors < message.queue.policy.maxAttempts()) {
+    if (message == null) {
       return;
     }
     if (message.attemptsExhausted) {
       // The cancellation may have been requested by an earlier leader, or have failed.
       context.emit(new Effect.Withdraw(message.job));
-    } else {
+      return;
+    }
+    int failures = message.failuresInEarlierTerms + failuresInTerm;
+    if (failures <= message.attempts) {
+      return;
+    }
+    message.attempts = failures;
+    context.record(new Entry.Returned(no, failures), () -> onFailuresRecorded(message));
+  }
+
+  private void onFailuresRecorded(Message message) {
+    if (message.attempts >= message.queue.policy.maxAttempts()) {
       message.attemptsExhausted = true;
-      message.attempts = errors;
-      context.record(
-          new Entry.Returned(message.no, errors),
-          () -> context.emit(new Effect.Withdraw(message.job)));
+      context.emit(new Effect.Withdraw(message.job));
     }
   }
 
-  void jobEnded(MessageNo no, boolean done, String refused, int errors) {
+  void jobEnded(MessageNo no, boolean done, String refused) {
     Message message = running(no);
     if (message == null) {
       return;
     }
     if (done) {
-      message.attempts = errors + 1;
+      message.attempts++;
       completion.complete(message, Outcome.DONE, null);
     } else if (refused != null) {
       completion.complete(message, Outcome.FAILED, refused);
@@ -147,7 +162,6 @@
       completion.complete(
           message, Outcome.FAILED, "failed after " + message.attempts + " attempts");
     } else {
-      message.attempts = errors;
       completion.complete(message, Outcome.CANCELLED, "its job was cancelled");
     }
   }
--- a/src/main/java/io/saltflow/queues/QueueCore.java
+++ b/src/main/java/io/saltflow/queues/QueueCore.java
@@ -244,10 +244,10 @@
     return messageJobs.jobs();
   }
 
-  /** Reports the number of failures of a job so far. */
-  public void jobFailures(MessageNo no, int errors, MonotonicTime time, long wallMs) {
+  /** Reports the number of failures of a job that this leader has seen so far. */
+  public void jobFailures(MessageNo no, int failuresInTerm, MonotonicTime time, long wallMs) {
     context.setTime(time, wallMs);
-    messageJobs.jobFailures(no, errors);
+    messageJobs.jobFailures(no, failuresInTerm);
   }
 
   /**
@@ -256,9 +256,9 @@
    * @param refused the reason why the job was not admitted, or null if it was admitted
    */
   public void jobEnded(
-      MessageNo no, boolean done, String refused, int errors, MonotonicTime time, long wallMs) {
+      MessageNo no, boolean done, String refused, MonotonicTime time, long wallMs) {
     context.setTime(time, wallMs);
-    messageJobs.jobEnded(no, done, refused, errors);
+    messageJobs.jobEnded(no, done, refused);
   }
 
   // ---- Recording, time
--- a/src/test/java/io/saltflow/queues/JobIdentityTest.java
+++ b/src/test/java/io/saltflow/queues/JobIdentityTest.java
@@ -112,7 +112,7 @@
   }
 
   private void end(String body, boolean done) {
-    core.jobEnded(numbers.get(body), done, null, 0, NOW, WALL_MS);
+    core.jobEnded(numbers.get(body), done, null, NOW, WALL_MS);
     drain();
   }
 
--- a/src/test/java/io/saltflow/queues/JobMessages.java
+++ b/src/test/java/io/saltflow/queues/JobMessages.java
@@ -228,7 +228,7 @@
             (no, id) -> {
               Job job = jobs.get(id);
               if (job != null && job.ended) {
-                core.jobEnded(no, succeeds(job.body), null, 0, now, wallMs);
+                core.jobEnded(no, succeeds(job.body), null, now, wallMs);
               }
             });
   }
