Scheduler: a job returns to the machine on which it failed; a machine is requested where none fits

Cause: a job kept off each machine on which it had failed for the whole term; and the planner compared cores of all zones and types. Whose fault a failure is, is judged as before.

--- a/src/main/java/io/saltflow/autoscaler/ScaleOutPlanner.java
+++ b/src/main/java/io/saltflow/autoscaler/ScaleOutPlanner.java
@@ -76,6 +76,7 @@
   /** A plan under construction: existing and pending capacity, and the machines to request. */
   private final class Plan {
     private final Backlog backlog;
+    private final Collection<Machine> machines;
     private final Collection<MachineType> types;
     private final MonotonicTime now;
     private final double maxHourlyPrice;
@@ -98,10 +99,11 @@
         int remainingMachines,
         MonotonicTime now) {
       this.backlog = backlog;
+      this.machines = machines;
       this.types = types;
       this.remainingMachines = remainingMachines;
       this.now = now;
-      countMachines(machines);
+      countMachines();
       countOpenRequests();
       // One expensive machine must not cost a large fraction of all others, even for overdue jobs:
       // a large one would be mostly idle during its last long task.
@@ -110,12 +112,16 @@
       missingCores = backlog.desiredCores() - totalCores;
     }
 
-    private void countMachines(Collection<Machine> machines) {
+    private static boolean isUsable(Machine machine) {
+      return machine.type() != null
+          && !machine.isScalingIn()
+          && !machine.isFaulty()
+          && !machine.answersLost();
+    }
+
+    private void countMachines() {
       for (Machine machine : machines) {
-        if (machine.type() == null
-            || machine.isScalingIn()
-            || machine.isFaulty()
-            || machine.answersLost()) {
+        if (!isUsable(machine)) {
           continue;
         }
         boolean overdue = machine.bootOverdue(now);
@@ -149,6 +155,10 @@
       boolean urgent = isUrgent(job, taskCores * tasks);
       if (!urgent && totalCores > 0 && taskCores > 0) {
         tasks = (int) Math.min(tasks, Math.ceil(missingCores / taskCores));
+        if (tasks <= 0 && !fitsSomewhere(job)) {
+          // The other machines' cores do not help this job, however many are free.
+          tasks = 1;
+        }
       }
       if (tasks <= 0) {
         return true;
@@ -159,6 +169,29 @@
       return kind == null || hasPartialOpenRequest(kind) || addMachines(kind, taskSize, tasks);
     }
 
+    /** Returns whether a task of the job can ever run on a machine that is there or requested. */
+    private boolean fitsSomewhere(Job job) {
+      for (Machine machine : machines) {
+        if (isUsable(machine)
+            && machine.reclaimAt() == null
+            && job.spec.size().fitsIn(machine.type().size())
+            && job.spec.allows(machine.typeName, machine.zone, machine.spot)
+            && !job.failedMachines.avoids(machine, now)) {
+          return true;
+        }
+      }
+      for (ScaleOutRequest request : openRequests.values()) {
+        if (canRunOn(job, request.instanceKind())) {
+          return true;
+        }
+      }
+      return machinesByKind.keySet().stream().anyMatch(kind -> canRunOn(job, kind));
+    }
+
+    private static boolean canRunOn(Job job, InstanceKind kind) {
+      return kind.accepts(job) && job.spec.size().fitsIn(kind.type().size());
+    }
+
     /** Returns whether the job needs machines regardless of the backlog. */
     private boolean isUrgent(Job job, double cores) {
       boolean urgent = job.spec.daemon();
--- a/src/main/java/io/saltflow/cluster/Job.java
+++ b/src/main/java/io/saltflow/cluster/Job.java
@@ -3,16 +3,13 @@
 import io.saltflow.fairshare.ShareGroup;
 import io.saltflow.model.JobId;
 import io.saltflow.model.JobSpec;
-import io.saltflow.model.MachineId;
 import io.saltflow.model.MonotonicTime;
 import io.saltflow.model.TimeSpan;
 import io.saltflow.priority.OrderKey;
 import io.saltflow.protocol.Wire;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -37,7 +34,8 @@
   /** Run time saved in checkpoints, by task index. */
   public final TreeMap<Integer, TimeSpan> checkpointedRunTime = new TreeMap<>();
 
-  public final Set<MachineId> failedOnMachines = new HashSet<>();
+  /** The machines on which its tasks have failed in this term. */
+  public final FailedMachines failedMachines = new FailedMachines();
 
   /** Zones of the tasks that the last round assigned and that have not been launched. */
   public final List<String> assignedZones = new ArrayList<>();
@@ -208,7 +206,7 @@
   /** Returns whether the job is considered defective because it fails on machine after machine. */
   public boolean failsEverywhere() {
     return isService()
-        ? failedOnMachines.size() >= SERVICE_FAILURE_MACHINES && doneCount() == 0
+        ? failedMachines.ids().size() >= SERVICE_FAILURE_MACHINES && doneCount() == 0
         : retryBackoff.isActive();
   }
 
--- a/src/main/java/io/saltflow/cluster/Machine.java
+++ b/src/main/java/io/saltflow/cluster/Machine.java
@@ -57,7 +57,7 @@
   private boolean scalingIn;
   private MonotonicTime reclaimAt;
   private MonotonicTime idleSince;
-  private int failureWeight;
+  private final TrackRecord trackRecord = new TrackRecord();
   private boolean faulty;
   private MonotonicTime faultySince = MonotonicTime.LONG_AGO;
   private Resources used = Resources.ZERO;
@@ -354,14 +354,9 @@
     this.idleSince = idleSince;
   }
 
-  /** Returns the number of failures since the last success that count against the machine. */
-  public int failureWeight() {
-    return failureWeight;
-  }
-
-  /** Sets the number of failures that count against the machine. */
-  public void setFailureWeight(int failureWeight) {
-    this.failureWeight = failureWeight;
+  /** Returns what the ends of its tasks say about the machine. */
+  public TrackRecord trackRecord() {
+    return trackRecord;
   }
 
   /** Returns whether the machine is considered faulty. */
--- a/src/main/java/io/saltflow/fencing/TaskOutcomes.java
+++ b/src/main/java/io/saltflow/fencing/TaskOutcomes.java
@@ -102,7 +102,7 @@
         faultAttribution.recordSuccess(job.id(), placement == null ? null : placement.machine.id),
         now);
     if (placement != null) {
-      placement.machine.setFailureWeight(0);
+      placement.machine.trackRecord().onTaskSucceeded(placement.launchedAt);
     }
     job.markDone(index);
     job.notBefore.remove(index);
@@ -114,7 +114,7 @@
   @Override
   public void onFailed(Job job, int index, Machine machine, MonotonicTime now) {
     job.countFailure();
-    job.failedOnMachines.add(machine.id);
+    job.failedMachines.add(machine.id, now);
     changed = true;
     job.replicas().recordUnexpectedExit(TASK_ERROR, true);
     job.notBefore.put(index, now.plus(RETRY_DELAY));
@@ -133,10 +133,10 @@
     }
     applyFindings(faultAttribution.recordFailure(job.id(), machine.id), now);
     job.onRetryFailed(now);
-    for (MachineId id : job.failedOnMachines) {
+    for (MachineId id : job.failedMachines.ids()) {
       Machine other = reconciler.findMachine(id);
       if (other != null) {
-        other.setFailureWeight(faultAttribution.failureWeight(id));
+        other.trackRecord().setFailureWeight(faultAttribution.failureWeight(id));
       }
     }
   }
--- a/src/main/java/io/saltflow/scheduler/MigrationSearch.java
+++ b/src/main/java/io/saltflow/scheduler/MigrationSearch.java
@@ -89,7 +89,7 @@
       return new Proposal(null, "all free room together is too little for it");
     }
     MigrationPlan plan =
-        MigrationPlanner.plan(job.spec.size(), bins, constraints(), SEARCH_STEP_BUDGET);
+        MigrationPlanner.plan(job.spec.size(), bins, constraints(now), SEARCH_STEP_BUDGET);
     if (plan == null) {
       return new Proposal(null, "it fits by sum, and no replicas can be moved for it");
     }
@@ -135,7 +135,7 @@
         && !plans.movedRecently(placement.taskId(), now);
   }
 
-  private PlacementConstraints constraints() {
+  private PlacementConstraints constraints(MonotonicTime now) {
     return new PlacementConstraints() {
       @Override
       public boolean mayPlace(MovableReplica replica, MachineId to) {
@@ -146,7 +146,7 @@
             && !machine.isCordoned()
             && job.spec.allows(machine.typeName, machine.zone, machine.spot)
             && job.replicas().mayStartIn(machine.zone)
-            && !job.failedOnMachines.contains(machine.id)
+            && !job.failedMachines.avoids(machine, now)
             && (placement.machine.zone.equals(machine.zone)
                 || PlacementRules.allowed(job, machine));
       }
--- a/src/main/java/io/saltflow/scheduler/PlacementRules.java
+++ b/src/main/java/io/saltflow/scheduler/PlacementRules.java
@@ -65,7 +65,7 @@
     return fetchS
         + (expensive ? EXPENSIVE_PENALTY_S : 0)
         + Math.min(MAX_ROOM_PENALTY_S, coresLeft * ROOM_PENALTY_S_PER_CORE)
-        + machine.failureWeight() * FAILURE_PENALTY_S;
+        + machine.trackRecord().failureWeight() * FAILURE_PENALTY_S;
   }
 
   /**
--- a/src/main/java/io/saltflow/scheduler/TaskAssigner.java
+++ b/src/main/java/io/saltflow/scheduler/TaskAssigner.java
@@ -92,8 +92,7 @@
         && PlacementRules.allowed(job, machine)
         && (!boundByReservation(candidate, machine, backfilling)
             || mayBackfill(job, machine, estimates.predict(job, taskIndex), now))
-        && (job.failedOnMachines.isEmpty()
-            || !job.failedOnMachines.contains(machine.id)
+        && (!job.failedMachines.avoids(machine, now)
             || job.failsEverywhere()
             || state.usableMachines().size() <= 1)
         && (!machine.isCordoned() || mayUseCordoned(job));
