--- a/src/main/java/io/saltflow/config/QueueSettings.java
+++ b/src/main/java/io/saltflow/config/QueueSettings.java
@@ -64,6 +64,13 @@
     Map<QueueId, String> templates = new HashMap<>();
     for (JsonNode queue : node.path("queues")) {
       QueuePolicy policy = policy(queue);
+      if (policy.runsAsJobs() && !policy.redeliverable()) {
+        throw new ConfigException(
+            "queues "
+                + policy.id()
+                + ": 'deliver' machines and 'repeats' false exclude each other: the task of a"
+                + " machine that ends is started again");
+      }
       if (queues.put(policy.id(), policy) != null) {
         throw new ConfigException("queues " + policy.id() + ": defined twice");
       }
--- a/src/test/java/io/saltflow/config/QueueSettingsTest.java
+++ b/src/test/java/io/saltflow/config/QueueSettingsTest.java
@@ -91,6 +91,23 @@
     assertTrue(exception.getMessage().contains("queues.json"), exception.getMessage());
   }
 
+  /** Guards against a queue that promises one delivery and starts its jobs' tasks again. */
+  @Test
+  void machinesWithoutRepeatsAreRefusedAndBothFieldsNamed() throws Exception {
+    String queue = "{\"name\": \"q\", \"deliver\": \"machines\", \"repeats\": %s";
+    ConfigException exception =
+        assertThrows(
+            ConfigException.class,
+            () -> read(GOOD.replace("{\"name\": \"q\"", queue.formatted("false"))));
+    for (String named : List.of("queues.json", "q", "'deliver' machines", "'repeats' false")) {
+      assertTrue(exception.getMessage().contains(named), exception.getMessage());
+    }
+    assertTrue(
+        queue(read(GOOD.replace("{\"name\": \"q\"", queue.formatted("true"))), "q").runsAsJobs());
+    String consumers = "{\"name\": \"q\", \"repeats\": false";
+    assertFalse(queue(read(GOOD.replace("{\"name\": \"q\"", consumers)), "q").redeliverable());
+  }
+
   @Test
   void unusableQueueCausesWarnings() throws Exception {
     String unusable = "{\"name\": \"q\", \"deliver\": \"machines\", \"team\": \"none\"}";
