LoopbackTest: count what is unsettled at a disconnect independently of the client's speed

The consumer acknowledged five of its ten and disconnected; up to five more were delivered in their place if that took longer than a write. Change: the consumer of "once" is cancelled before it acknowledges, so exactly five deliveries are unsettled; the count stays 20.

--- a/src/test/java/io/saltflow/broker/LoopbackTest.java
+++ b/src/test/java/io/saltflow/broker/LoopbackTest.java
@@ -104,6 +104,7 @@
     channel.basicConsume(
         queue,
         false,
+        queue,
         new DefaultConsumer(channel) {
           @Override
           public void handleDelivery(
@@ -180,20 +181,28 @@
     }
   }
 
-  /** Receives ten messages from each queue, acknowledges channel of them and disconnects. */
+  /**
+   * Receives ten messages from each queue, acknowledges half of them and disconnects. Nothing more
+   * is delivered from {@code once} in place of the acknowledged ones, since its consumer is
+   * cancelled before; how many would be depends on how fast the client disconnects.
+   */
   private void consumeTenAndDisconnect(Published published) throws Exception {
     try (Connection connection = connect()) {
       Channel channel = connection.createChannel();
       channel.basicQos(10);
       BlockingQueue<Delivery> work = consume(channel, "work");
       BlockingQueue<Delivery> once = consume(channel, "once");
+      List<Delivery> held = new ArrayList<>();
+      for (int i = 0; i < 10; i++) {
+        held.add(next(once));
+      }
+      channel.basicCancel("once");
       for (int i = 0; i < 10; i++) {
         Delivery workDelivery = next(work);
-        Delivery onceDelivery = next(once);
-        assertTrue(published.seenOnce.add(onceDelivery.id));
+        assertTrue(published.seenOnce.add(held.get(i).id));
         if (i % 2 == 0) {
           channel.basicAck(workDelivery.tag, false);
-          channel.basicAck(onceDelivery.tag, false);
+          channel.basicAck(held.get(i).tag, false);
         }
       }
     }
