--- a/src/main/java/io/saltflow/kvserver/KeyValueServer.java
+++ b/src/main/java/io/saltflow/kvserver/KeyValueServer.java
@@ -70,7 +70,8 @@
       core.expireLeases(now);
       return;
     }
-    LOG.warn("process stood still for {}, all leases are renewed", paused.minus(pausedTime));
+    double stoodStillS = paused.minus(pausedTime).toSeconds();
+    LOG.warn("process stood still for {} s, all leases are renewed", stoodStillS);
     pausedTime = paused;
     core.onProcessPaused(loop.now());
   }
--- a/src/test/java/io/saltflow/leader/AvoidedMachineTest.java
+++ b/src/test/java/io/saltflow/leader/AvoidedMachineTest.java
@@ -48,34 +48,35 @@
     return Integer.MAX_VALUE;
   }
 
-  private void fillOtherMachine() {
+  /** Launches job 1 on vm-1, which has the only room, as job 9 takes all of vm-2. */
+  private void launchBesideFullMachine() {
     harness.submit(JobSpecBuilder.job(9).cores(10).estimateS(1000).build());
     for (int i = 0; i < 10 && !launchedBy("vm-2", 9); i++) {
       harness.advance(1);
     }
     harness.sendHeartbeat("vm-1");
-  }
-
-  @Test
-  void jobReturnsToTheOnlyMachineWithRoomAfterOneFailure() {
-    fillOtherMachine();
     harness.submit(JobSpecBuilder.job(1).cores(4).estimateS(10).build());
     assertTrue(secondsUntilLaunch("vm-1", "vm-2", 1) < 10);
+  }
+
+  private void failTask() {
     harness.advance(1);
     harness.exitTask("vm-1", LeaderHarness.task(1, 0), WorkerHeartbeat.ExitCause.ERROR);
     harness.sendHeartbeat("vm-1");
+  }
+
+  @Test
+  void jobReturnsToTheOnlyMachineWithRoomAfterOneFailure() {
+    launchBesideFullMachine();
+    failTask();
     int waited = secondsUntilLaunch("vm-1", "vm-2", 1);
     assertTrue(waited >= 10 && waited < MAX_WAIT_S, "waited for " + waited + " s");
   }
 
   @Test
   void jobReturnsAtOnceAfterALaterSuccessOnTheMachine() {
-    fillOtherMachine();
-    harness.submit(JobSpecBuilder.job(1).cores(4).estimateS(10).build());
-    assertTrue(secondsUntilLaunch("vm-1", "vm-2", 1) < 10);
-    harness.advance(1);
-    harness.exitTask("vm-1", LeaderHarness.task(1, 0), WorkerHeartbeat.ExitCause.ERROR);
-    harness.sendHeartbeat("vm-1");
+    launchBesideFullMachine();
+    failTask();
     harness.submit(JobSpecBuilder.job(2).cores(4).estimateS(1).build());
     assertTrue(secondsUntilLaunch("vm-1", "vm-2", 2) < 5);
     harness.advance(1);
@@ -86,14 +87,10 @@
   /** A machine that fails the job again and again is tried at growing intervals. */
   @Test
   void repeatedFailuresOnOneMachineAreSpacedOut() {
-    fillOtherMachine();
-    harness.submit(JobSpecBuilder.job(1).cores(4).estimateS(10).build());
-    assertTrue(secondsUntilLaunch("vm-1", "vm-2", 1) < 10);
+    launchBesideFullMachine();
     int before = 0;
     for (int failure = 0; failure < 2; failure++) {
-      harness.advance(1);
-      harness.exitTask("vm-1", LeaderHarness.task(1, 0), WorkerHeartbeat.ExitCause.ERROR);
-      harness.sendHeartbeat("vm-1");
+      failTask();
       int waited = secondsUntilLaunch("vm-1", "vm-2", 1);
       assertTrue(waited > before && waited < MAX_WAIT_S, "waited for " + waited + " s");
       before = waited;
